--- /dev/null
+++ b/src/bin/ivyward-benchlink/settings.rs
@@ -0,0 +1,150 @@
+//! Reads an instance's settings text into the library's settings.
+
+use ivyward::interface::*;
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+struct Keys<'a>(BTreeMap<&'a str, &'a str>);
+
+impl Keys<'_> {
+    fn get<T: FromStr>(&self, key: &str) -> Result<Option<T>, String> {
+        match self.0.get(key) {
+            None => Ok(None),
+            Some(text) => {
+                text.parse().map(Some).map_err(|_| format!("settings: impossible value {text:?} of {key}"))
+            }
+        }
+    }
+    fn need<T: FromStr>(&self, key: &str) -> Result<T, String> {
+        self.get(key)?.ok_or_else(|| format!("settings: {key} is missing"))
+    }
+    /// A number that must be finite and not negative; `None` where the key is absent.
+    fn number(&self, key: &str) -> Result<Option<f64>, String> {
+        match self.get::<f64>(key)? {
+            Some(v) if !v.is_finite() || v < 0.0 => Err(format!("settings: impossible value {v} of {key}")),
+            other => Ok(other),
+        }
+    }
+    fn number_or_zero(&self, key: &str) -> Result<f64, String> {
+        Ok(self.number(key)?.unwrap_or(0.0))
+    }
+    fn span(&self, key: &str) -> Result<Micros, String> {
+        Ok(self.number_or_zero(key)? as Micros)
+    }
+    fn need_span(&self, key: &str) -> Result<Micros, String> {
+        Ok(self.number(key)?.ok_or_else(|| format!("settings: {key} is missing"))? as Micros)
+    }
+    fn flag(&self, key: &str) -> Result<bool, String> {
+        Ok(self.get(key)?.unwrap_or(false))
+    }
+    fn list(&self, key: &str) -> Vec<&str> {
+        self.0.get(key).map_or(Vec::new(), |v| v.split(',').filter(|s| !s.is_empty()).collect())
+    }
+    fn numbers(&self, key: &str) -> Result<Vec<f64>, String> {
+        let parse = |t: &str| t.parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
+        let values = self.list(key).into_iter();
+        values.map(|t| parse(t).ok_or_else(|| format!("settings: impossible value {t:?} in {key}"))).collect()
+    }
+    fn word<T: Copy>(&self, key: &str, words: &[(&str, T)], absent: Option<T>) -> Result<T, String> {
+        match (self.0.get(key), absent) {
+            (None, Some(value)) => Ok(value),
+            (None, None) => Err(format!("settings: {key} is missing")),
+            (Some(text), _) => words
+                .iter()
+                .find(|(word, _)| word == text)
+                .map(|(_, value)| *value)
+                .ok_or_else(|| format!("settings: impossible value {text:?} of {key}")),
+        }
+    }
+}
+
+/// The settings in a text of `path=value` lines; unknown keys are ignored.
+pub fn parse(text: &str) -> Result<Settings, String> {
+    let pairs = text.lines().filter_map(|line| line.split_once('='));
+    let keys = Keys(pairs.map(|(k, v)| (k.trim(), v.trim())).collect());
+    let roles = keys.list("family_info.kind_role").into_iter().map(|role| match role {
+        "read" => Ok(Role::Prefill),
+        "write" => Ok(Role::Decode),
+        "both" => Ok(Role::Mixed),
+        other => Err(format!("settings: impossible value {other:?} in family_info.kind_role")),
+    });
+    let roles = roles.collect::<Result<Vec<_>, _>>()?;
+    if roles.is_empty() {
+        return Err("settings: family_info.kind_role is missing".into());
+    }
+    let nodes: u32 = keys.need("balancers")?;
+    if nodes == 0 {
+        return Err("settings: impossible value 0 of balancers".into());
+    }
+    let stretch = keys.numbers("family_info.aim_us_per_1000_prompt_tokens")?;
+    let pace = keys.numbers("family_info.token_aim_us")?;
+    let mut classes = Vec::new();
+    for i in 0..keys.need::<usize>("classes.count")?.min(1 << 16) {
+        let key = |name: &str| format!("classes.{i}.{name}");
+        let effects = [("retryable", Effect::Safe), ("dedup", Effect::Keyed), ("fragile", Effect::Unsafe)];
+        let groups = [("all", RepeatGroup::All), ("zone", RepeatGroup::Zone), ("cell", RepeatGroup::Cell)];
+        classes.push(ClassSettings {
+            ttft_aim: keys.need_span(&key("target_us"))?,
+            ttft_aim_per_1000: stretch.get(i).copied().unwrap_or(0.0),
+            tpot_aim: pace.get(i).copied().unwrap_or(0.0),
+            deadline: keys.need_span(&key("deadline_us"))?,
+            worth: keys.number(&key("importance"))?.unwrap_or(1.0),
+            late_share: keys.number_or_zero(&key("late_share"))?,
+            effect: keys.word(&key("semantics"), &effects, None)?,
+            group: keys.word(&key("group"), &groups, Some(RepeatGroup::All))?,
+            repeat_window: keys.span(&key("key_ttl_us"))?,
+        });
+    }
+    let mut tenants = Vec::new();
+    for i in 0..keys.get::<usize>("parties.count")?.unwrap_or(0).min(1 << 16) {
+        tenants.push(TenantSettings { quota_per_s: keys.number(&format!("parties.{i}.quota_per_s"))? });
+    }
+    let report_fields = match keys.0.get("report.source") {
+        None | Some(&"none") => Vec::new(),
+        Some(_) => keys.list("report.fields").into_iter().map(|name| report_field(name, &keys)).collect(),
+    };
+    Ok(Settings {
+        nodes,
+        zone: keys.get("zone")?.unwrap_or(0),
+        roles,
+        memory_tokens: keys.numbers("family_info.memory_tokens")?,
+        classes,
+        tenants,
+        over_share_worth: keys.number("over_share_worth")?.unwrap_or(1.0),
+        decode_may_prefill: keys.flag("family_info.local_read")?,
+        hold_ahead: keys.flag("family_info.early_pairing")?,
+        transfer_price: keys.number_or_zero("family_info.transfer_price")?,
+        cross_zone_price: keys.number_or_zero("charges.cross_zone")?,
+        release_within: keys.span("family_info.let_go_by_us")?,
+        drain_grace: keys.span("guarantees.drain_grace_us")?,
+        fall_multiple: keys.number_or_zero("guarantees.fall_multiple")?,
+        fall_window: keys.span("guarantees.fall_us")?,
+        start_capacity: keys.number_or_zero("guarantees.start_capacity")?,
+        warm_after: keys.span("guarantees.warm_after_us")?,
+        must_subscribe: keys.word("discovery", &[("automatic", false), ("subscribe", true)], Some(false))?,
+        max_attempts: keys.get("limits.try_limit")?.unwrap_or(1),
+        may_cancel: keys.flag("limits.may_cancel")?,
+        probes: keys.flag("limits.probes")?,
+        second_copies: keys.flag("limits.second_copies")?,
+        max_retry_after: match keys.flag("limits.retry_after")? {
+            true => keys.span("limits.max_retry_after_us")?,
+            false => 0,
+        },
+        report_fields,
+    })
+}
+
+fn report_field(name: &str, keys: &Keys) -> ReportField {
+    let meaning = |key| keys.0.get(key).copied().unwrap_or("");
+    match name {
+        "outstanding" => ReportField::Outstanding,
+        "backlog" => ReportField::Backlog,
+        "utilization" => ReportField::Utilization,
+        "recent_ms" => ReportField::RecentMs,
+        "x0" if meaning("family_info.report_x0").starts_with("share_of_memory") => ReportField::MemoryShare,
+        "x1" if meaning("family_info.report_x1").starts_with("thousands_of_prompt") => {
+            ReportField::WaitingKTokens
+        }
+        _ => ReportField::Other,
+    }
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,803 @@
+//! The decision module. Its interface (types, events, actions) is `src/interface.rs`.
+//!
+//! One mechanism decides the ordinary path: PPD of "Not All Prefills Are Equal" (arXiv:2603.13358), in an
+//! online form. A later turn of a session is read where its state is held or takes the prefill path, by a score
+//! per workload cell. docs/design.md tells what was kept, what was changed and when each exception acts.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+// ---- Constants. None is a figure of a deployment: they are shares, counts, or multiples of told or learned figures.
+
+/// Weight of the relative first-token gain in the score (the paper's balanced setting).
+const WEIGHT_TTFT: f64 = 1.0;
+/// Weight of the relative pace loss in the score (the paper's balanced setting).
+const WEIGHT_TPOT: f64 = 1.0;
+/// A cell without both averages goes local only under this many new tokens (design page).
+const EMPTY_CELL_NEW: f64 = 2_000.0;
+/// Local only when the new tokens are under this share of the prompt (design page).
+const LOCAL_SHARE: f64 = 0.25;
+/// Local only when the holder has at most this multiple of our median streams (design page).
+const LOCAL_CROWD: f64 = 2.0;
+/// Share of local decisions sent the prefill path all the same, so that both averages stay fed.
+const REMOTE_SHARE: f64 = 0.05;
+/// An average with less weight than this counts as empty: two or three answers.
+const CELL_MIN: f64 = 2.5;
+/// Averages forget over this span: several think times, far less than a day.
+const CELL_AGE: f64 = 60e6;
+/// A session row is dropped after this idle time (design page).
+const ROW_IDLE: Micros = 120_000_000;
+/// A reader takes at most this multiple of the readers' mean waiting tokens before a prefix spills.
+const RING_BOUND: f64 = 1.5;
+/// Step of the running means of a server's slowness and of the pool's latencies: about the last ten answers.
+const STEP: f64 = 0.1;
+/// One observation may not count for more than this multiple of what was expected.
+const CLIP: f64 = 5.0;
+/// A server whose oldest wait is this multiple of its expected time, with no progress since, has stalled.
+const STALL: f64 = 4.0;
+/// An attempt may last this multiple of its expected time ...
+const PATIENCE: f64 = 5.0;
+/// ... and never less than this share of the wanted first-token time (so noise is not taken for a hang).
+const LEAST_WAIT: f64 = 0.6;
+/// First pause before a doubted server is tried again, as a share of its time to warm; it doubles.
+const TRIAL_GAP: f64 = 0.05;
+/// Part of the cold budget that is spent at most: the learned rate is a guess and chance has a say.
+const COLD_SAFETY: f64 = 0.6;
+/// Span over which the send rate of a kind of machine is learned.
+const RATE_AGE: f64 = 10e6;
+/// Distance in a writer's load that a move out of the rack, or out of the zone, is worth.
+const OUT_OF_CELL: f64 = 1.15;
+const OUT_OF_ZONE: f64 = 1.3;
+/// Log lines per start.
+const LOG_LINES: u32 = 40;
+
+// ---- Fleet and health
+
+/// What an attempt asks of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Op {
+    Read,
+    Fetch,
+    Local,
+}
+
+#[derive(Clone, Copy)]
+struct Wait {
+    sent: Micros,
+    tokens: f64,
+    expected: f64,
+}
+
+struct Server {
+    entry: ServerEntry,
+    /// Changes when the process is known to have restarted or broken off: what it kept is gone.
+    epoch: u64,
+    /// Our attempts there that have not been read or begun to stream.
+    waiting: BTreeMap<(RequestId, u16), Wait>,
+    streams: u32,
+    /// Mean of observed over expected latency; 1 is a usual server of its pool.
+    slow: f64,
+    /// Grows with failures; at 1 or more only trials are sent.
+    doubt: f64,
+    trial_at: Micros,
+    trial_gap: Micros,
+    progress: Micros,
+    full_until: Micros,
+    /// Share of the tokens expected to be kept there that local answers found kept.
+    keep: f64,
+    /// Recent sends, kept while it is cold.
+    sends: VecDeque<Micros>,
+}
+
+impl Server {
+    fn load(&self) -> f64 {
+        f64::from(self.streams) + self.waiting.len() as f64
+    }
+    fn waiting_tokens(&self) -> f64 {
+        self.waiting.values().map(|w| w.tokens).sum()
+    }
+    /// Guards against servers that take work and answer none, whatever the cause (hang, cut link, long pause):
+    /// the oldest wait is far over its own expected time and nothing has come back meanwhile. A heavy prompt
+    /// has a long expected time of its own. May harm when all latencies jump at once; then the pool is not
+    /// emptied, for the pickers fall back on stalled servers.
+    fn stalled(&self, now: Micros) -> bool {
+        self.waiting
+            .values()
+            .any(|w| now.saturating_sub(w.sent.max(self.progress)) as f64 > STALL * w.expected)
+    }
+    /// 0: use freely; 1: full of late; 2: doubted or stalled, only when nothing else is left.
+    fn grade(&self, now: Micros) -> u8 {
+        let trial_due = now >= self.trial_at && self.waiting.is_empty();
+        match () {
+            _ if self.doubt >= 1.0 && !trial_due => 2,
+            _ if self.stalled(now) => 2,
+            _ if now < self.full_until => 1,
+            _ => 0,
+        }
+    }
+}
+
+/// A pool's running mean of latency and of the work behind it.
+#[derive(Clone, Copy, Default)]
+struct Norm {
+    latency: f64,
+    work: f64,
+    seen: bool,
+}
+
+impl Norm {
+    fn expect(&self, work: f64) -> Option<f64> {
+        self.seen.then(|| self.latency * (0.5 + 0.5 * work / self.work.max(1.0)))
+    }
+    fn learn(&mut self, latency: f64, work: f64) {
+        let step = if self.seen { STEP / 2.0 } else { 1.0 };
+        let latency = if self.seen { latency.min(self.latency * CLIP) } else { latency };
+        self.latency += step * (latency - self.latency);
+        self.work += step * (work - self.work);
+        self.seen = true;
+    }
+}
+
+// ---- Sessions and cells
+
+struct Row {
+    writer: ServerId,
+    epoch: u64,
+    used: Micros,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Average {
+    mean: f64,
+    weight: f64,
+    at: Micros,
+}
+
+impl Average {
+    fn weight(&self, now: Micros) -> f64 {
+        self.weight * (-(now.saturating_sub(self.at) as f64) / CELL_AGE).exp()
+    }
+    fn add(&mut self, now: Micros, value: f64) {
+        self.weight = self.weight(now) + 1.0;
+        self.mean += (value - self.mean) / self.weight;
+        self.at = now;
+    }
+}
+
+/// First-token time and pace of one path in one workload cell.
+#[derive(Clone, Copy, Default)]
+struct PathStats {
+    ttft: Average,
+    pace: Average,
+}
+
+impl PathStats {
+    fn empty(&self, now: Micros) -> bool {
+        self.ttft.weight(now) < CELL_MIN || self.pace.weight(now) < CELL_MIN
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Path {
+    Local,
+    Remote,
+}
+
+type CellKey = (u8, u8, u8);
+
+/// The paper's score, from the averages of a cell: positive means local.
+fn score(local: &PathStats, remote: &PathStats) -> f64 {
+    let gain = (remote.ttft.mean - local.ttft.mean) / remote.ttft.mean.max(1.0);
+    let loss = (local.pace.mean - remote.pace.mean) / remote.pace.mean.max(1.0);
+    WEIGHT_TTFT * gain - WEIGHT_TPOT * loss
+}
+
+// ---- Requests
+
+struct Attempt {
+    server: ServerId,
+    op: Op,
+    sent: Micros,
+    tokens: f64,
+    out: bool,
+    streaming: bool,
+}
+
+struct Request {
+    a: Arrival,
+    arrived: Micros,
+    deadline: Micros,
+    aim: f64,
+    attempts: Vec<Attempt>,
+    /// Where its read state waits.
+    state_at: Option<ServerId>,
+    /// Where a place is held ahead.
+    held_at: Option<ServerId>,
+    /// The first attempt that may have run: server and send time.
+    may_have_run: Option<(ServerId, Micros)>,
+    tried: Vec<ServerId>,
+    path: Option<(Path, CellKey)>,
+    first_token: Option<Micros>,
+    over: bool,
+}
+
+/// Decides for one node. See [`Router::handle`].
+pub struct Router {
+    cfg: Settings,
+    random: u64,
+    fleet: BTreeMap<ServerId, Server>,
+    rows: BTreeMap<(bool, u64), Row>,
+    cells: BTreeMap<CellKey, [PathStats; 2]>,
+    open: BTreeMap<RequestId, Request>,
+    norms: BTreeMap<(Op, Role), Norm>,
+    /// Decayed count of sends to each kind of machine.
+    kind_sends: Vec<(f64, Micros)>,
+    next_sweep: Micros,
+    logged: u32,
+}
+
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+fn row_key(a: &Arrival) -> Option<(bool, u64)> {
+    match (a.session, a.prefix) {
+        (0, 0) => None,
+        (0, prefix) => Some((false, prefix)),
+        (session, _) => Some((true, session)),
+    }
+}
+
+impl Router {
+    /// A router that knows only its settings. `seed` feeds its random choices.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let kinds = settings.roles.len();
+        Router {
+            cfg: settings,
+            random: mix(seed),
+            fleet: BTreeMap::new(),
+            rows: BTreeMap::new(),
+            cells: BTreeMap::new(),
+            open: BTreeMap::new(),
+            norms: BTreeMap::new(),
+            kind_sends: vec![(0.0, 0); kinds],
+            next_sweep: 0,
+            logged: 0,
+        }
+    }
+
+    /// Takes in one event and appends what is to be done to `out`.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Fleet { kind, entries } => self.on_fleet(now, kind, &entries, out),
+            Event::Request(arrival) => self.on_request(now, arrival, out),
+            Event::FirstToken { request, attempt } => self.on_first_token(now, request, attempt),
+            Event::PlaceAnswer { request, server, held } => {
+                if let Some(r) = self.open.get_mut(&request) {
+                    if r.held_at == Some(server) && !held {
+                        r.held_at = None;
+                    }
+                }
+            }
+            Event::AttemptEnded { request, attempt, outcome, kept_tokens, finished, .. } => {
+                self.on_ended(now, request, attempt, outcome, kept_tokens, finished, out);
+            }
+            Event::ClientGone(request) => self.on_gone(now, request, out),
+            Event::Timer(_) if self.cfg.must_subscribe => out.push(Action::Subscribe),
+            Event::Timer(_) | Event::Probed { .. } => {}
+        }
+    }
+
+    fn on_fleet(&mut self, now: Micros, kind: ListKind, entries: &[ServerEntry], out: &mut Vec<Action>) {
+        match kind {
+            ListKind::Failed => out.push(Action::SetTimer { at: now + 1_000_000, token: 0 }),
+            ListKind::Cached if self.cfg.must_subscribe => out.push(Action::Subscribe),
+            _ => {}
+        }
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            for server in self.fleet.values_mut() {
+                server.entry.condition = Condition::Gone;
+            }
+        }
+        for entry in entries.iter().filter(|e| usize::from(e.kind) < self.cfg.roles.len()) {
+            let server = self.fleet.entry(entry.id).or_insert_with(|| Server {
+                entry: *entry,
+                epoch: 0,
+                waiting: BTreeMap::new(),
+                streams: 0,
+                slow: 1.0,
+                doubt: 0.0,
+                trial_at: 0,
+                trial_gap: 0,
+                progress: 0,
+                full_until: 0,
+                keep: 1.0,
+                sends: VecDeque::new(),
+            });
+            if server.entry.started != entry.started || entry.condition == Condition::Gone {
+                // Restarted or gone: nothing it kept is there any more, and its past tells nothing.
+                server.epoch += 1;
+                (server.slow, server.doubt, server.keep, server.full_until) = (1.0, 0.0, 1.0, 0);
+            }
+            server.entry = *entry;
+        }
+    }
+
+    fn role(&self, server: &Server) -> Role {
+        self.cfg.roles[usize::from(server.entry.kind)]
+    }
+
+    fn listed(&self) -> impl Iterator<Item = &Server> {
+        self.fleet.values().filter(|s| s.entry.condition == Condition::Ready)
+    }
+
+    /// The part of its capacity that a server has at the least; 1 when warm. Its growth is not told: half of a
+    /// straight line is taken.
+    fn capacity_share(&self, entry: &ServerEntry, now: Micros) -> f64 {
+        let (age, warm) = (now.saturating_sub(entry.started) as f64, self.cfg.warm_after as f64);
+        if entry.started == 0 || age >= warm {
+            return 1.0;
+        }
+        let start = self.cfg.start_capacity.min(1.0);
+        start + (1.0 - start) * 0.5 * age / warm.max(1.0)
+    }
+
+    /// Guards the rule that a cold server is not pushed over: this node's part of the told budget, with what
+    /// warm servers of its kind get from this node as the guide to its size (the other nodes' parts are
+    /// theirs). Retries and later turns spend it too. A single send is always allowed when none is waiting.
+    fn cold_room(&self, server: &Server, now: Micros) -> bool {
+        let share = self.capacity_share(&server.entry, now);
+        if share >= 1.0 || self.cfg.fall_multiple <= 0.0 {
+            return true;
+        }
+        let window = self.cfg.fall_window;
+        let sent = server.sends.iter().filter(|t| now.saturating_sub(**t) < window).count() as f64;
+        let kind = server.entry.kind;
+        let (count, at) = self.kind_sends[usize::from(kind)];
+        let rate = count * (-(now.saturating_sub(at) as f64) / RATE_AGE).exp() / RATE_AGE;
+        let peers: f64 =
+            self.listed().filter(|s| s.entry.kind == kind).map(|s| s.entry.weight.max(0.01)).sum();
+        let usual = rate * window as f64 * server.entry.weight.max(0.01) / peers.max(0.01);
+        sent + 1.0 <= COLD_SAFETY * self.cfg.fall_multiple * share * usual
+            || (sent == 0.0 && server.waiting.is_empty())
+    }
+
+    fn effective_weight(&self, server: &Server, now: Micros) -> f64 {
+        server.entry.weight.max(0.01) * self.capacity_share(&server.entry, now) / server.slow.max(0.5)
+    }
+
+    fn expected(&self, server: &Server, op: Op, work: f64, aim: f64) -> f64 {
+        let norm = self.norms.get(&(op, self.role(server))).and_then(|n| n.expect(work));
+        (norm.unwrap_or(aim / 4.0) * server.slow.clamp(1.0, 2.0)).max(aim / 20.0)
+    }
+
+    /// Takes note of a failure that says something of the server.
+    fn blame(&mut self, id: ServerId, now: Micros, amount: f64, out: &mut Vec<Action>) {
+        let first_gap = (self.cfg.warm_after as f64 * TRIAL_GAP) as Micros + 100_000;
+        let Some(server) = self.fleet.get_mut(&id) else { return };
+        let before = server.doubt;
+        server.doubt = (server.doubt + amount).min(3.0);
+        if server.doubt >= 1.0 {
+            let longest = self.cfg.warm_after.max(first_gap);
+            server.trial_gap = if before < 1.0 { first_gap } else { (server.trial_gap * 2).min(longest) };
+            server.trial_at = now + server.trial_gap;
+            if before < 1.0 && self.logged < LOG_LINES {
+                self.logged += 1;
+                let waits = server.waiting.len();
+                out.push(Action::Log(format!("server {:x} doubted, {waits} more of ours wait there", id.0)));
+            }
+        }
+    }
+
+    // ---- Reader ring
+
+    /// Consistent hashing with bounded loads: the readers in the order of their hash with the key, the first
+    /// whose waiting tokens stay within the bound. All nodes agree on the order.
+    fn pick_reader(&self, now: Micros, key: u64, tokens: f64, tried: &[ServerId]) -> Option<ServerId> {
+        let readers = self.listed().filter(|s| self.role(s) == Role::Prefill && !tried.contains(&s.entry.id));
+        let readers: Vec<&Server> = readers.filter(|s| self.cold_room(s, now)).collect();
+        let best = readers.iter().map(|s| s.grade(now)).min()?;
+        let mut ring: Vec<&Server> = readers.into_iter().filter(|s| s.grade(now) == best).collect();
+        ring.sort_by_key(|s| (mix(mix(key) ^ mix(s.entry.id.0)), s.entry.id));
+        let weights: f64 = ring.iter().map(|s| self.effective_weight(s, now)).sum();
+        let waiting: f64 = ring.iter().map(|s| s.waiting_tokens()).sum();
+        let level = |s: &Server| (s.waiting_tokens() + tokens) / self.effective_weight(s, now);
+        let bound = RING_BOUND * (waiting + tokens) / weights + tokens;
+        let first = ring.iter().find(|s| level(s) <= bound);
+        first.or_else(|| ring.iter().min_by(|a, b| level(a).total_cmp(&level(b)))).map(|s| s.entry.id)
+    }
+
+    // ---- Writer choice
+
+    /// The writer with the fewest of our streams for its size, cheaper moves first among near equals.
+    fn pick_writer(&self, now: Micros, from: Option<ServerId>, r: &Request, reads: bool) -> Option<ServerId> {
+        let from = from.and_then(|id| self.fleet.get(&id)).map(|s| s.entry);
+        let cost = |s: &Server| {
+            let mut cost = (s.load() + 1.0) / self.effective_weight(s, now);
+            if from.is_some_and(|f| f.cell != s.entry.cell) {
+                cost *= OUT_OF_CELL;
+            }
+            if from.map_or(self.cfg.zone, |f| f.zone) != s.entry.zone {
+                cost *= OUT_OF_ZONE;
+            }
+            cost
+        };
+        let can = |s: &&Server| match self.role(s) {
+            Role::Prefill => false,
+            Role::Mixed => true,
+            Role::Decode => !reads || self.cfg.decode_may_prefill,
+        };
+        let writers = self.listed().filter(can).filter(|s| !r.tried.contains(&s.entry.id));
+        let writers = writers.filter(|s| self.cold_room(s, now) && self.repeat_allowed(r, s, now));
+        let rank = |s: &&Server| (s.grade(now), cost(s));
+        let best = writers.min_by(|a, b| {
+            let ((ga, ca), (gb, cb)) = (rank(a), rank(b));
+            ga.cmp(&gb).then(ca.total_cmp(&cb)).then(a.entry.id.cmp(&b.entry.id))
+        });
+        best.map(|s| s.entry.id)
+    }
+
+    // ---- Request life cycle
+
+    fn on_request(&mut self, now: Micros, a: Arrival, out: &mut Vec<Action>) {
+        self.sweep(now);
+        let Some(class) = self.cfg.classes.get(a.class) else {
+            out.push(Action::Refuse { request: a.id, retry_after: 0 });
+            return;
+        };
+        let aim = class.ttft_aim as f64 + class.ttft_aim_per_1000 * a.prompt_tokens / 1000.0;
+        let request = Request {
+            a,
+            arrived: now,
+            deadline: now + a.patience,
+            aim,
+            attempts: Vec::new(),
+            state_at: None,
+            held_at: None,
+            may_have_run: None,
+            tried: Vec::new(),
+            path: None,
+            first_token: None,
+            over: false,
+        };
+        self.step(now, request, out);
+    }
+
+    fn sweep(&mut self, now: Micros) {
+        if now >= self.next_sweep {
+            self.next_sweep = now + ROW_IDLE / 16;
+            self.rows.retain(|_, row| now.saturating_sub(row.used) < ROW_IDLE);
+        }
+    }
+
+    /// The next thing to do for a request with no attempt out: an attempt, or the final answer.
+    fn step(&mut self, now: Micros, mut r: Request, out: &mut Vec<Action>) {
+        let left = (self.cfg.max_attempts as usize).saturating_sub(r.attempts.len());
+        let in_time = now < r.deadline;
+        let mut target = None;
+        if left > 0 && in_time && self.repeat_open(&r, now) {
+            if let Some(reader) = r.state_at {
+                let held = r.held_at.and_then(|id| self.fleet.get(&id)).filter(|s| {
+                    s.entry.condition == Condition::Ready && s.grade(now) < 2 && self.cold_room(s, now)
+                });
+                let held = held.map(|s| s.entry.id).filter(|id| !r.tried.contains(id));
+                let writer = held.or_else(|| self.pick_writer(now, Some(reader), &r, false));
+                target = writer.map(|w| (w, Op::Fetch));
+            } else {
+                target = self.local_writer(now, &mut r).map(|w| (w, Op::Local));
+                if target.is_none() && left > 1 {
+                    let key = if r.a.prefix != 0 { r.a.prefix } else { r.a.session };
+                    let key = if key != 0 { key } else { r.a.id.0 };
+                    let unread = self.new_tokens(&r.a);
+                    target = self.pick_reader(now, key, unread, &r.tried).map(|s| (s, Op::Read));
+                }
+                if target.is_none() {
+                    // No reader or no attempt for two steps: a server that reads for itself.
+                    target = self.pick_writer(now, None, &r, true).map(|w| (w, Op::Local));
+                }
+            }
+        }
+        match target {
+            Some((server, op)) => self.send(now, r, server, op, out),
+            None => self.give_up(now, r, out),
+        }
+    }
+
+    /// Tokens of a prompt that nobody has kept (design page: prompt minus shared opening).
+    fn new_tokens(&self, a: &Arrival) -> f64 {
+        (a.prompt_tokens - a.prefix_tokens).max(1.0)
+    }
+
+    /// The PPD decision for a later turn: the writer that holds its session, if it should read there.
+    fn local_writer(&mut self, now: Micros, r: &mut Request) -> Option<ServerId> {
+        if r.path.is_some() {
+            return None;
+        }
+        let row = self.rows.get(&row_key(&r.a)?).filter(|row| now.saturating_sub(row.used) < ROW_IDLE)?;
+        let server = self.fleet.get(&row.writer).filter(|s| s.epoch == row.epoch)?;
+        let mut loads: Vec<f64> =
+            self.listed().filter(|s| self.role(s) != Role::Prefill).map(Server::load).collect();
+        loads.sort_by(f64::total_cmp);
+        let median = loads.get(loads.len() / 2).copied().unwrap_or(0.0);
+        // A writer that forgot (flush, memory pressure) makes kept tokens new again; see `learn_keep`.
+        let base = self.new_tokens(&r.a);
+        let new = base + (1.0 - server.keep) * (r.a.prompt_tokens - base).max(0.0);
+        let output = r.a.hinted_output.unwrap_or(r.a.max_output).max(1.0);
+        let crowd = server.load() / median.max(1.0);
+        let key = (
+            (r.a.prompt_tokens / 512.0).max(1.0).log2().min(8.0) as u8,
+            (new / output * 2.0 + 1.0).log2().min(6.0) as u8,
+            (crowd * 2.0).min(5.0) as u8,
+        );
+        r.path = Some((Path::Remote, key));
+        let limits = new < LOCAL_SHARE * r.a.prompt_tokens && server.load() <= LOCAL_CROWD * median.max(1.0);
+        let able = self.role(server) == Role::Mixed || self.cfg.decode_may_prefill;
+        let well = server.entry.condition == Condition::Ready && server.grade(now) == 0;
+        if !(limits && able && well && self.cold_room(server, now)) {
+            return None;
+        }
+        let writer = row.writer;
+        let [local, remote] = self.cells.get(&key).copied().unwrap_or_default();
+        let local_wins = match local.empty(now) || remote.empty(now) {
+            true => new < EMPTY_CELL_NEW,
+            false => score(&local, &remote) > 0.0,
+        };
+        if !local_wins || self.chance() < REMOTE_SHARE {
+            return None;
+        }
+        r.path = Some((Path::Local, key));
+        Some(writer)
+    }
+
+    fn chance(&mut self) -> f64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        (mix(self.random) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn send(&mut self, now: Micros, mut r: Request, to: ServerId, op: Op, out: &mut Vec<Action>) {
+        let left = (self.cfg.max_attempts as usize).saturating_sub(r.attempts.len());
+        let attempt = r.attempts.len() as u16;
+        let tokens = if op == Op::Fetch { r.a.prompt_tokens } else { self.new_tokens(&r.a) };
+        let server = &self.fleet[&to];
+        let ahead = if op == Op::Read { server.waiting_tokens() } else { 0.0 };
+        let expected = self.expected(server, op, tokens + ahead, r.aim);
+        // A time-out leaves time for another attempt, except where a repeat is ruled out anyway.
+        let remaining = r.deadline.saturating_sub(now);
+        let once = op != Op::Read && self.cfg.classes[r.a.class].effect != Effect::Safe;
+        let wanted = (PATIENCE * expected).max(LEAST_WAIT * r.aim) as Micros;
+        let timeout = if once || left <= 1 { 0 } else { wanted.min(remaining / 2).max(1) };
+        out.push(Action::Send { request: r.a.id, server: to, timeout });
+        let kind = usize::from(server.entry.kind);
+        let (count, at) = self.kind_sends[kind];
+        let faded = count * (-(now.saturating_sub(at) as f64) / RATE_AGE).exp();
+        self.kind_sends[kind] = (faded + 1.0, now);
+        let window = self.cfg.fall_window;
+        let server = self.fleet.get_mut(&to).expect("picked from the fleet");
+        if server.entry.started > 0 {
+            server.sends.push_back(now);
+            while server.sends.front().is_some_and(|t| now.saturating_sub(*t) >= window) {
+                server.sends.pop_front();
+            }
+        }
+        server.waiting.insert((r.a.id, attempt), Wait { sent: now, tokens, expected });
+        r.attempts.push(Attempt {
+            server: to,
+            op,
+            sent: now,
+            tokens: tokens + ahead,
+            out: true,
+            streaming: false,
+        });
+        if op == Op::Read && self.cfg.hold_ahead && left > 1 {
+            r.held_at = self.pick_writer(now, Some(to), &r, false);
+            if let Some(writer) = r.held_at {
+                out.push(Action::HoldAhead { request: r.a.id, server: writer });
+            }
+        }
+        self.open.insert(r.a.id, r);
+    }
+
+    fn on_first_token(&mut self, now: Micros, id: RequestId, attempt: u16) {
+        let Some(r) = self.open.get_mut(&id) else { return };
+        let Some(t) = r.attempts.get_mut(usize::from(attempt)).filter(|t| t.out && !t.streaming) else {
+            return;
+        };
+        t.streaming = true;
+        r.first_token = Some(now);
+        r.state_at = None;
+        r.held_at = None;
+        let (to, op, sent, tokens) = (t.server, t.op, t.sent, t.tokens);
+        let (path, arrived, key) = (r.path, r.arrived, row_key(&r.a));
+        if let Some((path, cell)) = path {
+            let stats = &mut self.cells.entry(cell).or_default()[path as usize];
+            stats.ttft.add(now, (now - arrived) as f64);
+        }
+        self.progress(now, to, op, now - sent, tokens);
+        let Some(server) = self.fleet.get_mut(&to) else { return };
+        server.waiting.remove(&(id, attempt));
+        server.streams += 1;
+        if let Some(key) = key {
+            self.rows.insert(key, Row { writer: to, epoch: server.epoch, used: now });
+        }
+    }
+
+    /// A server did what it was asked: it clears doubt, and its time against its pool's tells its speed.
+    fn progress(&mut self, now: Micros, id: ServerId, op: Op, took: Micros, work: f64) {
+        let Some(role) = self.fleet.get(&id).map(|s| self.role(s)) else { return };
+        let norm = self.norms.entry((op, role)).or_default();
+        let ratio = norm.expect(work).map_or(1.0, |e| (took as f64 / e.max(1.0)).min(CLIP));
+        norm.learn(took as f64, work);
+        if let Some(server) = self.fleet.get_mut(&id) {
+            server.slow += STEP * (ratio - server.slow);
+            server.doubt *= 0.3;
+            server.progress = now;
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_ended(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: u16,
+        outcome: Outcome,
+        kept: u32,
+        finished: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(mut r) = self.open.remove(&id) else { return };
+        let Some(t) = r.attempts.get_mut(usize::from(attempt)).filter(|t| t.out) else {
+            self.open.insert(id, r);
+            return;
+        };
+        t.out = false;
+        let (to, op, sent, work, streaming) = (t.server, t.op, t.sent, t.tokens, t.streaming);
+        if let Some(server) = self.fleet.get_mut(&to) {
+            server.waiting.remove(&(id, attempt));
+            server.streams -= u32::from(streaming);
+        }
+        match outcome {
+            Outcome::Read => {
+                self.progress(now, to, op, now - sent, work);
+                r.state_at = Some(to);
+            }
+            Outcome::Served => {
+                if op == Op::Local && r.path.is_some_and(|(p, _)| p == Path::Local) {
+                    self.learn_keep(to, &r.a, kept);
+                }
+                if let (Some((path, cell)), Some(first)) = (r.path, r.first_token) {
+                    let length = r.a.hinted_output.unwrap_or(r.a.max_output).max(1.0);
+                    let stats = &mut self.cells.entry(cell).or_default()[path as usize];
+                    stats.pace.add(now, (now - first) as f64 / length);
+                }
+                if let Some(row) = row_key(&r.a).and_then(|key| self.rows.get_mut(&key)) {
+                    row.used = now;
+                }
+            }
+            Outcome::Full => {
+                if let Some(server) = self.fleet.get_mut(&to) {
+                    server.full_until = now + (r.aim / 4.0) as Micros;
+                }
+                r.tried.push(to);
+            }
+            Outcome::StateLost => r.state_at = None,
+            Outcome::ConnectFailed => {
+                if let Some(server) = self.fleet.get_mut(&to) {
+                    server.epoch += 1;
+                }
+                self.blame(to, now, 1.0, out);
+                r.tried.push(to);
+            }
+            Outcome::Reset => {
+                if let Some(server) = self.fleet.get_mut(&to) {
+                    server.epoch += 1;
+                }
+                self.blame(to, now, 0.5, out);
+                r.tried.push(to);
+            }
+            Outcome::TimedOut => {
+                self.blame(to, now, 0.6, out);
+                r.tried.push(to);
+            }
+            Outcome::Error => {
+                self.blame(to, now, 0.3, out);
+                r.tried.push(to);
+            }
+            Outcome::Cancelled | Outcome::NotSent => {}
+        }
+        let may_run =
+            matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        if may_run && op != Op::Read && r.may_have_run.is_none() {
+            r.may_have_run = Some((to, sent));
+        }
+        if r.held_at == Some(to) && outcome != Outcome::Read && op != Op::Read {
+            r.held_at = None;
+        }
+        if finished || r.over {
+            self.close(now, r, out);
+        } else if r.attempts.iter().any(|t| t.out) {
+            self.open.insert(id, r);
+        } else {
+            self.step(now, r, out);
+        }
+    }
+
+    /// Guards against writers that forgot (flush, memory pressure, an unseen restart): the kept count of a local
+    /// answer tells at once, long before the cell's averages do. May harm where reports of kept tokens are wrong.
+    fn learn_keep(&mut self, id: ServerId, a: &Arrival, kept: u32) {
+        let expected = a.prompt_tokens - self.new_tokens(a);
+        if let Some(server) = self.fleet.get_mut(&id).filter(|_| expected > 0.0) {
+            let found = (f64::from(kept) / expected).min(1.0);
+            server.keep += 0.5 * (found - server.keep);
+        }
+    }
+
+    fn on_gone(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.open.remove(&id) else { return };
+        for (i, t) in r.attempts.iter().enumerate().filter(|(_, t)| t.out && !t.streaming) {
+            if self.cfg.may_cancel {
+                out.push(Action::Cancel { request: id, attempt: i as u16 });
+            }
+            let _ = t;
+        }
+        self.close(now, r, out);
+    }
+
+    // ---- Rule guards
+
+    /// Whether a request that may have run may be sent again at all (no effect twice).
+    fn repeat_open(&self, r: &Request, now: Micros) -> bool {
+        let class = &self.cfg.classes[r.a.class];
+        match (class.effect, r.may_have_run) {
+            (Effect::Safe, _) | (_, None) => true,
+            (Effect::Unsafe, Some(_)) => false,
+            (Effect::Keyed, Some((_, sent))) => now.saturating_sub(sent) < class.repeat_window,
+        }
+    }
+
+    /// Whether this server drops repeats of a keyed request that may have run.
+    fn repeat_allowed(&self, r: &Request, to: &Server, now: Micros) -> bool {
+        let class = &self.cfg.classes[r.a.class];
+        let Some((ran_at, _)) = r.may_have_run.filter(|_| class.effect != Effect::Safe) else { return true };
+        let Some(ran_at) = self.fleet.get(&ran_at) else { return false };
+        self.repeat_open(r, now)
+            && match class.group {
+                RepeatGroup::All => true,
+                RepeatGroup::Zone => ran_at.entry.zone == to.entry.zone,
+                RepeatGroup::Cell => ran_at.entry.cell == to.entry.cell,
+            }
+    }
+
+    /// The final answer of a request that cannot be served, at once: a refusal where trying again does no harm.
+    fn give_up(&mut self, now: Micros, r: Request, out: &mut Vec<Action>) {
+        let class = &self.cfg.classes[r.a.class];
+        let keyed_everywhere = class.effect == Effect::Keyed && class.group == RepeatGroup::All;
+        let harmless = class.effect == Effect::Safe || r.may_have_run.is_none() || keyed_everywhere;
+        out.push(match harmless && now < r.deadline {
+            true => Action::Refuse { request: r.a.id, retry_after: self.cfg.max_retry_after / 2 },
+            false => Action::Fail(r.a.id),
+        });
+        self.close(now, r, out);
+    }
+
+    /// Ends a request: lets go of what is held, and forgets it once its attempts are in.
+    fn close(&mut self, now: Micros, mut r: Request, out: &mut Vec<Action>) {
+        if !r.over {
+            if let (Some((path, cell)), None) = (r.path, r.first_token) {
+                // An unserved request must not flatter its path: the time it cost counts.
+                let stats = &mut self.cells.entry(cell).or_default()[path as usize];
+                stats.ttft.add(now, (now - r.arrived).max(r.aim as Micros) as f64);
+            }
+        }
+        if r.first_token.is_none() {
+            // Nothing is left pinned, also when a late outcome of an ended request leaves a state behind.
+            out.push(Action::Release(r.a.id));
+        }
+        r.over = true;
+        if r.attempts.iter().any(|t| t.out) {
+            self.open.insert(r.a.id, r);
+        }
+    }
+}
