Later turns: history counts as kept

Cause: the told prefix covers only the shared opening, so nearly no later turn came under a quarter of new tokens.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -144,6 +144,8 @@
     writer: ServerId,
     epoch: u64,
     used: Micros,
+    /// The session's prompt when it was last answered: its next prompt starts with all of it.
+    context: f64,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -208,6 +210,8 @@
     arrived: Micros,
     deadline: Micros,
     aim: f64,
+    /// Prompt tokens that are taken to be kept nowhere.
+    new: f64,
     attempts: Vec<Attempt>,
     /// Where its read state waits.
     state_at: Option<ServerId>,
@@ -453,6 +457,7 @@
             arrived: now,
             deadline: now + a.patience,
             aim,
+            new: self.new_tokens(&a),
             attempts: Vec::new(),
             state_at: None,
             held_at: None,
@@ -490,8 +495,7 @@
                 if target.is_none() && left > 1 {
                     let key = if r.a.prefix != 0 { r.a.prefix } else { r.a.session };
                     let key = if key != 0 { key } else { r.a.id.0 };
-                    let unread = self.new_tokens(&r.a);
-                    target = self.pick_reader(now, key, unread, &r.tried).map(|s| (s, Op::Read));
+                    target = self.pick_reader(now, key, r.new, &r.tried).map(|s| (s, Op::Read));
                 }
                 if target.is_none() {
                     // No reader or no attempt for two steps: a server that reads for itself.
@@ -505,9 +509,12 @@
         }
     }
 
-    /// Tokens of a prompt that nobody has kept (design page: prompt minus shared opening).
+    /// Tokens of a prompt that nobody has kept. The design page's prompt minus shared opening, extended: what
+    /// the session's last prompt held is history, kept where it was read or written, and not new.
     fn new_tokens(&self, a: &Arrival) -> f64 {
-        (a.prompt_tokens - a.prefix_tokens).max(1.0)
+        let row = row_key(a).filter(|key| key.0).and_then(|key| self.rows.get(&key));
+        let history = row.map_or(0.0, |row| row.context).min(a.prompt_tokens);
+        (a.prompt_tokens - a.prefix_tokens.max(history)).max(1.0)
     }
 
     /// The PPD decision for a later turn: the writer that holds its session, if it should read there.
@@ -522,7 +529,7 @@
         loads.sort_by(f64::total_cmp);
         let median = loads.get(loads.len() / 2).copied().unwrap_or(0.0);
         // A writer that forgot (flush, memory pressure) makes kept tokens new again; see `learn_keep`.
-        let base = self.new_tokens(&r.a);
+        let base = r.new;
         let new = base + (1.0 - server.keep) * (r.a.prompt_tokens - base).max(0.0);
         let output = r.a.hinted_output.unwrap_or(r.a.max_output).max(1.0);
         let crowd = server.load() / median.max(1.0);
@@ -559,7 +566,7 @@
     fn send(&mut self, now: Micros, mut r: Request, to: ServerId, op: Op, out: &mut Vec<Action>) {
         let left = (self.cfg.max_attempts as usize).saturating_sub(r.attempts.len());
         let attempt = r.attempts.len() as u16;
-        let tokens = if op == Op::Fetch { r.a.prompt_tokens } else { self.new_tokens(&r.a) };
+        let tokens = if op == Op::Fetch { r.a.prompt_tokens } else { r.new };
         let server = &self.fleet[&to];
         let ahead = if op == Op::Read { server.waiting_tokens() } else { 0.0 };
         let expected = self.expected(server, op, tokens + ahead, r.aim);
@@ -609,7 +616,7 @@
         r.state_at = None;
         r.held_at = None;
         let (to, op, sent, tokens) = (t.server, t.op, t.sent, t.tokens);
-        let (path, arrived, key) = (r.path, r.arrived, row_key(&r.a));
+        let (path, arrived, key, context) = (r.path, r.arrived, row_key(&r.a), r.a.prompt_tokens);
         if let Some((path, cell)) = path {
             let stats = &mut self.cells.entry(cell).or_default()[path as usize];
             stats.ttft.add(now, (now - arrived) as f64);
@@ -619,7 +626,7 @@
         server.waiting.remove(&(id, attempt));
         server.streams += 1;
         if let Some(key) = key {
-            self.rows.insert(key, Row { writer: to, epoch: server.epoch, used: now });
+            self.rows.insert(key, Row { writer: to, epoch: server.epoch, used: now, context });
         }
     }
 
@@ -665,7 +672,7 @@
             }
             Outcome::Served => {
                 if op == Op::Local && r.path.is_some_and(|(p, _)| p == Path::Local) {
-                    self.learn_keep(to, &r.a, kept);
+                    self.learn_keep(to, r.a.prompt_tokens - r.new, kept);
                 }
                 if let (Some((path, cell)), Some(first)) = (r.path, r.first_token) {
                     let length = r.a.hinted_output.unwrap_or(r.a.max_output).max(1.0);
@@ -726,8 +733,7 @@
 
     /// Guards against writers that forgot (flush, memory pressure, an unseen restart): the kept count of a local
     /// answer tells at once, long before the cell's averages do. May harm where reports of kept tokens are wrong.
-    fn learn_keep(&mut self, id: ServerId, a: &Arrival, kept: u32) {
-        let expected = a.prompt_tokens - self.new_tokens(a);
+    fn learn_keep(&mut self, id: ServerId, expected: f64, kept: u32) {
         if let Some(server) = self.fleet.get_mut(&id).filter(|_| expected > 0.0) {
             let found = (f64::from(kept) / expected).min(1.0);
             server.keep += 0.5 * (found - server.keep);
