Stalls found by a tick, busy servers not blamed, cold budget by work done

Cause: under load every time-out counted as sickness, and calls for retries multiplied. Jams remain: something else starts them.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,10 +35,12 @@
 const CLIP: f64 = 5.0;
 /// A server whose oldest wait is this multiple of its expected time, with no progress since, has stalled.
 const STALL: f64 = 4.0;
-/// An attempt may last this multiple of its expected time ...
-const PATIENCE: f64 = 5.0;
-/// ... and never less than this share of the wanted first-token time (so noise is not taken for a hang).
-const LEAST_WAIT: f64 = 0.6;
+/// Nothing counts as stalled before this share of the wanted first-token time (noise is not a hang).
+const LEAST_WAIT: f64 = 0.5;
+/// Part of the time left that an attempt may take while another could follow.
+const ATTEMPT_PART: f64 = 0.65;
+/// Stalled servers are looked for this many times in the shortest wanted first-token time.
+const TICKS: u64 = 8;
 /// First pause before a doubted server is tried again, as a share of its time to warm; it doubles.
 const TRIAL_GAP: f64 = 0.05;
 /// Part of the cold budget that is spent at most: the learned rate is a guess and chance has a say.
@@ -234,12 +236,17 @@
     cells: BTreeMap<CellKey, [PathStats; 2]>,
     open: BTreeMap<RequestId, Request>,
     norms: BTreeMap<(Op, Role), Norm>,
-    /// Decayed count of sends to each kind of machine.
-    kind_sends: Vec<(f64, Micros)>,
+    /// Decayed count of what each kind of machine got done for us (storms of retries must not count).
+    kind_done: Vec<(f64, Micros)>,
     next_sweep: Micros,
+    ticking: bool,
     logged: u32,
 }
 
+/// Timer tokens.
+const SUBSCRIBE: u64 = 0;
+const TICK: u64 = 1;
+
 fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -266,8 +273,9 @@
             cells: BTreeMap::new(),
             open: BTreeMap::new(),
             norms: BTreeMap::new(),
-            kind_sends: vec![(0.0, 0); kinds],
+            kind_done: vec![(0.0, 0); kinds],
             next_sweep: 0,
+            ticking: false,
             logged: 0,
         }
     }
@@ -289,14 +297,15 @@
                 self.on_ended(now, request, attempt, outcome, kept_tokens, finished, out);
             }
             Event::ClientGone(request) => self.on_gone(now, request, out),
-            Event::Timer(_) if self.cfg.must_subscribe => out.push(Action::Subscribe),
+            Event::Timer(SUBSCRIBE) => out.push(Action::Subscribe),
+            Event::Timer(TICK) => self.on_tick(now, out),
             Event::Timer(_) | Event::Probed { .. } => {}
         }
     }
 
     fn on_fleet(&mut self, now: Micros, kind: ListKind, entries: &[ServerEntry], out: &mut Vec<Action>) {
         match kind {
-            ListKind::Failed => out.push(Action::SetTimer { at: now + 1_000_000, token: 0 }),
+            ListKind::Failed => out.push(Action::SetTimer { at: now + 1_000_000, token: SUBSCRIBE }),
             ListKind::Cached if self.cfg.must_subscribe => out.push(Action::Subscribe),
             _ => {}
         }
@@ -359,7 +368,7 @@
         let window = self.cfg.fall_window;
         let sent = server.sends.iter().filter(|t| now.saturating_sub(**t) < window).count() as f64;
         let kind = server.entry.kind;
-        let (count, at) = self.kind_sends[usize::from(kind)];
+        let (count, at) = self.kind_done[usize::from(kind)];
         let rate = count * (-(now.saturating_sub(at) as f64) / RATE_AGE).exp() / RATE_AGE;
         let peers: f64 =
             self.listed().filter(|s| s.entry.kind == kind).map(|s| s.entry.weight.max(0.01)).sum();
@@ -374,7 +383,7 @@
 
     fn expected(&self, server: &Server, op: Op, work: f64, aim: f64) -> f64 {
         let norm = self.norms.get(&(op, self.role(server))).and_then(|n| n.expect(work));
-        (norm.unwrap_or(aim / 4.0) * server.slow.clamp(1.0, 2.0)).max(aim / 20.0)
+        (norm.unwrap_or(aim / 4.0) * server.slow.clamp(1.0, 2.0)).max(aim * LEAST_WAIT / STALL)
     }
 
     /// Takes note of a failure that says something of the server.
@@ -573,13 +582,14 @@
         // A time-out leaves time for another attempt, except where a repeat is ruled out anyway.
         let remaining = r.deadline.saturating_sub(now);
         let once = op != Op::Read && self.cfg.classes[r.a.class].effect != Effect::Safe;
-        let wanted = (PATIENCE * expected).max(LEAST_WAIT * r.aim) as Micros;
-        let timeout = if once || left <= 1 { 0 } else { wanted.min(remaining / 2).max(1) };
+        let stall = STALL * expected;
+        let part = remaining as f64 * ATTEMPT_PART;
+        let timeout = match once || left <= 1 {
+            true => 0,
+            false if self.cfg.may_cancel => part.max(1.0) as Micros,
+            false => part.min(stall).max(1.0) as Micros,
+        };
         out.push(Action::Send { request: r.a.id, server: to, timeout });
-        let kind = usize::from(server.entry.kind);
-        let (count, at) = self.kind_sends[kind];
-        let faded = count * (-(now.saturating_sub(at) as f64) / RATE_AGE).exp();
-        self.kind_sends[kind] = (faded + 1.0, now);
         let window = self.cfg.fall_window;
         let server = self.fleet.get_mut(&to).expect("picked from the fleet");
         if server.entry.started > 0 {
@@ -604,6 +614,49 @@
             }
         }
         self.open.insert(r.a.id, r);
+        self.set_tick(now, out);
+    }
+
+    fn set_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let shortest = self.cfg.classes.iter().map(|c| c.ttft_aim).min().unwrap_or(0);
+        if !self.ticking && !self.open.is_empty() {
+            self.ticking = true;
+            out.push(Action::SetTimer { at: now + (shortest / TICKS).max(1_000), token: TICK });
+        }
+    }
+
+    /// Calls off what waits at stalled servers, so that a hang is not waited out. Where half of a pool seems
+    /// stalled the pool is jammed, and another place in it would be no better: nothing is called off. An
+    /// attempt that may not be repeated stays where it is.
+    fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
+        self.ticking = false;
+        let stalled = |s: &&Server| s.stalled(now);
+        let mut lost = Vec::new();
+        for reader in [true, false] {
+            let pool: Vec<&Server> =
+                self.listed().filter(|s| (self.role(s) == Role::Prefill) == reader).collect();
+            let hung: Vec<&Server> = pool.iter().copied().filter(stalled).collect();
+            if hung.len() * 2 < pool.len() || pool.len() == 1 {
+                lost.extend(hung.iter().map(|s| s.entry.id));
+            }
+        }
+        for id in lost {
+            self.blame(id, now, 1.0, out);
+            let waits: Vec<(RequestId, u16)> = self.fleet[&id].waiting.keys().copied().collect();
+            for (request, attempt) in waits.into_iter().filter(|_| self.cfg.may_cancel) {
+                let Some(r) = self.open.get(&request).filter(|r| !r.over) else { continue };
+                let op = r.attempts[usize::from(attempt)].op;
+                let repeatable = op == Op::Read || self.cfg.classes[r.a.class].effect == Effect::Safe;
+                if repeatable && r.attempts.len() < self.cfg.max_attempts as usize {
+                    out.push(Action::Cancel { request, attempt });
+                }
+            }
+            // Each call-off is answered by an outcome, which takes the next step.
+            if let Some(server) = self.fleet.get_mut(&id) {
+                server.progress = now;
+            }
+        }
+        self.set_tick(now, out);
     }
 
     fn on_first_token(&mut self, now: Micros, id: RequestId, attempt: u16) {
@@ -637,6 +690,9 @@
         let ratio = norm.expect(work).map_or(1.0, |e| (took as f64 / e.max(1.0)).min(CLIP));
         norm.learn(took as f64, work);
         if let Some(server) = self.fleet.get_mut(&id) {
+            let (count, at) = self.kind_done[usize::from(server.entry.kind)];
+            let faded = count * (-(now.saturating_sub(at) as f64) / RATE_AGE).exp();
+            self.kind_done[usize::from(server.entry.kind)] = (faded + 1.0, now);
             server.slow += STEP * (ratio - server.slow);
             server.doubt *= 0.3;
             server.progress = now;
@@ -671,6 +727,9 @@
                 r.state_at = Some(to);
             }
             Outcome::Served => {
+                if let Some(server) = self.fleet.get_mut(&to) {
+                    server.progress = now;
+                }
                 if op == Op::Local && r.path.is_some_and(|(p, _)| p == Path::Local) {
                     self.learn_keep(to, r.a.prompt_tokens - r.new, kept);
                 }
@@ -705,14 +764,18 @@
                 r.tried.push(to);
             }
             Outcome::TimedOut => {
-                self.blame(to, now, 0.6, out);
+                // A busy server that got other work done meanwhile is not a sick one.
+                if self.fleet.get(&to).is_some_and(|s| s.progress < sent) {
+                    self.blame(to, now, 0.6, out);
+                }
                 r.tried.push(to);
             }
             Outcome::Error => {
                 self.blame(to, now, 0.3, out);
                 r.tried.push(to);
             }
-            Outcome::Cancelled | Outcome::NotSent => {}
+            Outcome::Cancelled => r.tried.push(to),
+            Outcome::NotSent => {}
         }
         let may_run =
             matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
