--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,6 +47,12 @@
 const COLD_SAFETY: f64 = 0.6;
 /// Span over which the send rate of a kind of machine is learned.
 const RATE_AGE: f64 = 10e6;
+/// First tokens are wanted after this share of their aim on average; above it a part of arrivals is refused.
+const DELAY_TARGET: f64 = 0.5;
+/// How fast the refused part follows, for each answer and each unit of distance from the target.
+const SHED_GAIN: f64 = 0.05;
+/// No more than this part is refused, so that answers go on telling how things stand.
+const SHED_MOST: f64 = 0.9;
 /// Distance in a writer's load that a move out of the rack, or out of the zone, is worth.
 const OUT_OF_CELL: f64 = 1.15;
 const OUT_OF_ZONE: f64 = 1.3;
@@ -240,6 +246,10 @@
     kind_done: Vec<(f64, Micros)>,
     next_sweep: Micros,
     ticking: bool,
+    /// Running mean of first-token time over aim; the part of arrivals refused; running mean of worth.
+    delay: f64,
+    shed: f64,
+    worth: f64,
     logged: u32,
 }
 
@@ -276,6 +286,9 @@
             kind_done: vec![(0.0, 0); kinds],
             next_sweep: 0,
             ticking: false,
+            delay: 0.0,
+            shed: 0.0,
+            worth: 0.0,
             logged: 0,
         }
     }
@@ -476,9 +489,27 @@
             first_token: None,
             over: false,
         };
+        if self.sheds(&request) {
+            return self.give_up(now, request, out);
+        }
         self.step(now, request, out);
     }
 
+    /// Overload: what first tokens take against their aims steers the part of arrivals that is refused at once,
+    /// least worth first. Guards against queues that make every answer late, whatever fills them (a burst, lost
+    /// servers, slow links). May harm when a few sick servers alone make the mean late; health is to catch those.
+    fn sheds(&mut self, r: &Request) -> bool {
+        let worth = self.cfg.classes[r.a.class].worth.max(0.01);
+        self.worth += if self.worth == 0.0 { worth } else { STEP * (worth - self.worth) };
+        let part = self.shed * (self.worth / worth).clamp(0.5, 2.0);
+        self.shed > 0.0 && self.chance() < part.min(SHED_MOST)
+    }
+
+    fn learn_delay(&mut self, ratio: f64) {
+        self.delay += STEP * (ratio.min(2.0) - self.delay);
+        self.shed = (self.shed + SHED_GAIN * (self.delay - DELAY_TARGET)).clamp(0.0, SHED_MOST);
+    }
+
     fn sweep(&mut self, now: Micros) {
         if now >= self.next_sweep {
             self.next_sweep = now + ROW_IDLE / 16;
@@ -674,6 +705,8 @@
             let stats = &mut self.cells.entry(cell).or_default()[path as usize];
             stats.ttft.add(now, (now - arrived) as f64);
         }
+        let ratio = (now - arrived) as f64 / r.aim.max(1.0);
+        self.learn_delay(ratio);
         self.progress(now, to, op, now - sent, tokens);
         let Some(server) = self.fleet.get_mut(&to) else { return };
         server.waiting.remove(&(id, attempt));
@@ -845,7 +878,7 @@
         let keyed_everywhere = class.effect == Effect::Keyed && class.group == RepeatGroup::All;
         let harmless = class.effect == Effect::Safe || r.may_have_run.is_none() || keyed_everywhere;
         out.push(match harmless && now < r.deadline {
-            true => Action::Refuse { request: r.a.id, retry_after: self.cfg.max_retry_after / 2 },
+            true => Action::Refuse { request: r.a.id, retry_after: self.cfg.max_retry_after },
             false => Action::Fail(r.a.id),
         });
         self.close(now, r, out);
@@ -854,6 +887,9 @@
     /// Ends a request: lets go of what is held, and forgets it once its attempts are in.
     fn close(&mut self, now: Micros, mut r: Request, out: &mut Vec<Action>) {
         if !r.over {
+            if r.first_token.is_none() && !r.attempts.is_empty() {
+                self.learn_delay(2.0);
+            }
             if let (Some((path, cell)), None) = (r.path, r.first_token) {
                 // An unserved request must not flatter its path: the time it cost counts.
                 let stats = &mut self.cells.entry(cell).or_default()[path as usize];
