--- a/src/rules.rs
+++ b/src/rules.rs
@@ -54,8 +54,8 @@
 /// No more than this part is refused, so that answers go on telling how things stand.
 const SHED_MOST: f64 = 0.9;
 /// Distance in a writer's load that a move out of the rack, or out of the zone, is worth.
-const OUT_OF_CELL: f64 = 1.15;
-const OUT_OF_ZONE: f64 = 1.3;
+const OUT_OF_CELL: f64 = 2.0;
+const OUT_OF_ZONE: f64 = 1.5;
 /// Log lines per start.
 const LOG_LINES: u32 = 40;
 
