--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,9 +34,9 @@
 /// One observation may not count for more than this multiple of what was expected.
 const CLIP: f64 = 5.0;
 /// A server whose oldest wait is this multiple of its expected time, with no progress since, has stalled.
-const STALL: f64 = 4.0;
+const STALL: f64 = 6.0;
 /// Nothing counts as stalled before this share of the wanted first-token time (noise is not a hang).
-const LEAST_WAIT: f64 = 0.5;
+const LEAST_WAIT: f64 = 1.0;
 /// Part of the time left that an attempt may take while another could follow.
 const ATTEMPT_PART: f64 = 0.65;
 /// Stalled servers are looked for this many times in the shortest wanted first-token time.
