--- a/src/rules.rs
+++ b/src/rules.rs
@@ -49,10 +49,12 @@
 const RATE_AGE: f64 = 10e6;
 /// First tokens are wanted after this share of their aim on average; above it a part of arrivals is refused.
 const DELAY_TARGET: f64 = 0.5;
-/// How fast the refused part follows, for each answer and each unit of distance from the target.
-const SHED_GAIN: f64 = 0.05;
+/// How fast the refused part follows, a second, for each unit of distance from the target.
+const SHED_GAIN: f64 = 1.0;
+/// The mean of first-token delays fades over this span, so that a node that refused much soon tries again.
+const DELAY_AGE: f64 = 2e6;
 /// No more than this part is refused, so that answers go on telling how things stand.
-const SHED_MOST: f64 = 0.9;
+const SHED_MOST: f64 = 0.8;
 /// Distance in a writer's load that a move out of the rack, or out of the zone, is worth.
 const OUT_OF_CELL: f64 = 2.0;
 const OUT_OF_ZONE: f64 = 1.5;
@@ -249,6 +251,7 @@
     /// Running mean of first-token time over aim; the part of arrivals refused; running mean of worth.
     delay: f64,
     shed: f64,
+    steered: Micros,
     worth: f64,
     logged: u32,
 }
@@ -288,6 +291,7 @@
             ticking: false,
             delay: 0.0,
             shed: 0.0,
+            steered: 0,
             worth: 0.0,
             logged: 0,
         }
@@ -499,6 +503,7 @@
     /// least worth first. Guards against queues that make every answer late, whatever fills them (a burst, lost
     /// servers, slow links). May harm when a few sick servers alone make the mean late; health is to catch those.
     fn sheds(&mut self, r: &Request) -> bool {
+        self.steer(r.arrived);
         let worth = self.cfg.classes[r.a.class].worth.max(0.01);
         self.worth += if self.worth == 0.0 { worth } else { STEP * (worth - self.worth) };
         let part = self.shed * (self.worth / worth).clamp(0.5, 2.0);
@@ -507,7 +512,13 @@
 
     fn learn_delay(&mut self, ratio: f64) {
         self.delay += STEP * (ratio.min(2.0) - self.delay);
-        self.shed = (self.shed + SHED_GAIN * (self.delay - DELAY_TARGET)).clamp(0.0, SHED_MOST);
+    }
+
+    fn steer(&mut self, now: Micros) {
+        let span = now.saturating_sub(self.steered).min(1_000_000) as f64;
+        self.steered = now;
+        self.delay *= (-span / DELAY_AGE).exp();
+        self.shed = (self.shed + SHED_GAIN * (self.delay - DELAY_TARGET) * span / 1e6).clamp(0.0, SHED_MOST);
     }
 
     fn sweep(&mut self, now: Micros) {
@@ -661,6 +672,7 @@
     /// attempt that may not be repeated stays where it is.
     fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.ticking = false;
+        self.steer(now);
         let stalled = |s: &&Server| s.stalled(now);
         let mut lost = Vec::new();
         for reader in [true, false] {
