--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,6 +21,11 @@
 const LOCAL_CROWD: f64 = 2.0;
 /// Share of local decisions sent the prefill path all the same, so that both averages stay fed.
 const REMOTE_SHARE: f64 = 0.05;
+/// Part of its told memory that is first taken to pass through a writer before it forgets a session.
+const HOLDS_FIRST: f64 = 0.5;
+/// A session found forgotten or kept moves the learned span that far below or above what had passed.
+const HOLDS_DOWN: f64 = 0.8;
+const HOLDS_UP: f64 = 1.25;
 /// An average with less weight than this counts as empty: two or three answers.
 const CELL_MIN: f64 = 2.5;
 /// Averages forget over this span: several think times, far less than a day.
@@ -93,8 +98,10 @@
     trial_gap: Micros,
     progress: Micros,
     full_until: Micros,
-    /// Share of the tokens expected to be kept there that local answers found kept.
-    keep: f64,
+    /// Prompt tokens of ours that came into its memory so far.
+    flow: f64,
+    /// So many tokens of all nodes may pass before it forgets a session: told memory at first, then learned.
+    holds: f64,
     /// Recent sends, kept while it is cold.
     sends: VecDeque<Micros>,
 }
@@ -156,6 +163,8 @@
     used: Micros,
     /// The session's prompt when it was last answered: its next prompt starts with all of it.
     context: f64,
+    /// The writer's `flow` when it was last used.
+    flow: f64,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -231,6 +240,8 @@
     may_have_run: Option<(ServerId, Micros)>,
     tried: Vec<ServerId>,
     path: Option<(Path, CellKey)>,
+    /// Tokens that had passed through the holder when a local read was sent.
+    passed: f64,
     first_token: Option<Micros>,
     over: bool,
 }
@@ -331,6 +342,8 @@
                 server.entry.condition = Condition::Gone;
             }
         }
+        let told = self.cfg.memory_tokens.clone();
+        let memory = |kind: u8| told.get(usize::from(kind)).map_or(f64::INFINITY, |m| m * HOLDS_FIRST);
         for entry in entries.iter().filter(|e| usize::from(e.kind) < self.cfg.roles.len()) {
             let server = self.fleet.entry(entry.id).or_insert_with(|| Server {
                 entry: *entry,
@@ -343,13 +356,15 @@
                 trial_gap: 0,
                 progress: 0,
                 full_until: 0,
-                keep: 1.0,
+                flow: 0.0,
+                holds: memory(entry.kind),
                 sends: VecDeque::new(),
             });
             if server.entry.started != entry.started || entry.condition == Condition::Gone {
                 // Restarted or gone: nothing it kept is there any more, and its past tells nothing.
                 server.epoch += 1;
-                (server.slow, server.doubt, server.keep, server.full_until) = (1.0, 0.0, 1.0, 0);
+                (server.slow, server.doubt, server.full_until) = (1.0, 0.0, 0);
+                server.holds = memory(entry.kind);
             }
             server.entry = *entry;
         }
@@ -490,6 +505,7 @@
             may_have_run: None,
             tried: Vec::new(),
             path: None,
+            passed: 0.0,
             first_token: None,
             over: false,
         };
@@ -579,9 +595,9 @@
             self.listed().filter(|s| self.role(s) != Role::Prefill).map(Server::load).collect();
         loads.sort_by(f64::total_cmp);
         let median = loads.get(loads.len() / 2).copied().unwrap_or(0.0);
-        // A writer that forgot (flush, memory pressure) makes kept tokens new again; see `learn_keep`.
-        let base = r.new;
-        let new = base + (1.0 - server.keep) * (r.a.prompt_tokens - base).max(0.0);
+        // What a writer has forgotten is new again; see `learn_holds`.
+        let passed = self.passed(server, row);
+        let new = if passed < server.holds { r.new } else { r.a.prompt_tokens };
         let output = r.a.hinted_output.unwrap_or(r.a.max_output).max(1.0);
         let crowd = server.load() / median.max(1.0);
         let key = (
@@ -606,6 +622,7 @@
             return None;
         }
         r.path = Some((Path::Local, key));
+        r.passed = passed;
         Some(writer)
     }
 
@@ -723,8 +740,10 @@
         let Some(server) = self.fleet.get_mut(&to) else { return };
         server.waiting.remove(&(id, attempt));
         server.streams += 1;
+        server.flow += if op == Op::Fetch { context } else { tokens };
         if let Some(key) = key {
-            self.rows.insert(key, Row { writer: to, epoch: server.epoch, used: now, context });
+            self.rows
+                .insert(key, Row { writer: to, epoch: server.epoch, used: now, context, flow: server.flow });
         }
     }
 
@@ -776,7 +795,7 @@
                     server.progress = now;
                 }
                 if op == Op::Local && r.path.is_some_and(|(p, _)| p == Path::Local) {
-                    self.learn_keep(to, r.a.prompt_tokens - r.new, kept);
+                    self.learn_holds(to, r.a.prompt_tokens - r.new, kept, r.passed);
                 }
                 if let (Some((path, cell)), Some(first)) = (r.path, r.first_token) {
                     let length = r.a.hinted_output.unwrap_or(r.a.max_output).max(1.0);
@@ -839,12 +858,20 @@
         }
     }
 
-    /// Guards against writers that forgot (flush, memory pressure, an unseen restart): the kept count of a local
-    /// answer tells at once, long before the cell's averages do. May harm where reports of kept tokens are wrong.
-    fn learn_keep(&mut self, id: ServerId, expected: f64, kept: u32) {
-        if let Some(server) = self.fleet.get_mut(&id).filter(|_| expected > 0.0) {
-            let found = (f64::from(kept) / expected).min(1.0);
-            server.keep += 0.5 * (found - server.keep);
+    /// Tokens of all nodes that came into a writer's memory since a row was used, by our own part of them.
+    fn passed(&self, server: &Server, row: &Row) -> f64 {
+        (server.flow - row.flow) * f64::from(self.cfg.nodes)
+    }
+
+    /// Guards against writers that forgot (other sessions pushed it out, a flush, an unseen restart): a forgotten
+    /// session is a full read among running streams. The kept count of a local answer tells at once, long before
+    /// the cell's averages do, how much may pass through that writer. May harm where kept counts are not told.
+    fn learn_holds(&mut self, id: ServerId, expected: f64, kept: u32, passed: f64) {
+        let Some(server) = self.fleet.get_mut(&id).filter(|_| expected > 0.0) else { return };
+        if f64::from(kept) < 0.5 * expected {
+            server.holds = server.holds.min(passed) * HOLDS_DOWN;
+        } else {
+            server.holds = server.holds.max(passed * HOLDS_UP);
         }
     }
 
