--- a/src/rules.rs
+++ b/src/rules.rs
@@ -869,7 +869,7 @@
     fn learn_holds(&mut self, id: ServerId, expected: f64, kept: u32, passed: f64) {
         let Some(server) = self.fleet.get_mut(&id).filter(|_| expected > 0.0) else { return };
         if f64::from(kept) < 0.5 * expected {
-            server.holds = server.holds.min(passed) * HOLDS_DOWN;
+            server.holds += 0.5 * (server.holds.min(passed * HOLDS_DOWN) - server.holds);
         } else {
             server.holds = server.holds.max(passed * HOLDS_UP);
         }
