--- a/src/rules.rs
+++ b/src/rules.rs
@@ -74,6 +74,7 @@
     Read,
     Fetch,
     Local,
+    Stream,
 }
 
 #[derive(Clone, Copy)]
@@ -89,7 +90,10 @@
     epoch: u64,
     /// Our attempts there that have not been read or begun to stream.
     waiting: BTreeMap<(RequestId, u16), Wait>,
-    streams: u32,
+    /// Our running streams there, with what they are expected to last.
+    streams: BTreeMap<(RequestId, u16), Wait>,
+    /// When a stream of ours last came to its end there.
+    ended: Micros,
     /// Mean of observed over expected latency; 1 is a usual server of its pool.
     slow: f64,
     /// Grows with failures; at 1 or more only trials are sent.
@@ -108,19 +112,23 @@
 
 impl Server {
     fn load(&self) -> f64 {
-        f64::from(self.streams) + self.waiting.len() as f64
+        (self.streams.len() + self.waiting.len()) as f64
     }
     fn waiting_tokens(&self) -> f64 {
         self.waiting.values().map(|w| w.tokens).sum()
     }
+    /// Age of the oldest wait: tells of a queue that other nodes filled.
+    fn oldest(&self, now: Micros) -> f64 {
+        self.waiting.values().map(|w| now.saturating_sub(w.sent)).max().unwrap_or(0) as f64
+    }
     /// Guards against servers that take work and answer none, whatever the cause (hang, cut link, long pause):
     /// the oldest wait is far over its own expected time and nothing has come back meanwhile. A heavy prompt
     /// has a long expected time of its own. May harm when all latencies jump at once; then the pool is not
     /// emptied, for the pickers fall back on stalled servers.
     fn stalled(&self, now: Micros) -> bool {
-        self.waiting
-            .values()
-            .any(|w| now.saturating_sub(w.sent.max(self.progress)) as f64 > STALL * w.expected)
+        let over = |w: &Wait, last: Micros| now.saturating_sub(w.sent.max(last)) as f64 > STALL * w.expected;
+        self.waiting.values().any(|w| over(w, self.progress))
+            || self.streams.values().any(|w| over(w, self.ended))
     }
     /// 0: use freely; 1: full of late; 2: doubted or stalled, only when nothing else is left.
     fn grade(&self, now: Micros) -> u8 {
@@ -277,6 +285,11 @@
     x ^ (x >> 31)
 }
 
+/// Tokens of the answer: the hint, else the told maximum.
+fn output(a: &Arrival) -> f64 {
+    a.hinted_output.unwrap_or(a.max_output).max(1.0)
+}
+
 fn row_key(a: &Arrival) -> Option<(bool, u64)> {
     match (a.session, a.prefix) {
         (0, 0) => None,
@@ -349,7 +362,8 @@
                 entry: *entry,
                 epoch: 0,
                 waiting: BTreeMap::new(),
-                streams: 0,
+                streams: BTreeMap::new(),
+                ended: 0,
                 slow: 1.0,
                 doubt: 0.0,
                 trial_at: 0,
@@ -448,7 +462,11 @@
         ring.sort_by_key(|s| (mix(mix(key) ^ mix(s.entry.id.0)), s.entry.id));
         let weights: f64 = ring.iter().map(|s| self.effective_weight(s, now)).sum();
         let waiting: f64 = ring.iter().map(|s| s.waiting_tokens()).sum();
-        let level = |s: &Server| (s.waiting_tokens() + tokens) / self.effective_weight(s, now);
+        // What other nodes sent there shows in the age of our own oldest wait.
+        let norm = self.norms.get(&(Op::Read, Role::Prefill)).copied().unwrap_or_default();
+        let rate = if norm.seen { norm.work / norm.latency.max(1.0) } else { 0.0 };
+        let filled = |s: &Server| s.waiting_tokens().max(s.oldest(now) * rate) + tokens;
+        let level = |s: &Server| filled(s) / self.effective_weight(s, now);
         let bound = RING_BOUND * (waiting + tokens) / weights + tokens;
         let first = ring.iter().find(|s| level(s) <= bound);
         first.or_else(|| ring.iter().min_by(|a, b| level(a).total_cmp(&level(b)))).map(|s| s.entry.id)
@@ -461,6 +479,7 @@
         let from = from.and_then(|id| self.fleet.get(&id)).map(|s| s.entry);
         let cost = |s: &Server| {
             let mut cost = (s.load() + 1.0) / self.effective_weight(s, now);
+            cost *= 1.0 + s.oldest(now) / r.aim.max(1.0);
             if from.is_some_and(|f| f.cell != s.entry.cell) {
                 cost *= OUT_OF_CELL;
             }
@@ -598,7 +617,7 @@
         // What a writer has forgotten is new again; see `learn_holds`.
         let passed = self.passed(server, row);
         let new = if passed < server.holds { r.new } else { r.a.prompt_tokens };
-        let output = r.a.hinted_output.unwrap_or(r.a.max_output).max(1.0);
+        let output = output(&r.a);
         let crowd = server.load() / median.max(1.0);
         let key = (
             (r.a.prompt_tokens / 512.0).max(1.0).log2().min(8.0) as u8,
@@ -713,7 +732,7 @@
             }
             // Each call-off is answered by an outcome, which takes the next step.
             if let Some(server) = self.fleet.get_mut(&id) {
-                server.progress = now;
+                (server.progress, server.ended) = (now, now);
             }
         }
         self.set_tick(now, out);
@@ -730,6 +749,7 @@
         r.held_at = None;
         let (to, op, sent, tokens) = (t.server, t.op, t.sent, t.tokens);
         let (path, arrived, key, context) = (r.path, r.arrived, row_key(&r.a), r.a.prompt_tokens);
+        let output = output(&r.a);
         if let Some((path, cell)) = path {
             let stats = &mut self.cells.entry(cell).or_default()[path as usize];
             stats.ttft.add(now, (now - arrived) as f64);
@@ -737,9 +757,12 @@
         let ratio = (now - arrived) as f64 / r.aim.max(1.0);
         self.learn_delay(ratio);
         self.progress(now, to, op, now - sent, tokens);
+        let Some(server) = self.fleet.get(&to) else { return };
+        let lasts = self.norms.get(&(Op::Stream, self.role(server))).and_then(|n| n.expect(output));
+        let expected = lasts.unwrap_or(f64::INFINITY);
         let Some(server) = self.fleet.get_mut(&to) else { return };
         server.waiting.remove(&(id, attempt));
-        server.streams += 1;
+        server.streams.insert((id, attempt), Wait { sent: now, tokens, expected });
         server.flow += if op == Op::Fetch { context } else { tokens };
         if let Some(key) = key {
             self.rows
@@ -780,10 +803,10 @@
             return;
         };
         t.out = false;
-        let (to, op, sent, work, streaming) = (t.server, t.op, t.sent, t.tokens, t.streaming);
+        let (to, op, sent, work) = (t.server, t.op, t.sent, t.tokens);
         if let Some(server) = self.fleet.get_mut(&to) {
             server.waiting.remove(&(id, attempt));
-            server.streams -= u32::from(streaming);
+            server.streams.remove(&(id, attempt));
         }
         match outcome {
             Outcome::Read => {
@@ -791,16 +814,18 @@
                 r.state_at = Some(to);
             }
             Outcome::Served => {
-                if let Some(server) = self.fleet.get_mut(&to) {
-                    server.progress = now;
-                }
                 if op == Op::Local && r.path.is_some_and(|(p, _)| p == Path::Local) {
                     self.learn_holds(to, r.a.prompt_tokens - r.new, kept, r.passed);
                 }
                 if let (Some((path, cell)), Some(first)) = (r.path, r.first_token) {
-                    let length = r.a.hinted_output.unwrap_or(r.a.max_output).max(1.0);
                     let stats = &mut self.cells.entry(cell).or_default()[path as usize];
-                    stats.pace.add(now, (now - first) as f64 / length);
+                    stats.pace.add(now, (now - first) as f64 / output(&r.a));
+                }
+                if let (Some(server), Some(first)) = (self.fleet.get_mut(&to), r.first_token) {
+                    (server.progress, server.ended) = (now, now);
+                    let role = self.cfg.roles[usize::from(server.entry.kind)];
+                    let norm = self.norms.entry((Op::Stream, role)).or_default();
+                    norm.learn((now - first) as f64, output(&r.a));
                 }
                 if let Some(row) = row_key(&r.a).and_then(|key| self.rows.get_mut(&key)) {
                     row.used = now;
@@ -829,8 +854,11 @@
             }
             Outcome::TimedOut => {
                 // A busy server that got other work done meanwhile is not a sick one.
-                if self.fleet.get(&to).is_some_and(|s| s.progress < sent) {
-                    self.blame(to, now, 0.6, out);
+                if let Some(server) = self.fleet.get_mut(&to) {
+                    server.slow += STEP * (CLIP - server.slow);
+                    if server.progress < sent {
+                        self.blame(to, now, 0.6, out);
+                    }
                 }
                 r.tried.push(to);
             }
