--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,11 +6,11 @@
 pub type Micros = u64;
 
 /// A server, as an opaque number that is the same at every node and across restarts of its process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Default, Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
 
 /// A request try taken by this node; never repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Default, Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
 /// What a kind of machine can do.
@@ -96,7 +96,7 @@
 }
 
 /// What a node is told at its start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Default, Clone, Debug, PartialEq)]
 pub struct Settings {
     /// How many nodes front the service.
     pub nodes: u32,
@@ -149,7 +149,7 @@
 }
 
 /// A server as a list names it.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Default, Clone, Copy, Debug, PartialEq)]
 pub struct ServerEntry {
     /// Which server.
     pub id: ServerId,
@@ -168,13 +168,14 @@
 }
 
 /// What the list of servers says of a process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Default, Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Condition {
     /// It runs.
     Ready,
     /// It finishes its work and takes nothing new.
     Draining,
     /// It was removed.
+    #[default]
     Gone,
 }
 
@@ -192,7 +193,7 @@
 }
 
 /// A request as it arrives.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Default, Clone, Copy, Debug, PartialEq)]
 pub struct Arrival {
     /// Its id.
     pub id: RequestId,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -84,6 +84,7 @@
     expected: f64,
 }
 
+#[derive(Default)]
 struct Server {
     entry: ServerEntry,
     /// Changes when the process is known to have restarted or broken off: what it kept is gone.
@@ -184,7 +185,7 @@
 
 impl Average {
     fn weight(&self, now: Micros) -> f64 {
-        self.weight * (-(now.saturating_sub(self.at) as f64) / CELL_AGE).exp()
+        faded((self.weight, self.at), now, CELL_AGE)
     }
     fn add(&mut self, now: Micros, value: f64) {
         self.weight = self.weight(now) + 1.0;
@@ -232,6 +233,7 @@
     streaming: bool,
 }
 
+#[derive(Default)]
 struct Request {
     a: Arrival,
     arrived: Micros,
@@ -255,6 +257,7 @@
 }
 
 /// Decides for one node. See [`Router::handle`].
+#[derive(Default)]
 pub struct Router {
     cfg: Settings,
     random: u64,
@@ -279,6 +282,11 @@
 const SUBSCRIBE: u64 = 0;
 const TICK: u64 = 1;
 
+/// A count that fades over a span.
+fn faded((count, at): (f64, Micros), now: Micros, span: f64) -> f64 {
+    count * (-(now.saturating_sub(at) as f64) / span).exp()
+}
+
 fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -302,23 +310,8 @@
     /// A router that knows only its settings. `seed` feeds its random choices.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let kinds = settings.roles.len();
-        Router {
-            cfg: settings,
-            random: mix(seed),
-            fleet: BTreeMap::new(),
-            rows: BTreeMap::new(),
-            cells: BTreeMap::new(),
-            open: BTreeMap::new(),
-            norms: BTreeMap::new(),
-            kind_done: vec![(0.0, 0); kinds],
-            next_sweep: 0,
-            ticking: false,
-            delay: 0.0,
-            shed: 0.0,
-            steered: 0,
-            worth: 0.0,
-            logged: 0,
-        }
+        let kind_done = vec![(0.0, 0); kinds];
+        Router { cfg: settings, random: mix(seed), kind_done, ..Router::default() }
     }
 
     /// Takes in one event and appends what is to be done to `out`.
@@ -358,27 +351,14 @@
         let told = self.cfg.memory_tokens.clone();
         let memory = |kind: u8| told.get(usize::from(kind)).map_or(f64::INFINITY, |m| m * HOLDS_FIRST);
         for entry in entries.iter().filter(|e| usize::from(e.kind) < self.cfg.roles.len()) {
-            let server = self.fleet.entry(entry.id).or_insert_with(|| Server {
-                entry: *entry,
-                epoch: 0,
-                waiting: BTreeMap::new(),
-                streams: BTreeMap::new(),
-                ended: 0,
-                slow: 1.0,
-                doubt: 0.0,
-                trial_at: 0,
-                trial_gap: 0,
-                progress: 0,
-                full_until: 0,
-                flow: 0.0,
-                holds: memory(entry.kind),
-                sends: VecDeque::new(),
-            });
+            let holds = memory(entry.kind);
+            let new = || Server { entry: *entry, slow: 1.0, holds, ..Server::default() };
+            let server = self.fleet.entry(entry.id).or_insert_with(new);
             if server.entry.started != entry.started || entry.condition == Condition::Gone {
                 // Restarted or gone: nothing it kept is there any more, and its past tells nothing.
                 server.epoch += 1;
                 (server.slow, server.doubt, server.full_until) = (1.0, 0.0, 0);
-                server.holds = memory(entry.kind);
+                server.holds = holds;
             }
             server.entry = *entry;
         }
@@ -414,8 +394,7 @@
         let window = self.cfg.fall_window;
         let sent = server.sends.iter().filter(|t| now.saturating_sub(**t) < window).count() as f64;
         let kind = server.entry.kind;
-        let (count, at) = self.kind_done[usize::from(kind)];
-        let rate = count * (-(now.saturating_sub(at) as f64) / RATE_AGE).exp() / RATE_AGE;
+        let rate = faded(self.kind_done[usize::from(kind)], now, RATE_AGE) / RATE_AGE;
         let peers: f64 =
             self.listed().filter(|s| s.entry.kind == kind).map(|s| s.entry.weight.max(0.01)).sum();
         let usual = rate * window as f64 * server.entry.weight.max(0.01) / peers.max(0.01);
@@ -512,22 +491,8 @@
             return;
         };
         let aim = class.ttft_aim as f64 + class.ttft_aim_per_1000 * a.prompt_tokens / 1000.0;
-        let request = Request {
-            a,
-            arrived: now,
-            deadline: now + a.patience,
-            aim,
-            new: self.new_tokens(&a),
-            attempts: Vec::new(),
-            state_at: None,
-            held_at: None,
-            may_have_run: None,
-            tried: Vec::new(),
-            path: None,
-            passed: 0.0,
-            first_token: None,
-            over: false,
-        };
+        let (new, deadline) = (self.new_tokens(&a), now + a.patience);
+        let request = Request { a, arrived: now, deadline, aim, new, ..Request::default() };
         if self.sheds(&request) {
             return self.give_up(now, request, out);
         }
@@ -777,9 +742,8 @@
         let ratio = norm.expect(work).map_or(1.0, |e| (took as f64 / e.max(1.0)).min(CLIP));
         norm.learn(took as f64, work);
         if let Some(server) = self.fleet.get_mut(&id) {
-            let (count, at) = self.kind_done[usize::from(server.entry.kind)];
-            let faded = count * (-(now.saturating_sub(at) as f64) / RATE_AGE).exp();
-            self.kind_done[usize::from(server.entry.kind)] = (faded + 1.0, now);
+            let done = &mut self.kind_done[usize::from(server.entry.kind)];
+            *done = (faded(*done, now, RATE_AGE) + 1.0, now);
             server.slow += STEP * (ratio - server.slow);
             server.doubt *= 0.3;
             server.progress = now;
@@ -838,18 +802,11 @@
                 r.tried.push(to);
             }
             Outcome::StateLost => r.state_at = None,
-            Outcome::ConnectFailed => {
-                if let Some(server) = self.fleet.get_mut(&to) {
-                    server.epoch += 1;
-                }
-                self.blame(to, now, 1.0, out);
-                r.tried.push(to);
-            }
-            Outcome::Reset => {
+            Outcome::ConnectFailed | Outcome::Reset => {
                 if let Some(server) = self.fleet.get_mut(&to) {
                     server.epoch += 1;
                 }
-                self.blame(to, now, 0.5, out);
+                self.blame(to, now, if outcome == Outcome::Reset { 0.5 } else { 1.0 }, out);
                 r.tried.push(to);
             }
             Outcome::TimedOut => {
@@ -905,11 +862,10 @@
 
     fn on_gone(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.open.remove(&id) else { return };
-        for (i, t) in r.attempts.iter().enumerate().filter(|(_, t)| t.out && !t.streaming) {
+        for (i, _) in r.attempts.iter().enumerate().filter(|(_, t)| t.out && !t.streaming) {
             if self.cfg.may_cancel {
                 out.push(Action::Cancel { request: id, attempt: i as u16 });
             }
-            let _ = t;
         }
         self.close(now, r, out);
     }
