--- a/src/rules.rs
+++ b/src/rules.rs
@@ -53,7 +53,7 @@
 /// Span over which the send rate of a kind of machine is learned.
 const RATE_AGE: f64 = 10e6;
 /// First tokens are wanted after this share of their aim on average; above it a part of arrivals is refused.
-const DELAY_TARGET: f64 = 0.5;
+const DELAY_TARGET: f64 = 0.35;
 /// How fast the refused part follows, a second, for each unit of distance from the target.
 const SHED_GAIN: f64 = 1.0;
 /// The mean of first-token delays fades over this span, so that a node that refused much soon tries again.
@@ -61,7 +61,7 @@
 /// No more than this part is refused, so that answers go on telling how things stand.
 const SHED_MOST: f64 = 0.8;
 /// Distance in a writer's load that a move out of the rack, or out of the zone, is worth.
-const OUT_OF_CELL: f64 = 2.0;
+const OUT_OF_CELL: f64 = 1.5;
 const OUT_OF_ZONE: f64 = 1.5;
 /// Log lines per start.
 const LOG_LINES: u32 = 40;
