--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,10 +36,14 @@
 const RING_BOUND: f64 = 1.5;
 /// Step of the running means of a server's slowness and of the pool's latencies: about the last ten answers.
 const STEP: f64 = 0.1;
+/// Lengths of streams are not judged by fewer ends than this.
+const NORM_MIN: u32 = 20;
 /// One observation may not count for more than this multiple of what was expected.
 const CLIP: f64 = 5.0;
 /// A server whose oldest wait is this multiple of its expected time, with no progress since, has stalled.
 const STALL: f64 = 6.0;
+/// Several streams of which none ends for this multiple of their expected length have stalled.
+const STREAM_STALL: f64 = 3.0;
 /// Nothing counts as stalled before this share of the wanted first-token time (noise is not a hang).
 const LEAST_WAIT: f64 = 1.0;
 /// Part of the time left that an attempt may take while another could follow.
@@ -127,9 +131,11 @@
     /// has a long expected time of its own. May harm when all latencies jump at once; then the pool is not
     /// emptied, for the pickers fall back on stalled servers.
     fn stalled(&self, now: Micros) -> bool {
-        let over = |w: &Wait, last: Micros| now.saturating_sub(w.sent.max(last)) as f64 > STALL * w.expected;
-        self.waiting.values().any(|w| over(w, self.progress))
-            || self.streams.values().any(|w| over(w, self.ended))
+        let over = |w: &Wait, last: Micros, times: f64| {
+            now.saturating_sub(w.sent.max(last)) as f64 > times * w.expected
+        };
+        self.waiting.values().any(|w| over(w, self.progress, STALL))
+            || self.streams.len() > 2 && self.streams.values().any(|w| over(w, self.ended, STREAM_STALL))
     }
     /// 0: use freely; 1: full of late; 2: doubted or stalled, only when nothing else is left.
     fn grade(&self, now: Micros) -> u8 {
@@ -149,6 +155,7 @@
     latency: f64,
     work: f64,
     seen: bool,
+    count: u32,
 }
 
 impl Norm {
@@ -161,6 +168,7 @@
         self.latency += step * (latency - self.latency);
         self.work += step * (work - self.work);
         self.seen = true;
+        self.count = self.count.saturating_add(1);
     }
 }
 
@@ -418,7 +426,7 @@
         let before = server.doubt;
         server.doubt = (server.doubt + amount).min(3.0);
         if server.doubt >= 1.0 {
-            let longest = self.cfg.warm_after.max(first_gap);
+            let longest = first_gap * 4;
             server.trial_gap = if before < 1.0 { first_gap } else { (server.trial_gap * 2).min(longest) };
             server.trial_at = now + server.trial_gap;
             if before < 1.0 && self.logged < LOG_LINES {
@@ -685,7 +693,10 @@
             }
         }
         for id in lost {
-            self.blame(id, now, 1.0, out);
+            // A server already doubted is blamed again only for a trial that it failed.
+            if self.fleet[&id].doubt < 1.0 || !self.fleet[&id].waiting.is_empty() {
+                self.blame(id, now, 1.0, out);
+            }
             let waits: Vec<(RequestId, u16)> = self.fleet[&id].waiting.keys().copied().collect();
             for (request, attempt) in waits.into_iter().filter(|_| self.cfg.may_cancel) {
                 let Some(r) = self.open.get(&request).filter(|r| !r.over) else { continue };
@@ -723,7 +734,8 @@
         self.learn_delay(ratio);
         self.progress(now, to, op, now - sent, tokens);
         let Some(server) = self.fleet.get(&to) else { return };
-        let lasts = self.norms.get(&(Op::Stream, self.role(server))).and_then(|n| n.expect(output));
+        let lasts = self.norms.get(&(Op::Stream, self.role(server)));
+        let lasts = lasts.filter(|n| n.count > NORM_MIN).and_then(|n| n.expect(output));
         let expected = lasts.unwrap_or(f64::INFINITY);
         let Some(server) = self.fleet.get_mut(&to) else { return };
         server.waiting.remove(&(id, attempt));
