--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,7 +21,7 @@
 const LOCAL_CROWD: f64 = 2.0;
 /// Share of local decisions sent the prefill path all the same, so that both averages stay fed.
 const REMOTE_SHARE: f64 = 0.05;
-/// Part of its told memory that is first taken to pass through a writer before it forgets a session.
+/// Part of its told memory that is first taken to pass before a writer forgets a session.
 const HOLDS_FIRST: f64 = 0.5;
 /// A session found forgotten or kept moves the learned span that far below or above what had passed.
 const HOLDS_DOWN: f64 = 0.8;
@@ -131,9 +131,7 @@
     /// has a long expected time of its own. May harm when all latencies jump at once; then the pool is not
     /// emptied, for the pickers fall back on stalled servers.
     fn stalled(&self, now: Micros) -> bool {
-        let over = |w: &Wait, last: Micros, times: f64| {
-            now.saturating_sub(w.sent.max(last)) as f64 > times * w.expected
-        };
+        let over = |w: &Wait, last: Micros, n: f64| (now - w.sent.max(last).min(now)) as f64 > n * w.expected;
         self.waiting.values().any(|w| over(w, self.progress, STALL))
             || self.streams.len() > 2 && self.streams.values().any(|w| over(w, self.ended, STREAM_STALL))
     }
@@ -154,20 +152,18 @@
 struct Norm {
     latency: f64,
     work: f64,
-    seen: bool,
     count: u32,
 }
 
 impl Norm {
     fn expect(&self, work: f64) -> Option<f64> {
-        self.seen.then(|| self.latency * (0.5 + 0.5 * work / self.work.max(1.0)))
+        (self.count > 0).then(|| self.latency * (0.5 + 0.5 * work / self.work.max(1.0)))
     }
     fn learn(&mut self, latency: f64, work: f64) {
-        let step = if self.seen { STEP / 2.0 } else { 1.0 };
-        let latency = if self.seen { latency.min(self.latency * CLIP) } else { latency };
+        let step = if self.count > 0 { STEP / 2.0 } else { 1.0 };
+        let latency = if self.count > 0 { latency.min(self.latency * CLIP) } else { latency };
         self.latency += step * (latency - self.latency);
         self.work += step * (work - self.work);
-        self.seen = true;
         self.count = self.count.saturating_add(1);
     }
 }
@@ -380,8 +376,7 @@
         self.fleet.values().filter(|s| s.entry.condition == Condition::Ready)
     }
 
-    /// The part of its capacity that a server has at the least; 1 when warm. Its growth is not told: half of a
-    /// straight line is taken.
+    /// The part of its capacity that a server has; 1 when warm. Its growth is not told: half a line is taken.
     fn capacity_share(&self, entry: &ServerEntry, now: Micros) -> f64 {
         let (age, warm) = (now.saturating_sub(entry.started) as f64, self.cfg.warm_after as f64);
         if entry.started == 0 || age >= warm {
@@ -419,19 +414,24 @@
         (norm.unwrap_or(aim / 4.0) * server.slow.clamp(1.0, 2.0)).max(aim * LEAST_WAIT / STALL)
     }
 
+    /// A server that was listed once stays known.
+    fn at(&mut self, id: ServerId) -> &mut Server {
+        self.fleet.get_mut(&id).expect("a server once listed stays known")
+    }
+
     /// Takes note of a failure that says something of the server.
     fn blame(&mut self, id: ServerId, now: Micros, amount: f64, out: &mut Vec<Action>) {
         let first_gap = (self.cfg.warm_after as f64 * TRIAL_GAP) as Micros + 100_000;
-        let Some(server) = self.fleet.get_mut(&id) else { return };
+        let server = self.at(id);
         let before = server.doubt;
         server.doubt = (server.doubt + amount).min(3.0);
         if server.doubt >= 1.0 {
             let longest = first_gap * 4;
             server.trial_gap = if before < 1.0 { first_gap } else { (server.trial_gap * 2).min(longest) };
             server.trial_at = now + server.trial_gap;
+            let waits = server.waiting.len();
             if before < 1.0 && self.logged < LOG_LINES {
                 self.logged += 1;
-                let waits = server.waiting.len();
                 out.push(Action::Log(format!("server {:x} doubted, {waits} more of ours wait there", id.0)));
             }
         }
@@ -451,7 +451,7 @@
         let waiting: f64 = ring.iter().map(|s| s.waiting_tokens()).sum();
         // What other nodes sent there shows in the age of our own oldest wait.
         let norm = self.norms.get(&(Op::Read, Role::Prefill)).copied().unwrap_or_default();
-        let rate = if norm.seen { norm.work / norm.latency.max(1.0) } else { 0.0 };
+        let rate = if norm.count > 0 { norm.work / norm.latency.max(1.0) } else { 0.0 };
         let filled = |s: &Server| s.waiting_tokens().max(s.oldest(now) * rate) + tokens;
         let level = |s: &Server| filled(s) / self.effective_weight(s, now);
         let bound = RING_BOUND * (waiting + tokens) / weights + tokens;
@@ -583,8 +583,8 @@
         }
         let row = self.rows.get(&row_key(&r.a)?).filter(|row| now.saturating_sub(row.used) < ROW_IDLE)?;
         let server = self.fleet.get(&row.writer).filter(|s| s.epoch == row.epoch)?;
-        let mut loads: Vec<f64> =
-            self.listed().filter(|s| self.role(s) != Role::Prefill).map(Server::load).collect();
+        let writers = self.listed().filter(|s| self.role(s) != Role::Prefill);
+        let mut loads: Vec<f64> = writers.map(Server::load).collect();
         loads.sort_by(f64::total_cmp);
         let median = loads.get(loads.len() / 2).copied().unwrap_or(0.0);
         // What a writer has forgotten is new again; see `learn_holds`.
@@ -633,16 +633,12 @@
         // A time-out leaves time for another attempt, except where a repeat is ruled out anyway.
         let remaining = r.deadline.saturating_sub(now);
         let once = op != Op::Read && self.cfg.classes[r.a.class].effect != Effect::Safe;
-        let stall = STALL * expected;
-        let part = remaining as f64 * ATTEMPT_PART;
-        let timeout = match once || left <= 1 {
-            true => 0,
-            false if self.cfg.may_cancel => part.max(1.0) as Micros,
-            false => part.min(stall).max(1.0) as Micros,
-        };
+        let stall = if self.cfg.may_cancel { f64::INFINITY } else { STALL * expected };
+        let part = (remaining as f64 * ATTEMPT_PART).min(stall).max(1.0) as Micros;
+        let timeout = if once || left <= 1 { 0 } else { part };
         out.push(Action::Send { request: r.a.id, server: to, timeout });
         let window = self.cfg.fall_window;
-        let server = self.fleet.get_mut(&to).expect("picked from the fleet");
+        let server = self.at(to);
         if server.entry.started > 0 {
             server.sends.push_back(now);
             while server.sends.front().is_some_and(|t| now.saturating_sub(*t) >= window) {
@@ -650,14 +646,8 @@
             }
         }
         server.waiting.insert((r.a.id, attempt), Wait { sent: now, tokens, expected });
-        r.attempts.push(Attempt {
-            server: to,
-            op,
-            sent: now,
-            tokens: tokens + ahead,
-            out: true,
-            streaming: false,
-        });
+        let work = tokens + ahead;
+        r.attempts.push(Attempt { server: to, op, sent: now, tokens: work, out: true, streaming: false });
         if op == Op::Read && self.cfg.hold_ahead && left > 1 {
             r.held_at = self.pick_writer(now, Some(to), &r, false);
             if let Some(writer) = r.held_at {
@@ -685,11 +675,10 @@
         let stalled = |s: &&Server| s.stalled(now);
         let mut lost = Vec::new();
         for reader in [true, false] {
-            let pool: Vec<&Server> =
-                self.listed().filter(|s| (self.role(s) == Role::Prefill) == reader).collect();
-            let hung: Vec<&Server> = pool.iter().copied().filter(stalled).collect();
-            if hung.len() * 2 < pool.len() || pool.len() == 1 {
-                lost.extend(hung.iter().map(|s| s.entry.id));
+            let pool = || self.listed().filter(|s| (self.role(s) == Role::Prefill) == reader);
+            let hung: Vec<ServerId> = pool().filter(stalled).map(|s| s.entry.id).collect();
+            if hung.len() * 2 < pool().count() || pool().count() == 1 {
+                lost.extend(hung);
             }
         }
         for id in lost {
@@ -707,9 +696,7 @@
                 }
             }
             // Each call-off is answered by an outcome, which takes the next step.
-            if let Some(server) = self.fleet.get_mut(&id) {
-                (server.progress, server.ended) = (now, now);
-            }
+            (self.at(id).progress, self.at(id).ended) = (now, now);
         }
         self.set_tick(now, out);
     }
@@ -733,33 +720,31 @@
         let ratio = (now - arrived) as f64 / r.aim.max(1.0);
         self.learn_delay(ratio);
         self.progress(now, to, op, now - sent, tokens);
-        let Some(server) = self.fleet.get(&to) else { return };
-        let lasts = self.norms.get(&(Op::Stream, self.role(server)));
+        let lasts = self.norms.get(&(Op::Stream, self.role(&self.fleet[&to])));
         let lasts = lasts.filter(|n| n.count > NORM_MIN).and_then(|n| n.expect(output));
         let expected = lasts.unwrap_or(f64::INFINITY);
-        let Some(server) = self.fleet.get_mut(&to) else { return };
+        let server = self.at(to);
         server.waiting.remove(&(id, attempt));
         server.streams.insert((id, attempt), Wait { sent: now, tokens, expected });
         server.flow += if op == Op::Fetch { context } else { tokens };
+        let row = Row { writer: to, epoch: server.epoch, used: now, context, flow: server.flow };
         if let Some(key) = key {
-            self.rows
-                .insert(key, Row { writer: to, epoch: server.epoch, used: now, context, flow: server.flow });
+            self.rows.insert(key, row);
         }
     }
 
     /// A server did what it was asked: it clears doubt, and its time against its pool's tells its speed.
     fn progress(&mut self, now: Micros, id: ServerId, op: Op, took: Micros, work: f64) {
-        let Some(role) = self.fleet.get(&id).map(|s| self.role(s)) else { return };
+        let role = self.role(&self.fleet[&id]);
         let norm = self.norms.entry((op, role)).or_default();
         let ratio = norm.expect(work).map_or(1.0, |e| (took as f64 / e.max(1.0)).min(CLIP));
         norm.learn(took as f64, work);
-        if let Some(server) = self.fleet.get_mut(&id) {
-            let done = &mut self.kind_done[usize::from(server.entry.kind)];
-            *done = (faded(*done, now, RATE_AGE) + 1.0, now);
-            server.slow += STEP * (ratio - server.slow);
-            server.doubt *= 0.3;
-            server.progress = now;
-        }
+        let done = &mut self.kind_done[usize::from(self.fleet[&id].entry.kind)];
+        *done = (faded(*done, now, RATE_AGE) + 1.0, now);
+        let server = self.at(id);
+        server.slow += STEP * (ratio - server.slow);
+        server.doubt *= 0.3;
+        server.progress = now;
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -780,10 +765,8 @@
         };
         t.out = false;
         let (to, op, sent, work) = (t.server, t.op, t.sent, t.tokens);
-        if let Some(server) = self.fleet.get_mut(&to) {
-            server.waiting.remove(&(id, attempt));
-            server.streams.remove(&(id, attempt));
-        }
+        self.at(to).waiting.remove(&(id, attempt));
+        self.at(to).streams.remove(&(id, attempt));
         match outcome {
             Outcome::Read => {
                 self.progress(now, to, op, now - sent, work);
@@ -797,9 +780,9 @@
                     let stats = &mut self.cells.entry(cell).or_default()[path as usize];
                     stats.pace.add(now, (now - first) as f64 / output(&r.a));
                 }
-                if let (Some(server), Some(first)) = (self.fleet.get_mut(&to), r.first_token) {
-                    (server.progress, server.ended) = (now, now);
-                    let role = self.cfg.roles[usize::from(server.entry.kind)];
+                if let Some(first) = r.first_token {
+                    (self.at(to).progress, self.at(to).ended) = (now, now);
+                    let role = self.role(&self.fleet[&to]);
                     let norm = self.norms.entry((Op::Stream, role)).or_default();
                     norm.learn((now - first) as f64, output(&r.a));
                 }
@@ -808,26 +791,20 @@
                 }
             }
             Outcome::Full => {
-                if let Some(server) = self.fleet.get_mut(&to) {
-                    server.full_until = now + (r.aim / 4.0) as Micros;
-                }
+                self.at(to).full_until = now + (r.aim / 4.0) as Micros;
                 r.tried.push(to);
             }
             Outcome::StateLost => r.state_at = None,
             Outcome::ConnectFailed | Outcome::Reset => {
-                if let Some(server) = self.fleet.get_mut(&to) {
-                    server.epoch += 1;
-                }
+                self.at(to).epoch += 1;
                 self.blame(to, now, if outcome == Outcome::Reset { 0.5 } else { 1.0 }, out);
                 r.tried.push(to);
             }
             Outcome::TimedOut => {
                 // A busy server that got other work done meanwhile is not a sick one.
-                if let Some(server) = self.fleet.get_mut(&to) {
-                    server.slow += STEP * (CLIP - server.slow);
-                    if server.progress < sent {
-                        self.blame(to, now, 0.6, out);
-                    }
+                self.at(to).slow += STEP * (CLIP - self.at(to).slow);
+                if self.at(to).progress < sent {
+                    self.blame(to, now, 0.6, out);
                 }
                 r.tried.push(to);
             }
@@ -864,7 +841,7 @@
     /// session is a full read among running streams. The kept count of a local answer tells at once, long before
     /// the cell's averages do, how much may pass through that writer. May harm where kept counts are not told.
     fn learn_holds(&mut self, id: ServerId, expected: f64, kept: u32, passed: f64) {
-        let Some(server) = self.fleet.get_mut(&id).filter(|_| expected > 0.0) else { return };
+        let server = self.at(id);
         if f64::from(kept) < 0.5 * expected {
             server.holds += 0.5 * (server.holds.min(passed * HOLDS_DOWN) - server.holds);
         } else {
