--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,3 +37,8 @@
 
 pub mod interface;
 pub mod rules;
+
+/// The README's example, compiled and run as a test.
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+pub struct Readme;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,13 +34,13 @@
 const ROW_IDLE: Micros = 120_000_000;
 /// A reader takes at most this multiple of the readers' mean waiting tokens before a prefix spills.
 const RING_BOUND: f64 = 1.5;
-/// Step of the running means of a server's slowness and of the pool's latencies: about the last ten answers.
+/// Step of running means: about the last ten answers.
 const STEP: f64 = 0.1;
 /// Lengths of streams are not judged by fewer ends than this.
 const NORM_MIN: u32 = 20;
 /// One observation may not count for more than this multiple of what was expected.
 const CLIP: f64 = 5.0;
-/// A server whose oldest wait is this multiple of its expected time, with no progress since, has stalled.
+/// A wait of this multiple of its expected time, without progress at its server, is a stall.
 const STALL: f64 = 6.0;
 /// Several streams of which none ends for this multiple of their expected length have stalled.
 const STREAM_STALL: f64 = 3.0;
@@ -64,7 +64,7 @@
 const DELAY_AGE: f64 = 2e6;
 /// No more than this part is refused, so that answers go on telling how things stand.
 const SHED_MOST: f64 = 0.8;
-/// Distance in a writer's load that a move out of the rack, or out of the zone, is worth.
+/// A move out of the rack, or out of the zone, is worth this multiple of a writer's load.
 const OUT_OF_CELL: f64 = 1.5;
 const OUT_OF_ZONE: f64 = 1.5;
 /// Log lines per start.
@@ -439,8 +439,7 @@
 
     // ---- Reader ring
 
-    /// Consistent hashing with bounded loads: the readers in the order of their hash with the key, the first
-    /// whose waiting tokens stay within the bound. All nodes agree on the order.
+    /// Consistent hashing with bounded loads: in the order of the hash, the first reader within the bound.
     fn pick_reader(&self, now: Micros, key: u64, tokens: f64, tried: &[ServerId]) -> Option<ServerId> {
         let readers = self.listed().filter(|s| self.role(s) == Role::Prefill && !tried.contains(&s.entry.id));
         let readers: Vec<&Server> = readers.filter(|s| self.cold_room(s, now)).collect();
@@ -630,7 +629,7 @@
         let server = &self.fleet[&to];
         let ahead = if op == Op::Read { server.waiting_tokens() } else { 0.0 };
         let expected = self.expected(server, op, tokens + ahead, r.aim);
-        // A time-out leaves time for another attempt, except where a repeat is ruled out anyway.
+        // A time-out leaves time for another attempt, unless a repeat is ruled out.
         let remaining = r.deadline.saturating_sub(now);
         let once = op != Op::Read && self.cfg.classes[r.a.class].effect != Effect::Safe;
         let stall = if self.cfg.may_cancel { f64::INFINITY } else { STALL * expected };
@@ -667,8 +666,7 @@
     }
 
     /// Calls off what waits at stalled servers, so that a hang is not waited out. Where half of a pool seems
-    /// stalled the pool is jammed, and another place in it would be no better: nothing is called off. An
-    /// attempt that may not be repeated stays where it is.
+    /// stalled it is jammed, and no place in it is better. What may not be repeated stays where it is.
     fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.ticking = false;
         self.steer(now);
@@ -695,7 +693,6 @@
                     out.push(Action::Cancel { request, attempt });
                 }
             }
-            // Each call-off is answered by an outcome, which takes the next step.
             (self.at(id).progress, self.at(id).ended) = (now, now);
         }
         self.set_tick(now, out);
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,133 @@
+//! A small harness: a router, its clock, and what it did at the last event.
+#![allow(dead_code)]
+
+use ivyward::interface::*;
+use ivyward::rules::Router;
+
+pub const SECOND: Micros = 1_000_000;
+
+pub fn class(effect: Effect) -> ClassSettings {
+    ClassSettings {
+        ttft_aim: SECOND,
+        ttft_aim_per_1000: 0.0,
+        tpot_aim: 50_000.0,
+        deadline: 6 * SECOND,
+        worth: 1.0,
+        late_share: 0.2,
+        effect,
+        group: RepeatGroup::All,
+        repeat_window: 5 * SECOND,
+    }
+}
+
+/// Kinds: 0 prefill, 1 decode, 2 mixed. Classes: 0 safe, 1 unsafe, 2 keyed within a zone.
+pub fn settings() -> Settings {
+    let zonal = ClassSettings { group: RepeatGroup::Zone, ..class(Effect::Keyed) };
+    Settings {
+        nodes: 1,
+        roles: vec![Role::Prefill, Role::Decode, Role::Mixed],
+        memory_tokens: vec![200_000.0; 3],
+        classes: vec![class(Effect::Safe), class(Effect::Unsafe), zonal],
+        decode_may_prefill: true,
+        release_within: 300_000,
+        drain_grace: SECOND,
+        fall_multiple: 2.5,
+        fall_window: 3 * SECOND,
+        start_capacity: 0.3,
+        warm_after: 10 * SECOND,
+        max_attempts: 4,
+        may_cancel: true,
+        max_retry_after: SECOND / 2,
+        ..Settings::default()
+    }
+}
+
+pub fn server(id: u64, kind: u8) -> ServerEntry {
+    ServerEntry { id: ServerId(id), kind, condition: Condition::Ready, weight: 1.0, ..ServerEntry::default() }
+}
+
+pub fn arrival(id: u64, session: u64, prompt: f64) -> Arrival {
+    Arrival {
+        id: RequestId(id),
+        session,
+        prefix: 7,
+        patience: 6 * SECOND,
+        prompt_tokens: prompt,
+        prefix_tokens: 500.0,
+        max_output: 200.0,
+        ..Arrival::default()
+    }
+}
+
+pub struct Rig {
+    pub router: Router,
+    pub now: Micros,
+    pub done: Vec<Action>,
+}
+
+impl Rig {
+    pub fn new(settings: Settings, servers: &[ServerEntry]) -> Rig {
+        let mut rig = Rig { router: Router::new(settings, 1), now: 100 * SECOND, done: Vec::new() };
+        rig.fleet(ListKind::Full, servers);
+        rig
+    }
+    /// Gives an event and keeps what it led to.
+    pub fn event(&mut self, event: Event) -> &[Action] {
+        self.done.clear();
+        self.router.handle(self.now, event, &mut self.done);
+        &self.done
+    }
+    pub fn fleet(&mut self, kind: ListKind, servers: &[ServerEntry]) {
+        self.event(Event::Fleet { kind, entries: servers.to_vec() });
+    }
+    pub fn ask(&mut self, arrival: Arrival) -> Option<ServerId> {
+        self.event(Event::Request(arrival));
+        self.sent()
+    }
+    pub fn first(&mut self, id: u64, attempt: u16) {
+        self.event(Event::FirstToken { request: RequestId(id), attempt });
+    }
+    pub fn end(&mut self, id: u64, attempt: u16, outcome: Outcome) -> Option<ServerId> {
+        self.end_kept(id, attempt, outcome, 0)
+    }
+    pub fn end_kept(&mut self, id: u64, attempt: u16, outcome: Outcome, kept: u32) -> Option<ServerId> {
+        let finished = outcome == Outcome::Served;
+        let report = Report::default();
+        let request = RequestId(id);
+        self.event(Event::AttemptEnded { request, attempt, outcome, kept_tokens: kept, finished, report });
+        self.sent()
+    }
+    /// Where the last event led to a send.
+    pub fn sent(&self) -> Option<ServerId> {
+        self.done.iter().find_map(|a| match a {
+            Action::Send { server, .. } => Some(*server),
+            _ => None,
+        })
+    }
+    pub fn timeout(&self) -> Option<Micros> {
+        self.done.iter().find_map(|a| match a {
+            Action::Send { timeout, .. } => Some(*timeout),
+            _ => None,
+        })
+    }
+    pub fn refused(&self) -> bool {
+        self.done.iter().any(|a| matches!(a, Action::Refuse { .. }))
+    }
+    pub fn failed(&self) -> bool {
+        self.done.iter().any(|a| matches!(a, Action::Fail(_)))
+    }
+    pub fn released(&self) -> bool {
+        self.done.iter().any(|a| matches!(a, Action::Release(_)))
+    }
+    /// A whole remote turn: read, written, served. Returns the writer.
+    pub fn turn(&mut self, id: u64, session: u64, prompt: f64) -> ServerId {
+        self.ask(arrival(id, session, prompt)).expect("sent to a reader");
+        self.now += 50_000;
+        let writer = self.end(id, 0, Outcome::Read).expect("sent to a writer");
+        self.now += 20_000;
+        self.first(id, 1);
+        self.now += SECOND;
+        self.end(id, 1, Outcome::Served);
+        writer
+    }
+}
--- /dev/null
+++ b/tests/five_rules.rs
@@ -0,0 +1,164 @@
+//! One or more tests for each of the five rules.
+
+mod common;
+use common::*;
+use ivyward::interface::*;
+
+fn fleet() -> Vec<ServerEntry> {
+    vec![server(1, 0), server(2, 0), server(11, 1), server(12, 1)]
+}
+
+#[test]
+fn lost_an_empty_fleet_refuses_at_once_with_advice() {
+    let mut rig = Rig::new(settings(), &[]);
+    assert_eq!(rig.ask(arrival(1, 5, 1_000.0)), None);
+    assert!(rig.done.contains(&Action::Refuse { request: RequestId(1), retry_after: SECOND / 2 }));
+}
+
+#[test]
+fn lost_every_request_gets_one_final_answer_when_nothing_helps() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed, Outcome::Reset, Outcome::Error, Outcome::TimedOut]
+    {
+        let mut rig = Rig::new(settings(), &fleet());
+        rig.ask(arrival(1, 5, 1_000.0));
+        let (mut finals, mut attempt) = (0, 0);
+        while rig.sent().is_some() {
+            rig.now += 10_000;
+            rig.end(1, attempt, outcome);
+            attempt += 1;
+            finals += usize::from(rig.refused()) + usize::from(rig.failed());
+        }
+        assert_eq!(finals, 1, "{outcome:?}");
+        assert!(attempt <= 4, "{outcome:?}: {attempt} attempts");
+    }
+}
+
+#[test]
+fn lost_a_time_out_leaves_time_for_another_attempt() {
+    let mut rig = Rig::new(settings(), &fleet());
+    rig.ask(arrival(1, 5, 1_000.0));
+    let timeout = rig.timeout().unwrap();
+    assert!(timeout > 0 && timeout < 5 * SECOND, "{timeout}");
+}
+
+#[test]
+fn lost_the_answer_at_the_deadline_is_a_failure_and_nothing_is_sent() {
+    let mut rig = Rig::new(settings(), &fleet());
+    rig.ask(arrival(1, 5, 1_000.0));
+    rig.now += 6 * SECOND;
+    assert_eq!(rig.end(1, 0, Outcome::TimedOut), None);
+    assert!(rig.failed() || rig.refused());
+}
+
+/// Brings a request of a class to a writer and ends that attempt.
+fn at_writer(class: usize, outcome: Outcome) -> (Rig, ServerId, Option<ServerId>) {
+    let mut far = server(12, 1);
+    far.zone = 1;
+    let mut rig = Rig::new(settings(), &[server(1, 0), server(2, 0), server(11, 1), far]);
+    rig.ask(Arrival { class, ..arrival(1, 5, 1_000.0) });
+    let writer = rig.end(1, 0, Outcome::Read).unwrap();
+    rig.now += 100_000;
+    let next = rig.end(1, 1, outcome);
+    (rig, writer, next)
+}
+
+#[test]
+fn twice_an_unsafe_request_that_may_have_run_is_failed_and_not_resent_or_refused() {
+    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled] {
+        let (rig, _, next) = at_writer(1, outcome);
+        assert_eq!(next, None, "{outcome:?}");
+        assert!(rig.failed() && !rig.refused(), "{outcome:?}");
+    }
+}
+
+#[test]
+fn twice_an_unsafe_request_that_never_ran_is_sent_on() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed] {
+        let (_, writer, next) = at_writer(1, outcome);
+        assert!(next.is_some() && next != Some(writer), "{outcome:?}");
+    }
+}
+
+#[test]
+fn twice_reading_is_no_effect() {
+    let mut rig = Rig::new(settings(), &fleet());
+    let reader = rig.ask(Arrival { class: 1, ..arrival(1, 5, 1_000.0) }).unwrap();
+    let next = rig.end(1, 0, Outcome::TimedOut);
+    assert!(next.is_some() && next != Some(reader));
+}
+
+#[test]
+fn twice_a_keyed_request_stays_in_its_group_and_window() {
+    // Only one writer a zone: after a reset nothing in the group is left but the one that broke.
+    let (rig, _, next) = at_writer(2, Outcome::Reset);
+    assert_ne!(next, Some(ServerId(11)));
+    assert_ne!(next, Some(ServerId(12)));
+    assert!(!rig.refused(), "a refusal would promise too much for a zonal group");
+}
+
+#[test]
+fn drains_nothing_is_sent_to_a_draining_or_gone_server() {
+    for condition in [Condition::Draining, Condition::Gone] {
+        let mut rig = Rig::new(settings(), &fleet());
+        let writer = rig.turn(1, 5, 2_000.0);
+        rig.fleet(ListKind::Changes, &[ServerEntry { condition, ..server(1, 0) }]);
+        rig.fleet(ListKind::Changes, &[ServerEntry { condition, ..server(writer.0, 1) }]);
+        for id in 2..30 {
+            let reader = rig.ask(arrival(id, 5, 2_100.0));
+            assert_eq!(reader, Some(ServerId(2)), "{condition:?}");
+            let next = rig.end(id, 0, Outcome::Read);
+            assert!(next.is_some() && next != Some(writer), "{condition:?}");
+            rig.end(id, 1, Outcome::Full);
+        }
+    }
+}
+
+#[test]
+fn drains_a_server_missing_from_a_full_list_is_gone() {
+    let mut rig = Rig::new(settings(), &fleet());
+    rig.fleet(ListKind::Full, &[server(2, 0), server(12, 1)]);
+    for id in 0..20 {
+        assert_eq!(rig.ask(arrival(id, id, 1_000.0)), Some(ServerId(2)));
+    }
+}
+
+#[test]
+fn cold_a_started_server_gets_its_share_of_the_budget_and_no_more() {
+    let mut rig = Rig::new(settings(), &fleet());
+    for id in 0..100 {
+        rig.turn(id, 1_000 + id, 1_000.0);
+    }
+    let cold = ServerEntry { started: rig.now, ..server(13, 1) };
+    rig.fleet(ListKind::Changes, &[cold]);
+    // A burst of 60 within one window; the usual is about 3 a window for each writer.
+    let mut to_cold = 0;
+    for id in 200..260 {
+        rig.ask(arrival(id, 1_000 + id, 1_000.0));
+        rig.now += 1_000;
+        to_cold += usize::from(rig.end(id, 0, Outcome::Read) == Some(ServerId(13)));
+    }
+    assert!((1..=4).contains(&to_cold), "{to_cold} of 60 sent to the cold writer");
+}
+
+#[test]
+fn pinned_a_state_is_let_go_with_every_other_end() {
+    // No writer: the read state cannot be taken.
+    let mut rig = Rig::new(settings(), &[server(1, 0), server(11, 1)]);
+    rig.ask(arrival(1, 5, 1_000.0));
+    rig.fleet(ListKind::Changes, &[ServerEntry { condition: Condition::Gone, ..server(11, 1) }]);
+    rig.end(1, 0, Outcome::Read);
+    assert!(rig.refused() && rig.released());
+    // The client leaves during the read: let go then, and again when the state turns up late.
+    let mut rig = Rig::new(settings(), &fleet());
+    rig.ask(arrival(1, 5, 1_000.0));
+    rig.event(Event::ClientGone(RequestId(1)));
+    assert!(rig.released());
+    assert_eq!(rig.end(1, 0, Outcome::Read), None);
+    assert!(rig.released() && !rig.refused() && !rig.failed());
+}
+
+#[test]
+fn pinned_a_lost_state_is_read_again() {
+    let (_, _, next) = at_writer(0, Outcome::StateLost);
+    assert!(next.is_some_and(|s| s.0 < 10));
+}
--- /dev/null
+++ b/tests/health.rs
@@ -0,0 +1,107 @@
+//! Servers that hang, jam, or come back; overload.
+
+mod common;
+use common::*;
+use ivyward::interface::*;
+
+fn fleet() -> Vec<ServerEntry> {
+    vec![server(1, 0), server(2, 0), server(3, 0), server(11, 1), server(12, 1), server(13, 1)]
+}
+
+const TICK: u64 = 1;
+
+/// A reader that takes work and answers none, while its peers answer, loses what waits there and gets no more.
+#[test]
+fn a_hung_reader_is_found_and_left() {
+    let mut rig = Rig::new(settings(), &fleet());
+    for id in 0..30 {
+        rig.turn(id, id, 1_000.0);
+    }
+    let hung = rig.ask(arrival(100, 100, 1_000.0)).unwrap();
+    let mut called_off = false;
+    for step in 0..40 {
+        rig.now += 100_000;
+        rig.event(Event::Timer(TICK));
+        called_off |= rig.done.contains(&Action::Cancel { request: RequestId(100), attempt: 0 });
+        if called_off {
+            assert!(step > 5, "called off after {step} tenths of a second: noise would do that too");
+            break;
+        }
+    }
+    assert!(called_off, "not found within 4 s, four times the aim");
+    let next = rig.end(100, 0, Outcome::Cancelled);
+    assert!(next.is_some() && next != Some(hung));
+    assert_ne!(rig.ask(arrival(101, 101, 1_000.0)), Some(hung));
+}
+
+/// A heavy prompt takes long by its size; that is no hang.
+#[test]
+fn a_heavy_prompt_is_not_taken_for_a_hang() {
+    let mut rig = Rig::new(settings(), &fleet());
+    for id in 0..30 {
+        rig.turn(id, id, 1_000.0);
+    }
+    rig.ask(arrival(100, 100, 40_000.0)).unwrap();
+    for _ in 0..18 {
+        rig.now += 100_000;
+        rig.event(Event::Timer(TICK));
+        assert!(!rig.done.iter().any(|a| matches!(a, Action::Cancel { .. })));
+    }
+}
+
+/// Suspicion must never empty a pool: with every reader doubted one of them is still used.
+#[test]
+fn suspicion_does_not_empty_a_pool() {
+    let mut rig = Rig::new(settings(), &fleet());
+    for id in 0..12 {
+        rig.ask(arrival(id, id, 1_000.0));
+        for attempt in 0..4 {
+            rig.end(id, attempt, Outcome::ConnectFailed);
+        }
+    }
+    assert!(rig.ask(arrival(50, 50, 1_000.0)).is_some());
+}
+
+#[test]
+fn a_doubted_server_comes_back_by_a_trial() {
+    let mut rig = Rig::new(settings(), &fleet());
+    let home = rig.ask(arrival(1, 1, 1_000.0)).unwrap();
+    rig.end(1, 0, Outcome::ConnectFailed);
+    assert_ne!(rig.ask(arrival(2, 2, 1_000.0)), Some(home));
+    rig.now += 5 * SECOND;
+    assert_eq!(rig.ask(arrival(3, 3, 1_000.0)), Some(home), "one trial");
+    rig.end(3, 0, Outcome::Read);
+    assert_eq!(rig.ask(arrival(4, 4, 1_000.0)), Some(home), "it answered, so it is used again");
+}
+
+/// First tokens that all come late lead to refusals, at once and with advice, and these end when all is well.
+#[test]
+fn overload_is_refused_in_part_and_the_refusals_end() {
+    let mut rig = Rig::new(settings(), &fleet());
+    let mut refused = 0;
+    // One arrival each tenth of a second; first tokens come two seconds, twice the aim, after it.
+    for id in 0..100u64 {
+        rig.now += SECOND / 10;
+        rig.ask(arrival(id, id, 1_000.0));
+        refused += usize::from(rig.refused());
+        rig.end(id, 0, Outcome::Read);
+        if id >= 20 {
+            rig.first(id - 20, 1);
+            rig.end(id - 20, 1, Outcome::Served);
+        }
+    }
+    assert!((10..80).contains(&refused), "{refused} of 100 refused");
+    rig.now += 20 * SECOND;
+    for id in 100..140 {
+        rig.now += SECOND;
+        rig.ask(arrival(id, id, 1_000.0));
+        if id > 105 {
+            assert!(!rig.refused(), "request {id}");
+        }
+        if rig.sent().is_some() {
+            rig.end(id, 0, Outcome::Read);
+            rig.first(id, 1);
+            rig.end(id, 1, Outcome::Served);
+        }
+    }
+}
