--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,13 +1,13 @@
 //! The decision module. Its interface (types, events, actions) is `src/interface.rs`.
 //!
-//! One mechanism decides the ordinary path: PPD of "Not All Prefills Are Equal" (arXiv:2603.13358), in an
-//! online form. A later turn of a session is read where its state is held or takes the prefill path, by a score
-//! per workload cell. docs/design.md tells what was kept, what was changed and when each exception acts.
+//! One mechanism decides the ordinary path: PPD of "Not All Prefills Are Equal" (arXiv:2603.13358), online: a
+//! later turn is read where its state is held or takes the prefill path, by a score per workload cell.
+//! docs/design.md tells what was kept, what was changed and when each exception acts.
 
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
-// ---- Constants. None is a figure of a deployment: they are shares, counts, or multiples of told or learned figures.
+// ---- Constants: shares, counts, or multiples of told or learned figures; none is a deployment's figure.
 
 /// Weight of the relative first-token gain in the score (the paper's balanced setting).
 const WEIGHT_TTFT: f64 = 1.0;
@@ -126,10 +126,9 @@
     fn oldest(&self, now: Micros) -> f64 {
         self.waiting.values().map(|w| now.saturating_sub(w.sent)).max().unwrap_or(0) as f64
     }
-    /// Guards against servers that take work and answer none, whatever the cause (hang, cut link, long pause):
-    /// the oldest wait is far over its own expected time and nothing has come back meanwhile. A heavy prompt
-    /// has a long expected time of its own. May harm when all latencies jump at once; then the pool is not
-    /// emptied, for the pickers fall back on stalled servers.
+    /// Guards against servers that take work and answer none, whatever the cause (hang, cut link, pause): a wait
+    /// far over its own expected time, which is long for a heavy prompt, with nothing come back meanwhile. May
+    /// harm when all latencies jump at once; the pool is not emptied then, for pickers fall back on these.
     fn stalled(&self, now: Micros) -> bool {
         let over = |w: &Wait, last: Micros, n: f64| (now - w.sent.max(last).min(now)) as f64 > n * w.expected;
         self.waiting.values().any(|w| over(w, self.progress, STALL))
@@ -506,9 +505,9 @@
         self.step(now, request, out);
     }
 
-    /// Overload: what first tokens take against their aims steers the part of arrivals that is refused at once,
-    /// least worth first. Guards against queues that make every answer late, whatever fills them (a burst, lost
-    /// servers, slow links). May harm when a few sick servers alone make the mean late; health is to catch those.
+    /// Overload: first-token times over their aims steer the part of arrivals that is refused at once, least
+    /// worth first. Guards against queues that make every answer late, whatever fills them (burst, lost servers,
+    /// slow links). May harm when a few sick servers alone make the mean late; health is to catch those.
     fn sheds(&mut self, r: &Request) -> bool {
         self.steer(r.arrived);
         let worth = self.cfg.classes[r.a.class].worth.max(0.01);
@@ -834,9 +833,9 @@
         (server.flow - row.flow) * f64::from(self.cfg.nodes)
     }
 
-    /// Guards against writers that forgot (other sessions pushed it out, a flush, an unseen restart): a forgotten
-    /// session is a full read among running streams. The kept count of a local answer tells at once, long before
-    /// the cell's averages do, how much may pass through that writer. May harm where kept counts are not told.
+    /// Guards against writers that forgot (other sessions, a flush, an unseen restart): a local turn is then a
+    /// full read among running streams. The kept count tells at once, long before the cell's averages do, how
+    /// much may pass through that writer. May harm where kept counts are not told.
     fn learn_holds(&mut self, id: ServerId, expected: f64, kept: u32, passed: f64) {
         let server = self.at(id);
         if f64::from(kept) < 0.5 * expected {
@@ -881,7 +880,7 @@
             }
     }
 
-    /// The final answer of a request that cannot be served, at once: a refusal where trying again does no harm.
+    /// The final answer of a request that cannot be served: a refusal where trying again does no harm.
     fn give_up(&mut self, now: Micros, r: Request, out: &mut Vec<Action>) {
         let class = &self.cfg.classes[r.a.class];
         let keyed_everywhere = class.effect == Effect::Keyed && class.group == RepeatGroup::All;
