--- a/src/rules.rs
+++ b/src/rules.rs
@@ -126,8 +126,8 @@
     fn oldest(&self, now: Micros) -> f64 {
         self.waiting.values().map(|w| now.saturating_sub(w.sent)).max().unwrap_or(0) as f64
     }
-    /// Guards against servers that take work and answer none, whatever the cause (hang, cut link, pause): a wait
-    /// far over its own expected time, which is long for a heavy prompt, with nothing come back meanwhile. May
+    /// Guards against servers that take work and answer none, for any cause (hang, cut link, pause): a wait
+    /// far over its own expected time, which is long for a heavy prompt, with nothing back meanwhile. May
     /// harm when all latencies jump at once; the pool is not emptied then, for pickers fall back on these.
     fn stalled(&self, now: Micros) -> bool {
         let over = |w: &Wait, last: Micros, n: f64| (now - w.sent.max(last).min(now)) as f64 > n * w.expected;
@@ -506,7 +506,7 @@
     }
 
     /// Overload: first-token times over their aims steer the part of arrivals that is refused at once, least
-    /// worth first. Guards against queues that make every answer late, whatever fills them (burst, lost servers,
+    /// worth first. Guards against queues that make every answer late, whatever fills them (burst, lost ones,
     /// slow links). May harm when a few sick servers alone make the mean late; health is to catch those.
     fn sheds(&mut self, r: &Request) -> bool {
         self.steer(r.arrived);
@@ -833,7 +833,7 @@
         (server.flow - row.flow) * f64::from(self.cfg.nodes)
     }
 
-    /// Guards against writers that forgot (other sessions, a flush, an unseen restart): a local turn is then a
+    /// Guards against writers that forgot (other sessions, a flush, an unseen restart): a local turn is a
     /// full read among running streams. The kept count tells at once, long before the cell's averages do, how
     /// much may pass through that writer. May harm where kept counts are not told.
     fn learn_holds(&mut self, id: ServerId, expected: f64, kept: u32, passed: f64) {
