Jammed readers beside idle writers: a first turn may be read where it is written; slowness fades

Cause, seen in log lines: readers took 2 s while fetches took 40 ms; little-used writers stayed slow for good.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,8 +24,7 @@
 /// Part of its told memory that is first taken to pass before a writer forgets a session.
 const HOLDS_FIRST: f64 = 0.5;
 /// A session found forgotten or kept moves the learned span that far below or above what had passed.
-const HOLDS_DOWN: f64 = 0.8;
-const HOLDS_UP: f64 = 1.25;
+const HOLDS_STEP: f64 = 0.8;
 /// An average with less weight than this counts as empty: two or three answers.
 const CELL_MIN: f64 = 2.5;
 /// Averages forget over this span: several think times, far less than a day.
@@ -64,9 +63,12 @@
 const DELAY_AGE: f64 = 2e6;
 /// No more than this part is refused, so that answers go on telling how things stand.
 const SHED_MOST: f64 = 0.8;
-/// A move out of the rack, or out of the zone, is worth this multiple of a writer's load.
-const OUT_OF_CELL: f64 = 1.5;
-const OUT_OF_ZONE: f64 = 1.5;
+/// A move out of the rack, and again one out of the zone, is worth this multiple of a writer's load.
+const OUTSIDE: f64 = 1.5;
+/// A server's slowness fades over this span: one that gets little work must not stay avoided.
+const SLOW_AGE: f64 = 10e6;
+/// Readers that take this share of the wanted time are jammed: a first turn may be read where it is written.
+const JAMMED: f64 = 0.5;
 /// Log lines per start.
 const LOG_LINES: u32 = 40;
 
@@ -466,10 +468,13 @@
             let mut cost = (s.load() + 1.0) / self.effective_weight(s, now);
             cost *= 1.0 + s.oldest(now) / r.aim.max(1.0);
             if from.is_some_and(|f| f.cell != s.entry.cell) {
-                cost *= OUT_OF_CELL;
+                cost *= OUTSIDE;
             }
             if from.map_or(self.cfg.zone, |f| f.zone) != s.entry.zone {
-                cost *= OUT_OF_ZONE;
+                cost *= OUTSIDE;
+            }
+            if reads {
+                cost *= self.expected(s, Op::Local, r.a.prompt_tokens, r.aim);
             }
             cost
         };
@@ -523,6 +528,7 @@
     fn steer(&mut self, now: Micros) {
         let span = now.saturating_sub(self.steered).min(1_000_000) as f64;
         self.steered = now;
+        self.fleet.values_mut().for_each(|s| s.slow += (1.0 - s.slow) * (span / SLOW_AGE).min(1.0));
         self.delay *= (-span / DELAY_AGE).exp();
         self.shed = (self.shed + SHED_GAIN * (self.delay - DELAY_TARGET) * span / 1e6).clamp(0.0, SHED_MOST);
     }
@@ -552,7 +558,8 @@
                 if target.is_none() && left > 1 {
                     let key = if r.a.prefix != 0 { r.a.prefix } else { r.a.session };
                     let key = if key != 0 { key } else { r.a.id.0 };
-                    target = self.pick_reader(now, key, r.new, &r.tried).map(|s| (s, Op::Read));
+                    let reader = self.pick_reader(now, key, r.new, &r.tried);
+                    target = reader.filter(|id| !self.direct_wins(now, *id, &r)).map(|s| (s, Op::Read));
                 }
                 if target.is_none() {
                     // No reader or no attempt for two steps: a server that reads for itself.
@@ -566,6 +573,17 @@
         }
     }
 
+    /// Whether a turn is better read where it is written although it is no later turn: its reader would take
+    /// much of the wanted time, and a writer a fraction of that. Guards against a jammed or lost reader pool
+    /// beside idle writers; may harm running streams, so it needs twice the gain.
+    fn direct_wins(&self, now: Micros, reader: ServerId, r: &Request) -> bool {
+        let reader = &self.fleet[&reader];
+        let read = self.expected(reader, Op::Read, r.new + reader.waiting_tokens(), r.aim);
+        let writer = self.pick_writer(now, None, r, true).map(|id| &self.fleet[&id]);
+        let direct = |s: &Server| self.expected(s, Op::Local, r.a.prompt_tokens, r.aim);
+        read > JAMMED * r.aim && writer.is_some_and(|s| s.grade(now) == 0 && 2.0 * direct(s) < read)
+    }
+
     /// Tokens of a prompt that nobody has kept. The design page's prompt minus shared opening, extended: what
     /// the session's last prompt held is history, kept where it was read or written, and not new.
     fn new_tokens(&self, a: &Arrival) -> f64 {
@@ -839,9 +857,9 @@
     fn learn_holds(&mut self, id: ServerId, expected: f64, kept: u32, passed: f64) {
         let server = self.at(id);
         if f64::from(kept) < 0.5 * expected {
-            server.holds += 0.5 * (server.holds.min(passed * HOLDS_DOWN) - server.holds);
+            server.holds += 0.5 * (server.holds.min(passed * HOLDS_STEP) - server.holds);
         } else {
-            server.holds = server.holds.max(passed * HOLDS_UP);
+            server.holds = server.holds.max(passed / HOLDS_STEP);
         }
     }
 
