--- a/src/rules.rs
+++ b/src/rules.rs
@@ -68,7 +68,7 @@
 /// A server's slowness fades over this span: one that gets little work must not stay avoided.
 const SLOW_AGE: f64 = 10e6;
 /// Readers that take this share of the wanted time are jammed: a first turn may be read where it is written.
-const JAMMED: f64 = 0.5;
+const JAMMED: f64 = 0.8;
 /// Log lines per start.
 const LOG_LINES: u32 = 40;
 
