--- a/src/rules.rs
+++ b/src/rules.rs
@@ -69,6 +69,8 @@
 const SLOW_AGE: f64 = 10e6;
 /// Readers that take this share of the wanted time are jammed: a first turn may be read where it is written.
 const JAMMED: f64 = 0.8;
+/// Multiple of the readers' time that an op without answers so far is taken to need.
+const UNSEEN: f64 = 3.0;
 /// Log lines per start.
 const LOG_LINES: u32 = 40;
 
@@ -139,12 +141,10 @@
     /// 0: use freely; 1: full of late; 2: doubted or stalled, only when nothing else is left.
     fn grade(&self, now: Micros) -> u8 {
         let trial_due = now >= self.trial_at && self.waiting.is_empty();
-        match () {
-            _ if self.doubt >= 1.0 && !trial_due => 2,
-            _ if self.stalled(now) => 2,
-            _ if now < self.full_until => 1,
-            _ => 0,
+        if self.doubt >= 1.0 && !trial_due || self.stalled(now) {
+            return 2;
         }
+        u8::from(now < self.full_until)
     }
 }
 
@@ -219,6 +219,7 @@
 }
 
 type CellKey = (u8, u8, u8);
+type Out = Vec<Action>;
 
 /// The paper's score, from the averages of a cell: positive means local.
 fn score(local: &PathStats, remote: &PathStats) -> f64 {
@@ -326,14 +327,11 @@
             Event::Request(arrival) => self.on_request(now, arrival, out),
             Event::FirstToken { request, attempt } => self.on_first_token(now, request, attempt),
             Event::PlaceAnswer { request, server, held } => {
-                if let Some(r) = self.open.get_mut(&request) {
-                    if r.held_at == Some(server) && !held {
-                        r.held_at = None;
-                    }
-                }
+                let asked = self.open.get_mut(&request).filter(|r| r.held_at == Some(server) && !held);
+                asked.into_iter().for_each(|r| r.held_at = None);
             }
             Event::AttemptEnded { request, attempt, outcome, kept_tokens, finished, .. } => {
-                self.on_ended(now, request, attempt, outcome, kept_tokens, finished, out);
+                self.on_ended(now, request, attempt, (outcome, kept_tokens, finished), out);
             }
             Event::ClientGone(request) => self.on_gone(now, request, out),
             Event::Timer(SUBSCRIBE) => out.push(Action::Subscribe),
@@ -342,7 +340,7 @@
         }
     }
 
-    fn on_fleet(&mut self, now: Micros, kind: ListKind, entries: &[ServerEntry], out: &mut Vec<Action>) {
+    fn on_fleet(&mut self, now: Micros, kind: ListKind, entries: &[ServerEntry], out: &mut Out) {
         match kind {
             ListKind::Failed => out.push(Action::SetTimer { at: now + 1_000_000, token: SUBSCRIBE }),
             ListKind::Cached if self.cfg.must_subscribe => out.push(Action::Subscribe),
@@ -411,7 +409,9 @@
     }
 
     fn expected(&self, server: &Server, op: Op, work: f64, aim: f64) -> f64 {
-        let norm = self.norms.get(&(op, self.role(server))).and_then(|n| n.expect(work));
+        let norm = |key| self.norms.get(&key).and_then(|n| n.expect(work));
+        // A writer that has not yet read for us is taken to read more slowly than the readers do.
+        let norm = norm((op, self.role(server))).or(norm((Op::Read, Role::Prefill)).map(|e| e * UNSEEN));
         (norm.unwrap_or(aim / 4.0) * server.slow.clamp(1.0, 2.0)).max(aim * LEAST_WAIT / STALL)
     }
 
@@ -421,7 +421,7 @@
     }
 
     /// Takes note of a failure that says something of the server.
-    fn blame(&mut self, id: ServerId, now: Micros, amount: f64, out: &mut Vec<Action>) {
+    fn blame(&mut self, id: ServerId, now: Micros, amount: f64, out: &mut Out) {
         let first_gap = (self.cfg.warm_after as f64 * TRIAL_GAP) as Micros + 100_000;
         let server = self.at(id);
         let before = server.doubt;
@@ -495,8 +495,11 @@
 
     // ---- Request life cycle
 
-    fn on_request(&mut self, now: Micros, a: Arrival, out: &mut Vec<Action>) {
-        self.sweep(now);
+    fn on_request(&mut self, now: Micros, a: Arrival, out: &mut Out) {
+        if now >= self.next_sweep {
+            self.next_sweep = now + ROW_IDLE / 16;
+            self.rows.retain(|_, row| now.saturating_sub(row.used) < ROW_IDLE);
+        }
         let Some(class) = self.cfg.classes.get(a.class) else {
             out.push(Action::Refuse { request: a.id, retry_after: 0 });
             return;
@@ -533,15 +536,8 @@
         self.shed = (self.shed + SHED_GAIN * (self.delay - DELAY_TARGET) * span / 1e6).clamp(0.0, SHED_MOST);
     }
 
-    fn sweep(&mut self, now: Micros) {
-        if now >= self.next_sweep {
-            self.next_sweep = now + ROW_IDLE / 16;
-            self.rows.retain(|_, row| now.saturating_sub(row.used) < ROW_IDLE);
-        }
-    }
-
     /// The next thing to do for a request with no attempt out: an attempt, or the final answer.
-    fn step(&mut self, now: Micros, mut r: Request, out: &mut Vec<Action>) {
+    fn step(&mut self, now: Micros, mut r: Request, out: &mut Out) {
         let left = (self.cfg.max_attempts as usize).saturating_sub(r.attempts.len());
         let in_time = now < r.deadline;
         let mut target = None;
@@ -639,7 +635,7 @@
         (mix(self.random) >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    fn send(&mut self, now: Micros, mut r: Request, to: ServerId, op: Op, out: &mut Vec<Action>) {
+    fn send(&mut self, now: Micros, mut r: Request, to: ServerId, op: Op, out: &mut Out) {
         let left = (self.cfg.max_attempts as usize).saturating_sub(r.attempts.len());
         let attempt = r.attempts.len() as u16;
         let tokens = if op == Op::Fetch { r.a.prompt_tokens } else { r.new };
@@ -674,7 +670,7 @@
         self.set_tick(now, out);
     }
 
-    fn set_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
+    fn set_tick(&mut self, now: Micros, out: &mut Out) {
         let shortest = self.cfg.classes.iter().map(|c| c.ttft_aim).min().unwrap_or(0);
         if !self.ticking && !self.open.is_empty() {
             self.ticking = true;
@@ -684,7 +680,7 @@
 
     /// Calls off what waits at stalled servers, so that a hang is not waited out. Where half of a pool seems
     /// stalled it is jammed, and no place in it is better. What may not be repeated stays where it is.
-    fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
+    fn on_tick(&mut self, now: Micros, out: &mut Out) {
         self.ticking = false;
         self.steer(now);
         let stalled = |s: &&Server| s.stalled(now);
@@ -761,17 +757,8 @@
         server.progress = now;
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_ended(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        attempt: u16,
-        outcome: Outcome,
-        kept: u32,
-        finished: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_ended(&mut self, now: Micros, id: RequestId, no: u16, end: (Outcome, u32, bool), out: &mut Out) {
+        let (attempt, (outcome, kept, finished)) = (no, end);
         let Some(mut r) = self.open.remove(&id) else { return };
         let Some(t) = r.attempts.get_mut(usize::from(attempt)).filter(|t| t.out) else {
             self.open.insert(id, r);
@@ -804,15 +791,11 @@
                     row.used = now;
                 }
             }
-            Outcome::Full => {
-                self.at(to).full_until = now + (r.aim / 4.0) as Micros;
-                r.tried.push(to);
-            }
+            Outcome::Full => self.at(to).full_until = now + (r.aim / 4.0) as Micros,
             Outcome::StateLost => r.state_at = None,
             Outcome::ConnectFailed | Outcome::Reset => {
                 self.at(to).epoch += 1;
                 self.blame(to, now, if outcome == Outcome::Reset { 0.5 } else { 1.0 }, out);
-                r.tried.push(to);
             }
             Outcome::TimedOut => {
                 // A busy server that got other work done meanwhile is not a sick one.
@@ -820,14 +803,12 @@
                 if self.at(to).progress < sent {
                     self.blame(to, now, 0.6, out);
                 }
-                r.tried.push(to);
-            }
-            Outcome::Error => {
-                self.blame(to, now, 0.3, out);
-                r.tried.push(to);
             }
-            Outcome::Cancelled => r.tried.push(to),
-            Outcome::NotSent => {}
+            Outcome::Error => self.blame(to, now, 0.3, out),
+            Outcome::Cancelled | Outcome::NotSent => {}
+        }
+        if !matches!(outcome, Outcome::Read | Outcome::StateLost | Outcome::NotSent) {
+            r.tried.push(to);
         }
         let may_run =
             matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
@@ -863,7 +844,7 @@
         }
     }
 
-    fn on_gone(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+    fn on_gone(&mut self, now: Micros, id: RequestId, out: &mut Out) {
         let Some(r) = self.open.remove(&id) else { return };
         for (i, _) in r.attempts.iter().enumerate().filter(|(_, t)| t.out && !t.streaming) {
             if self.cfg.may_cancel {
@@ -899,7 +880,7 @@
     }
 
     /// The final answer of a request that cannot be served: a refusal where trying again does no harm.
-    fn give_up(&mut self, now: Micros, r: Request, out: &mut Vec<Action>) {
+    fn give_up(&mut self, now: Micros, r: Request, out: &mut Out) {
         let class = &self.cfg.classes[r.a.class];
         let keyed_everywhere = class.effect == Effect::Keyed && class.group == RepeatGroup::All;
         let harmless = class.effect == Effect::Safe || r.may_have_run.is_none() || keyed_everywhere;
@@ -911,7 +892,7 @@
     }
 
     /// Ends a request: lets go of what is held, and forgets it once its attempts are in.
-    fn close(&mut self, now: Micros, mut r: Request, out: &mut Vec<Action>) {
+    fn close(&mut self, now: Micros, mut r: Request, out: &mut Out) {
         if !r.over {
             if r.first_token.is_none() && !r.attempts.is_empty() {
                 self.learn_delay(2.0);
