--- a/src/rules.rs
+++ b/src/rules.rs
@@ -601,7 +601,8 @@
         let median = loads.get(loads.len() / 2).copied().unwrap_or(0.0);
         // What a writer has forgotten is new again; see `learn_holds`.
         let passed = self.passed(server, row);
-        let new = if passed < server.holds { r.new } else { r.a.prompt_tokens };
+        let kept = passed < server.holds || r.a.prompt_tokens < EMPTY_CELL_NEW;
+        let new = if kept { r.new } else { r.a.prompt_tokens };
         let output = output(&r.a);
         let crowd = server.load() / median.max(1.0);
         let key = (
