--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,7 +22,7 @@
 /// Share of local decisions sent the prefill path all the same, so that both averages stay fed.
 const REMOTE_SHARE: f64 = 0.05;
 /// Part of its told memory that is first taken to pass before a writer forgets a session.
-const HOLDS_FIRST: f64 = 0.5;
+const HOLDS_FIRST: f64 = 0.75;
 /// A session found forgotten or kept moves the learned span that far below or above what had passed.
 const HOLDS_STEP: f64 = 0.8;
 /// An average with less weight than this counts as empty: two or three answers.
@@ -736,7 +736,7 @@
         let expected = lasts.unwrap_or(f64::INFINITY);
         let server = self.at(to);
         server.waiting.remove(&(id, attempt));
-        server.streams.insert((id, attempt), Wait { sent: now, tokens, expected });
+        server.streams.insert((id, attempt), Wait { sent: now, tokens: context, expected });
         server.flow += if op == Op::Fetch { context } else { tokens };
         let row = Row { writer: to, epoch: server.epoch, used: now, context, flow: server.flow };
         if let Some(key) = key {
@@ -828,9 +828,10 @@
         }
     }
 
-    /// Tokens of all nodes that came into a writer's memory since a row was used, by our own part of them.
+    /// Tokens of all nodes, by our part, that came to a writer since a row's use or are held by its streams.
     fn passed(&self, server: &Server, row: &Row) -> f64 {
-        (server.flow - row.flow) * f64::from(self.cfg.nodes)
+        let running: f64 = server.streams.values().map(|w| w.tokens).sum();
+        (server.flow - row.flow + running) * f64::from(self.cfg.nodes)
     }
 
     /// Guards against writers that forgot (other sessions, a flush, an unseen restart): a local turn is a
