--- a/src/rules.rs
+++ b/src/rules.rs
@@ -52,7 +52,7 @@
 /// First pause before a doubted server is tried again, as a share of its time to warm; it doubles.
 const TRIAL_GAP: f64 = 0.05;
 /// Part of the cold budget that is spent at most: the learned rate is a guess and chance has a say.
-const COLD_SAFETY: f64 = 0.6;
+const COLD_SAFETY: f64 = 0.8;
 /// Span over which the send rate of a kind of machine is learned.
 const RATE_AGE: f64 = 10e6;
 /// First tokens are wanted after this share of their aim on average; above it a part of arrivals is refused.
@@ -375,14 +375,14 @@
         self.fleet.values().filter(|s| s.entry.condition == Condition::Ready)
     }
 
-    /// The part of its capacity that a server has; 1 when warm. Its growth is not told: half a line is taken.
+    /// The part of its capacity that a server has; 1 when warm. Growth is not told: 3/4 of a line is taken.
     fn capacity_share(&self, entry: &ServerEntry, now: Micros) -> f64 {
         let (age, warm) = (now.saturating_sub(entry.started) as f64, self.cfg.warm_after as f64);
         if entry.started == 0 || age >= warm {
             return 1.0;
         }
         let start = self.cfg.start_capacity.min(1.0);
-        start + (1.0 - start) * 0.5 * age / warm.max(1.0)
+        start + (1.0 - start) * 0.75 * age / warm.max(1.0)
     }
 
     /// Guards the rule that a cold server is not pushed over: this node's part of the told budget, with what
