--- a/src/rules.rs
+++ b/src/rules.rs
@@ -71,6 +71,8 @@
 const JAMMED: f64 = 0.8;
 /// Multiple of the readers' time that an op without answers so far is taken to need.
 const UNSEEN: f64 = 3.0;
+/// A read has got lost when one sent this multiple of its expected time later is answered.
+const OVERTAKEN: f64 = 2.0;
 /// Log lines per start.
 const LOG_LINES: u32 = 40;
 
@@ -92,6 +94,14 @@
     expected: f64,
 }
 
+impl Wait {
+    /// Guards against single reads that get lost at a server that else does well (readers work in order): one
+    /// sent so much later was answered. May harm where readers take short prompts first.
+    fn overtaken(&self) -> Micros {
+        (OVERTAKEN * self.expected) as Micros
+    }
+}
+
 #[derive(Default)]
 struct Server {
     entry: ServerEntry,
@@ -110,6 +120,8 @@
     trial_at: Micros,
     trial_gap: Micros,
     progress: Micros,
+    /// When the latest read that it answered was sent.
+    answered: Micros,
     full_until: Micros,
     /// Prompt tokens of ours that came into its memory so far.
     flow: f64,
@@ -693,20 +705,24 @@
                 lost.extend(hung);
             }
         }
+        let called = |s: &Server, w: &Wait| lost.contains(&s.entry.id) || s.answered > w.sent + w.overtaken();
+        let waits = |s: &Server| -> Vec<_> {
+            s.waiting.iter().filter(|(_, w)| called(s, w)).map(|(key, _)| *key).collect()
+        };
+        let waits: Vec<(RequestId, u16)> = self.listed().flat_map(waits).collect();
+        for (request, attempt) in waits.into_iter().filter(|_| self.cfg.may_cancel) {
+            let Some(r) = self.open.get(&request).filter(|r| !r.over) else { continue };
+            let op = r.attempts[usize::from(attempt)].op;
+            let repeatable = op == Op::Read || self.cfg.classes[r.a.class].effect == Effect::Safe;
+            if repeatable && r.attempts.len() < self.cfg.max_attempts as usize {
+                out.push(Action::Cancel { request, attempt });
+            }
+        }
         for id in lost {
             // A server already doubted is blamed again only for a trial that it failed.
             if self.fleet[&id].doubt < 1.0 || !self.fleet[&id].waiting.is_empty() {
                 self.blame(id, now, 1.0, out);
             }
-            let waits: Vec<(RequestId, u16)> = self.fleet[&id].waiting.keys().copied().collect();
-            for (request, attempt) in waits.into_iter().filter(|_| self.cfg.may_cancel) {
-                let Some(r) = self.open.get(&request).filter(|r| !r.over) else { continue };
-                let op = r.attempts[usize::from(attempt)].op;
-                let repeatable = op == Op::Read || self.cfg.classes[r.a.class].effect == Effect::Safe;
-                if repeatable && r.attempts.len() < self.cfg.max_attempts as usize {
-                    out.push(Action::Cancel { request, attempt });
-                }
-            }
             (self.at(id).progress, self.at(id).ended) = (now, now);
         }
         self.set_tick(now, out);
@@ -756,6 +772,9 @@
         server.slow += STEP * (ratio - server.slow);
         server.doubt *= 0.3;
         server.progress = now;
+        if op == Op::Read {
+            server.answered = server.answered.max(now - took);
+        }
     }
 
     fn on_ended(&mut self, now: Micros, id: RequestId, no: u16, end: (Outcome, u32, bool), out: &mut Out) {
@@ -798,15 +817,15 @@
                 self.at(to).epoch += 1;
                 self.blame(to, now, if outcome == Outcome::Reset { 0.5 } else { 1.0 }, out);
             }
-            Outcome::TimedOut => {
+            Outcome::TimedOut | Outcome::Cancelled if !r.over => {
                 // A busy server that got other work done meanwhile is not a sick one.
                 self.at(to).slow += STEP * (CLIP - self.at(to).slow);
-                if self.at(to).progress < sent {
+                if outcome == Outcome::TimedOut && self.at(to).progress < sent {
                     self.blame(to, now, 0.6, out);
                 }
             }
             Outcome::Error => self.blame(to, now, 0.3, out),
-            Outcome::Cancelled | Outcome::NotSent => {}
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent => {}
         }
         if !matches!(outcome, Outcome::Read | Outcome::StateLost | Outcome::NotSent) {
             r.tried.push(to);
