--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,12 +39,10 @@
 const NORM_MIN: u32 = 20;
 /// One observation may not count for more than this multiple of what was expected.
 const CLIP: f64 = 5.0;
-/// A wait of this multiple of its expected time, without progress at its server, is a stall.
+/// A wait of this multiple of its expected time, never under the aim, without progress there is a stall.
 const STALL: f64 = 6.0;
 /// Several streams of which none ends for this multiple of their expected length have stalled.
 const STREAM_STALL: f64 = 3.0;
-/// Nothing counts as stalled before this share of the wanted first-token time (noise is not a hang).
-const LEAST_WAIT: f64 = 1.0;
 /// Part of the time left that an attempt may take while another could follow.
 const ATTEMPT_PART: f64 = 0.65;
 /// Stalled servers are looked for this many times in the shortest wanted first-token time.
@@ -53,20 +51,16 @@
 const TRIAL_GAP: f64 = 0.05;
 /// Part of the cold budget that is spent at most: the learned rate is a guess and chance has a say.
 const COLD_SAFETY: f64 = 0.8;
-/// Span over which the send rate of a kind of machine is learned.
-const RATE_AGE: f64 = 10e6;
 /// First tokens are wanted after this share of their aim on average; above it a part of arrivals is refused.
 const DELAY_TARGET: f64 = 0.35;
-/// How fast the refused part follows, a second, for each unit of distance from the target.
-const SHED_GAIN: f64 = 1.0;
 /// The mean of first-token delays fades over this span, so that a node that refused much soon tries again.
 const DELAY_AGE: f64 = 2e6;
 /// No more than this part is refused, so that answers go on telling how things stand.
 const SHED_MOST: f64 = 0.8;
 /// A move out of the rack, and again one out of the zone, is worth this multiple of a writer's load.
 const OUTSIDE: f64 = 1.5;
-/// A server's slowness fades over this span: one that gets little work must not stay avoided.
-const SLOW_AGE: f64 = 10e6;
+/// Rates, and a server's slowness (one that gets little work must not stay avoided), fade over this span.
+const RECENT: f64 = 10e6;
 /// Readers that take this share of the wanted time are jammed: a first turn may be read where it is written.
 const JAMMED: f64 = 0.8;
 /// Multiple of the readers' time that an op without answers so far is taken to need.
@@ -94,14 +88,6 @@
     expected: f64,
 }
 
-impl Wait {
-    /// Guards against single reads that get lost at a server that else does well (readers work in order): one
-    /// sent so much later was answered. May harm where readers take short prompts first.
-    fn overtaken(&self) -> Micros {
-        (OVERTAKEN * self.expected) as Micros
-    }
-}
-
 #[derive(Default)]
 struct Server {
     entry: ServerEntry,
@@ -397,9 +383,8 @@
         start + (1.0 - start) * 0.75 * age / warm.max(1.0)
     }
 
-    /// Guards the rule that a cold server is not pushed over: this node's part of the told budget, with what
-    /// warm servers of its kind get from this node as the guide to its size (the other nodes' parts are
-    /// theirs). Retries and later turns spend it too. A single send is always allowed when none is waiting.
+    /// Guards a cold server: this node's part of the told budget, with what warm ones of its kind do for it
+    /// as the guide to its size. Retries and later turns spend it too. One send is always allowed alone.
     fn cold_room(&self, server: &Server, now: Micros) -> bool {
         let share = self.capacity_share(&server.entry, now);
         if share >= 1.0 || self.cfg.fall_multiple <= 0.0 {
@@ -408,7 +393,7 @@
         let window = self.cfg.fall_window;
         let sent = server.sends.iter().filter(|t| now.saturating_sub(**t) < window).count() as f64;
         let kind = server.entry.kind;
-        let rate = faded(self.kind_done[usize::from(kind)], now, RATE_AGE) / RATE_AGE;
+        let rate = faded(self.kind_done[usize::from(kind)], now, RECENT) / RECENT;
         let peers: f64 =
             self.listed().filter(|s| s.entry.kind == kind).map(|s| s.entry.weight.max(0.01)).sum();
         let usual = rate * window as f64 * server.entry.weight.max(0.01) / peers.max(0.01);
@@ -424,7 +409,7 @@
         let norm = |key| self.norms.get(&key).and_then(|n| n.expect(work));
         // A writer that has not yet read for us is taken to read more slowly than the readers do.
         let norm = norm((op, self.role(server))).or(norm((Op::Read, Role::Prefill)).map(|e| e * UNSEEN));
-        (norm.unwrap_or(aim / 4.0) * server.slow.clamp(1.0, 2.0)).max(aim * LEAST_WAIT / STALL)
+        (norm.unwrap_or(aim / 4.0) * server.slow.clamp(1.0, 2.0)).max(aim / STALL)
     }
 
     /// A server that was listed once stays known.
@@ -536,16 +521,12 @@
         self.shed > 0.0 && self.chance() < part.min(SHED_MOST)
     }
 
-    fn learn_delay(&mut self, ratio: f64) {
-        self.delay += STEP * (ratio.min(2.0) - self.delay);
-    }
-
     fn steer(&mut self, now: Micros) {
         let span = now.saturating_sub(self.steered).min(1_000_000) as f64;
         self.steered = now;
-        self.fleet.values_mut().for_each(|s| s.slow += (1.0 - s.slow) * (span / SLOW_AGE).min(1.0));
+        self.fleet.values_mut().for_each(|s| s.slow += (1.0 - s.slow) * (span / RECENT).min(1.0));
         self.delay *= (-span / DELAY_AGE).exp();
-        self.shed = (self.shed + SHED_GAIN * (self.delay - DELAY_TARGET) * span / 1e6).clamp(0.0, SHED_MOST);
+        self.shed = (self.shed + (self.delay - DELAY_TARGET) * span / 1e6).clamp(0.0, SHED_MOST);
     }
 
     /// The next thing to do for a request with no attempt out: an attempt, or the final answer.
@@ -612,7 +593,9 @@
         loads.sort_by(f64::total_cmp);
         let median = loads.get(loads.len() / 2).copied().unwrap_or(0.0);
         // What a writer has forgotten is new again; see `learn_holds`.
-        let passed = self.passed(server, row);
+        // Tokens of all nodes, by our part, that came since the row's use or that streams hold push it out.
+        let running: f64 = server.streams.values().map(|w| w.tokens).sum();
+        let passed = (server.flow - row.flow + running) * f64::from(self.cfg.nodes);
         let kept = passed < server.holds || r.a.prompt_tokens < EMPTY_CELL_NEW;
         let new = if kept { r.new } else { r.a.prompt_tokens };
         let output = output(&r.a);
@@ -705,11 +688,14 @@
                 lost.extend(hung);
             }
         }
-        let called = |s: &Server, w: &Wait| lost.contains(&s.entry.id) || s.answered > w.sent + w.overtaken();
-        let waits = |s: &Server| -> Vec<_> {
-            s.waiting.iter().filter(|(_, w)| called(s, w)).map(|(key, _)| *key).collect()
-        };
-        let waits: Vec<(RequestId, u16)> = self.listed().flat_map(waits).collect();
+        // A single read got lost at a server that else does well if one sent so much later was answered:
+        // readers work in order. May harm where they take short prompts first.
+        let mut waits = Vec::new();
+        for s in self.listed() {
+            let by = |w: &Wait| s.answered > w.sent + (OVERTAKEN * w.expected) as Micros;
+            let called = |w: &Wait| by(w) || lost.contains(&s.entry.id);
+            waits.extend(s.waiting.iter().filter(|(_, w)| called(w)).map(|(key, _)| *key));
+        }
         for (request, attempt) in waits.into_iter().filter(|_| self.cfg.may_cancel) {
             let Some(r) = self.open.get(&request).filter(|r| !r.over) else { continue };
             let op = r.attempts[usize::from(attempt)].op;
@@ -745,7 +731,7 @@
             stats.ttft.add(now, (now - arrived) as f64);
         }
         let ratio = (now - arrived) as f64 / r.aim.max(1.0);
-        self.learn_delay(ratio);
+        self.delay += STEP * (ratio.min(2.0) - self.delay);
         self.progress(now, to, op, now - sent, tokens);
         let lasts = self.norms.get(&(Op::Stream, self.role(&self.fleet[&to])));
         let lasts = lasts.filter(|n| n.count > NORM_MIN).and_then(|n| n.expect(output));
@@ -767,14 +753,12 @@
         let ratio = norm.expect(work).map_or(1.0, |e| (took as f64 / e.max(1.0)).min(CLIP));
         norm.learn(took as f64, work);
         let done = &mut self.kind_done[usize::from(self.fleet[&id].entry.kind)];
-        *done = (faded(*done, now, RATE_AGE) + 1.0, now);
+        *done = (faded(*done, now, RECENT) + 1.0, now);
         let server = self.at(id);
         server.slow += STEP * (ratio - server.slow);
         server.doubt *= 0.3;
         server.progress = now;
-        if op == Op::Read {
-            server.answered = server.answered.max(now - took);
-        }
+        server.answered = server.answered.max(if op == Op::Read { now - took } else { 0 });
     }
 
     fn on_ended(&mut self, now: Micros, id: RequestId, no: u16, end: (Outcome, u32, bool), out: &mut Out) {
@@ -817,8 +801,8 @@
                 self.at(to).epoch += 1;
                 self.blame(to, now, if outcome == Outcome::Reset { 0.5 } else { 1.0 }, out);
             }
+            // A busy server that got other work done meanwhile is not a sick one.
             Outcome::TimedOut | Outcome::Cancelled if !r.over => {
-                // A busy server that got other work done meanwhile is not a sick one.
                 self.at(to).slow += STEP * (CLIP - self.at(to).slow);
                 if outcome == Outcome::TimedOut && self.at(to).progress < sent {
                     self.blame(to, now, 0.6, out);
@@ -847,12 +831,6 @@
         }
     }
 
-    /// Tokens of all nodes, by our part, that came to a writer since a row's use or are held by its streams.
-    fn passed(&self, server: &Server, row: &Row) -> f64 {
-        let running: f64 = server.streams.values().map(|w| w.tokens).sum();
-        (server.flow - row.flow + running) * f64::from(self.cfg.nodes)
-    }
-
     /// Guards against writers that forgot (other sessions, a flush, an unseen restart): a local turn is a
     /// full read among running streams. The kept count tells at once, long before the cell's averages do, how
     /// much may pass through that writer. May harm where kept counts are not told.
@@ -916,7 +894,7 @@
     fn close(&mut self, now: Micros, mut r: Request, out: &mut Out) {
         if !r.over {
             if r.first_token.is_none() && !r.attempts.is_empty() {
-                self.learn_delay(2.0);
+                self.delay += STEP * (2.0 - self.delay);
             }
             if let (Some((path, cell)), None) = (r.path, r.first_token) {
                 // An unserved request must not flatter its path: the time it cost counts.
