--- a/src/rules.rs
+++ b/src/rules.rs
@@ -65,8 +65,6 @@
 const JAMMED: f64 = 0.8;
 /// Multiple of the readers' time that an op without answers so far is taken to need.
 const UNSEEN: f64 = 3.0;
-/// A read has got lost when one sent this multiple of its expected time later is answered.
-const OVERTAKEN: f64 = 2.0;
 /// Log lines per start.
 const LOG_LINES: u32 = 40;
 
@@ -106,8 +104,6 @@
     trial_at: Micros,
     trial_gap: Micros,
     progress: Micros,
-    /// When the latest read that it answered was sent.
-    answered: Micros,
     full_until: Micros,
     /// Prompt tokens of ours that came into its memory so far.
     flow: f64,
@@ -688,14 +684,8 @@
                 lost.extend(hung);
             }
         }
-        // A single read got lost at a server that else does well if one sent so much later was answered:
-        // readers work in order. May harm where they take short prompts first.
-        let mut waits = Vec::new();
-        for s in self.listed() {
-            let by = |w: &Wait| s.answered > w.sent + (OVERTAKEN * w.expected) as Micros;
-            let called = |w: &Wait| by(w) || lost.contains(&s.entry.id);
-            waits.extend(s.waiting.iter().filter(|(_, w)| called(w)).map(|(key, _)| *key));
-        }
+        let called = lost.iter().flat_map(|id| self.fleet[id].waiting.keys().copied());
+        let waits: Vec<(RequestId, u16)> = called.collect();
         for (request, attempt) in waits.into_iter().filter(|_| self.cfg.may_cancel) {
             let Some(r) = self.open.get(&request).filter(|r| !r.over) else { continue };
             let op = r.attempts[usize::from(attempt)].op;
@@ -758,7 +748,6 @@
         server.slow += STEP * (ratio - server.slow);
         server.doubt *= 0.3;
         server.progress = now;
-        server.answered = server.answered.max(if op == Op::Read { now - took } else { 0 });
     }
 
     fn on_ended(&mut self, now: Micros, id: RequestId, no: u16, end: (Outcome, u32, bool), out: &mut Out) {
