--- a/src/rules.rs
+++ b/src/rules.rs
@@ -528,7 +528,9 @@
     /// The next thing to do for a request with no attempt out: an attempt, or the final answer.
     fn step(&mut self, now: Micros, mut r: Request, out: &mut Out) {
         let left = (self.cfg.max_attempts as usize).saturating_sub(r.attempts.len());
-        let in_time = now < r.deadline;
+        // Overload: nothing is read again for what is already late, so that retries do not keep a jam alive.
+        let late = (now - r.arrived) as f64 > r.aim && !r.attempts.is_empty() && r.state_at.is_none();
+        let in_time = now < r.deadline && !(late && self.shed > SHED_MOST / 2.0);
         let mut target = None;
         if left > 0 && in_time && self.repeat_open(&r, now) {
             if let Some(reader) = r.state_at {
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -105,3 +105,29 @@
         }
     }
 }
+
+/// Retries of what is already late keep a jam alive (incident if50adb): while much is refused, nothing is read again.
+#[test]
+fn a_late_read_is_not_repeated_in_overload() {
+    let mut rig = Rig::new(settings(), &fleet());
+    let mut last = None;
+    for id in 0..100u64 {
+        rig.now += SECOND / 10;
+        if rig.ask(arrival(id, id, 1_000.0)).is_some() {
+            last = Some(id);
+        }
+        if id >= 20 {
+            rig.end(id - 20, 0, Outcome::Read);
+            rig.first(id - 20, 1);
+            rig.end(id - 20, 1, Outcome::Served);
+        }
+    }
+    let late = last.expect("some are sent").max(80);
+    rig.now += 1_500_000;
+    assert_eq!(rig.end(late, 0, Outcome::TimedOut), None);
+    assert!(rig.refused(), "request {late}");
+    let mut calm = Rig::new(settings(), &fleet());
+    calm.ask(arrival(1, 1, 1_000.0));
+    calm.now += 1_500_000;
+    assert!(calm.end(1, 0, Outcome::TimedOut).is_some(), "without overload it is read again");
+}
