Cold budget by lot; prefix homes by share, ring weighted by a rack's writers

Cause 2: reads are spread over racks that have no writers, so states leave their racks. Ring places are weighted by the rack's share of writers, and a prefix has as many homes as its share of prompt tokens fills, a session keeping to one. Not concluded: writers still leave the rack.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,6 +33,11 @@
 const ROW_IDLE: Micros = 120_000_000;
 /// A reader takes at most this multiple of the readers' mean waiting tokens before a prefix spills.
 const RING_BOUND: f64 = 1.5;
+/// A reader is preferred by its rack's share of writers over its share of readers, within these bounds.
+const PULL_LEAST: f64 = 0.3;
+const PULL_MOST: f64 = 1.6;
+/// A prefix has one home for each mean reader's load that it brings, times this.
+const HOMES: f64 = 1.5;
 /// Step of running means: about the last ten answers.
 const STEP: f64 = 0.1;
 /// Lengths of streams are not judged by fewer ends than this.
@@ -268,6 +273,14 @@
     norms: BTreeMap<(Op, Role), Norm>,
     /// Decayed count of what each kind of machine got done for us (storms of retries must not count).
     kind_done: Vec<(f64, Micros)>,
+    /// Listed weight of each kind of machine, and the seed of this node's lots.
+    kind_weight: Vec<f64>,
+    /// For each rack its share of writers over its share of readers, within bounds.
+    racks: BTreeMap<u16, f64>,
+    /// Recent prompt tokens of each prefix, and of all.
+    prefixes: BTreeMap<u64, (f64, Micros)>,
+    asked: (f64, Micros),
+    lots: u64,
     next_sweep: Micros,
     ticking: bool,
     /// Running mean of first-token time over aim; the part of arrivals refused; running mean of worth.
@@ -311,7 +324,15 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let kinds = settings.roles.len();
         let kind_done = vec![(0.0, 0); kinds];
-        Router { cfg: settings, random: mix(seed), kind_done, ..Router::default() }
+        let kind_weight = vec![0.0; kinds];
+        Router {
+            cfg: settings,
+            random: mix(seed),
+            lots: mix(!seed),
+            kind_done,
+            kind_weight,
+            ..Router::default()
+        }
     }
 
     /// Takes in one event and appends what is to be done to `out`.
@@ -359,6 +380,20 @@
             }
             server.entry = *entry;
         }
+        self.kind_weight.iter_mut().for_each(|w| *w = 0.0);
+        self.racks.clear();
+        let (mut all, mut racks) = ([0.0; 2], BTreeMap::<u16, [f64; 2]>::new());
+        for entry in self.listed().map(|s| s.entry).collect::<Vec<_>>() {
+            let (kind, weight) = (usize::from(entry.kind), entry.weight.max(0.01));
+            self.kind_weight[kind] += weight;
+            let side = usize::from(self.cfg.roles[kind] != Role::Prefill);
+            racks.entry(entry.cell).or_default()[side] += weight;
+            all[side] += weight;
+        }
+        for (rack, [read, write]) in racks {
+            let pull = (write / all[1].max(0.01)) / (read / all[0].max(0.01)).max(0.01);
+            self.racks.insert(rack, pull.clamp(PULL_LEAST, PULL_MOST));
+        }
     }
 
     fn role(&self, server: &Server) -> Role {
@@ -380,21 +415,21 @@
     }
 
     /// Guards a cold server: this node's part of the told budget, with what warm ones of its kind do for it
-    /// as the guide to its size. Retries and later turns spend it too. One send is always allowed alone.
+    /// as the guide to its size. Retries and later turns spend it too. A part under one send becomes a chance of
+    /// one send a window, drawn by lot, so that many nodes that each see little keep the budget together.
     fn cold_room(&self, server: &Server, now: Micros) -> bool {
         let share = self.capacity_share(&server.entry, now);
         if share >= 1.0 || self.cfg.fall_multiple <= 0.0 {
             return true;
         }
-        let window = self.cfg.fall_window;
+        let window = self.cfg.fall_window.max(1);
         let sent = server.sends.iter().filter(|t| now.saturating_sub(**t) < window).count() as f64;
-        let kind = server.entry.kind;
-        let rate = faded(self.kind_done[usize::from(kind)], now, RECENT) / RECENT;
-        let peers: f64 =
-            self.listed().filter(|s| s.entry.kind == kind).map(|s| s.entry.weight.max(0.01)).sum();
-        let usual = rate * window as f64 * server.entry.weight.max(0.01) / peers.max(0.01);
-        sent + 1.0 <= COLD_SAFETY * self.cfg.fall_multiple * share * usual
-            || (sent == 0.0 && server.waiting.is_empty())
+        let kind = usize::from(server.entry.kind);
+        let rate = faded(self.kind_done[kind], now, RECENT) / RECENT;
+        let usual = rate * window as f64 * server.entry.weight.max(0.01) / self.kind_weight[kind].max(0.01);
+        let budget = COLD_SAFETY * self.cfg.fall_multiple * share * usual;
+        let lot = mix(self.lots ^ mix(server.entry.id.0) ^ mix(now / window)) >> 11;
+        sent + 1.0 <= budget || sent == 0.0 && (lot as f64 / (1u64 << 53) as f64) < budget
     }
 
     fn effective_weight(&self, server: &Server, now: Micros) -> f64 {
@@ -433,13 +468,28 @@
 
     // ---- Reader ring
 
-    /// Consistent hashing with bounded loads: in the order of the hash, the first reader within the bound.
-    fn pick_reader(&self, now: Micros, key: u64, tokens: f64, tried: &[ServerId]) -> Option<ServerId> {
-        let readers = self.listed().filter(|s| self.role(s) == Role::Prefill && !tried.contains(&s.entry.id));
+    /// Consistent hashing with bounded loads: in the order of the hash, the first reader within the bound. A
+    /// prefix has as many homes as its share of what was asked fills, and a session keeps to one of them.
+    fn pick_reader(&self, now: Micros, r: &Request) -> Option<ServerId> {
+        let (session, tokens) = (if r.a.session != 0 { r.a.session } else { r.a.id.0 }, r.new);
+        let key = if r.a.prefix != 0 { r.a.prefix } else { session };
+        let readers =
+            self.listed().filter(|s| self.role(s) == Role::Prefill && !r.tried.contains(&s.entry.id));
         let readers: Vec<&Server> = readers.filter(|s| self.cold_room(s, now)).collect();
         let best = readers.iter().map(|s| s.grade(now)).min()?;
         let mut ring: Vec<&Server> = readers.into_iter().filter(|s| s.grade(now) == best).collect();
-        ring.sort_by_key(|s| (mix(mix(key) ^ mix(s.entry.id.0)), s.entry.id));
+        let place = |s: &Server, key: u64| {
+            let drawn = (mix(mix(key) ^ mix(s.entry.id.0)) >> 11) as f64 + 1.0;
+            let weight =
+                self.effective_weight(s, now) * self.racks.get(&s.entry.cell).copied().unwrap_or(1.0);
+            -(drawn / (1u64 << 53) as f64).ln() / weight
+        };
+        ring.sort_by_cached_key(|s| (place(s, key).to_bits(), s.entry.id));
+        let asked = self.prefixes.get(&key).map_or(0.0, |p| faded(*p, now, CELL_AGE));
+        let share = asked / faded(self.asked, now, CELL_AGE).max(1.0);
+        let homes = ((share * ring.len() as f64 * HOMES) as usize + 1).min(ring.len());
+        let home = (0..homes).min_by(|a, b| place(ring[*a], session).total_cmp(&place(ring[*b], session)));
+        ring.rotate_left(home.unwrap_or(0));
         let weights: f64 = ring.iter().map(|s| self.effective_weight(s, now)).sum();
         let waiting: f64 = ring.iter().map(|s| s.waiting_tokens()).sum();
         // What other nodes sent there shows in the age of our own oldest wait.
@@ -492,6 +542,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now + ROW_IDLE / 16;
             self.rows.retain(|_, row| now.saturating_sub(row.used) < ROW_IDLE);
+            self.prefixes.retain(|_, p| now.saturating_sub(p.1) < ROW_IDLE);
         }
         let Some(class) = self.cfg.classes.get(a.class) else {
             out.push(Action::Refuse { request: a.id, retry_after: 0 });
@@ -499,6 +550,12 @@
         };
         let aim = class.ttft_aim as f64 + class.ttft_aim_per_1000 * a.prompt_tokens / 1000.0;
         let (new, deadline) = (self.new_tokens(&a), now + a.patience);
+        let count = |c: (f64, Micros)| (faded(c, now, CELL_AGE) + a.prompt_tokens, now);
+        self.asked = count(self.asked);
+        if a.prefix != 0 {
+            let of = self.prefixes.entry(a.prefix).or_default();
+            *of = count(*of);
+        }
         let request = Request { a, arrived: now, deadline, aim, new, ..Request::default() };
         if self.sheds(&request) {
             return self.give_up(now, request, out);
@@ -543,9 +600,7 @@
             } else {
                 target = self.local_writer(now, &mut r).map(|w| (w, Op::Local));
                 if target.is_none() && left > 1 {
-                    let key = if r.a.prefix != 0 { r.a.prefix } else { r.a.session };
-                    let key = if key != 0 { key } else { r.a.id.0 };
-                    let reader = self.pick_reader(now, key, r.new, &r.tried);
+                    let reader = self.pick_reader(now, &r);
                     target = reader.filter(|id| !self.direct_wins(now, *id, &r)).map(|s| (s, Op::Read));
                 }
                 if target.is_none() {
