--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,6 +5,7 @@
 //! docs/design.md tells what was kept, what was changed and when each exception acts.
 
 use crate::interface::*;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 
 // ---- Constants: shares, counts, or multiples of told or learned figures; none is a deployment's figure.
@@ -504,23 +505,11 @@
 
     // ---- Writer choice
 
-    /// The writer with the fewest of our streams for its size, cheaper moves first among near equals.
+    /// The writer with the fewest of our streams for its size: the best of the reader's rack, of its zone and of
+    /// the rest, then the cheapest of these. What all nodes would decide alike is drawn by lot: a server's load
+    /// beyond our own streams is not seen, so parts of one stream are random.
     fn pick_writer(&self, now: Micros, from: Option<ServerId>, r: &Request, reads: bool) -> Option<ServerId> {
         let from = from.and_then(|id| self.fleet.get(&id)).map(|s| s.entry);
-        let cost = |s: &Server| {
-            let mut cost = (s.load() + 1.0) / self.effective_weight(s, now);
-            cost *= 1.0 + s.oldest(now) / r.aim.max(1.0);
-            if from.is_some_and(|f| f.cell != s.entry.cell) {
-                cost *= OUTSIDE;
-            }
-            if from.map_or(self.cfg.zone, |f| f.zone) != s.entry.zone {
-                cost *= OUTSIDE;
-            }
-            if reads {
-                cost *= self.expected(s, Op::Local, r.a.prompt_tokens, r.aim);
-            }
-            cost
-        };
         let can = |s: &&Server| match self.role(s) {
             Role::Prefill => false,
             Role::Mixed => true,
@@ -528,12 +517,33 @@
         };
         let writers = self.listed().filter(can).filter(|s| !r.tried.contains(&s.entry.id));
         let writers = writers.filter(|s| self.cold_room(s, now) && self.repeat_allowed(r, s, now));
-        let rank = |s: &&Server| (s.grade(now), cost(s));
-        let best = writers.min_by(|a, b| {
-            let ((ga, ca), (gb, cb)) = (rank(a), rank(b));
-            ga.cmp(&gb).then(ca.total_cmp(&cb)).then(a.entry.id.cmp(&b.entry.id))
+        let (mut count, mut ours) = (0.0, 0.0);
+        let mut tiers: [Option<(u8, f64, f64, ServerId)>; 3] = [None; 3];
+        let lot = mix(self.random ^ r.a.id.0);
+        for s in writers {
+            count += 1.0;
+            ours += s.load();
+            let tier = usize::from(from.is_some_and(|f| f.cell != s.entry.cell))
+                + usize::from(from.map_or(self.cfg.zone, |f| f.zone) != s.entry.zone);
+            let drawn = (mix(lot ^ mix(s.entry.id.0)) >> 11) as f64 / (1u64 << 53) as f64;
+            let mut unit = (1.0 + s.oldest(now) / r.aim.max(1.0)) / self.effective_weight(s, now);
+            if reads {
+                unit *= self.expected(s, Op::Local, r.a.prompt_tokens, r.aim);
+            }
+            let better = (s.grade(now), (s.load() + drawn) * unit, unit, s.entry.id);
+            let worse = |b: &(u8, f64, f64, ServerId)| (better.0, better.1) < (b.0, b.1);
+            if tiers[tier].as_ref().is_none_or(worse) {
+                tiers[tier] = Some(better);
+            }
+        }
+        // Others' streams are taken to lie as ours do on the mean: with many nodes our own few decide little.
+        let others = f64::from(self.cfg.nodes.saturating_sub(1)) * ours / f64::max(count, 1.0);
+        let ranked = tiers.iter().enumerate().filter_map(|(tier, best)| {
+            let (grade, _, unit, id) = (*best)?;
+            let load = (self.fleet[&id].load() + 1.0 + others) * unit * OUTSIDE.powi(tier as i32);
+            Some((grade, load, id))
         });
-        best.map(|s| s.entry.id)
+        ranked.min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).unwrap_or(Ordering::Equal)).map(|t| t.2)
     }
 
     // ---- Request life cycle
