--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,6 +51,8 @@
 const STREAM_STALL: f64 = 3.0;
 /// Part of the time left that an attempt may take while another could follow.
 const ATTEMPT_PART: f64 = 0.65;
+/// No time-out is set under this multiple of what the attempt is expected to take.
+const PATIENT: f64 = 4.0;
 /// Stalled servers are looked for this many times in the shortest wanted first-token time.
 const TICKS: u64 = 8;
 /// First pause before a doubted server is tried again, as a share of its time to warm; it doubles.
@@ -704,9 +706,11 @@
         // A time-out leaves time for another attempt, unless a repeat is ruled out.
         let remaining = r.deadline.saturating_sub(now);
         let once = op != Op::Read && self.cfg.classes[r.a.class].effect != Effect::Safe;
-        let stall = if self.cfg.may_cancel { f64::INFINITY } else { STALL * expected };
-        let part = (remaining as f64 * ATTEMPT_PART).min(stall).max(1.0) as Micros;
-        let timeout = if once || left <= 1 { 0 } else { part };
+        // A time-out that is no clear multiple of the expected time would only give up places in a jam.
+        let part = remaining as f64 * ATTEMPT_PART;
+        let stall = if self.cfg.may_cancel { part } else { STALL * expected };
+        let timeout =
+            if once || left <= 1 || part < PATIENT * expected { 0 } else { part.min(stall) as Micros };
         out.push(Action::Send { request: r.a.id, server: to, timeout });
         let window = self.cfg.fall_window;
         let server = self.at(to);
