--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,7 +38,7 @@
 const PULL_LEAST: f64 = 0.3;
 const PULL_MOST: f64 = 1.6;
 /// A prefix has one home for each mean reader's load that it brings, times this.
-const HOMES: f64 = 1.5;
+const HOMES: f64 = 0.6;
 /// Step of running means: about the last ten answers.
 const STEP: f64 = 0.1;
 /// Lengths of streams are not judged by fewer ends than this.
