--- a/src/rules.rs
+++ b/src/rules.rs
@@ -276,8 +276,8 @@
     norms: BTreeMap<(Op, Role), Norm>,
     /// Decayed count of what each kind of machine got done for us (storms of retries must not count).
     kind_done: Vec<(f64, Micros)>,
-    /// Listed weight of each kind of machine, and the seed of this node's lots.
-    kind_weight: Vec<f64>,
+    /// Sum of weights and count of the listed machines of each kind, and the seed of this node's lots.
+    kinds: Vec<(f64, f64)>,
     /// For each rack its share of writers over its share of readers, within bounds.
     racks: BTreeMap<u16, f64>,
     /// Recent prompt tokens of each prefix, and of all.
@@ -327,15 +327,8 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let kinds = settings.roles.len();
         let kind_done = vec![(0.0, 0); kinds];
-        let kind_weight = vec![0.0; kinds];
-        Router {
-            cfg: settings,
-            random: mix(seed),
-            lots: mix(!seed),
-            kind_done,
-            kind_weight,
-            ..Router::default()
-        }
+        let kinds = vec![(0.0, 0.0); kinds];
+        Router { cfg: settings, random: mix(seed), lots: mix(!seed), kind_done, kinds, ..Router::default() }
     }
 
     /// Takes in one event and appends what is to be done to `out`.
@@ -383,15 +376,18 @@
             }
             server.entry = *entry;
         }
-        self.kind_weight.iter_mut().for_each(|w| *w = 0.0);
+        let listed: Vec<ServerEntry> = self.listed().map(|s| s.entry).collect();
+        self.kinds = vec![(0.0, 0.0); self.cfg.roles.len()];
+        for entry in &listed {
+            let (sum, count) = &mut self.kinds[usize::from(entry.kind)];
+            (*sum, *count) = (*sum + entry.weight.max(0.01), *count + 1.0);
+        }
         self.racks.clear();
         let (mut all, mut racks) = ([0.0; 2], BTreeMap::<u16, [f64; 2]>::new());
-        for entry in self.listed().map(|s| s.entry).collect::<Vec<_>>() {
-            let (kind, weight) = (usize::from(entry.kind), entry.weight.max(0.01));
-            self.kind_weight[kind] += weight;
-            let side = usize::from(self.cfg.roles[kind] != Role::Prefill);
-            racks.entry(entry.cell).or_default()[side] += weight;
-            all[side] += weight;
+        for entry in &listed {
+            let side = usize::from(self.cfg.roles[usize::from(entry.kind)] != Role::Prefill);
+            racks.entry(entry.cell).or_default()[side] += self.size(entry);
+            all[side] += self.size(entry);
         }
         for (rack, [read, write]) in racks {
             let pull = (write / all[1].max(0.01)) / (read / all[0].max(0.01)).max(0.01);
@@ -429,14 +425,20 @@
         let sent = server.sends.iter().filter(|t| now.saturating_sub(**t) < window).count() as f64;
         let kind = usize::from(server.entry.kind);
         let rate = faded(self.kind_done[kind], now, RECENT) / RECENT;
-        let usual = rate * window as f64 * server.entry.weight.max(0.01) / self.kind_weight[kind].max(0.01);
+        let usual = rate * window as f64 * self.size(&server.entry) / self.kinds[kind].1.max(1.0);
         let budget = COLD_SAFETY * self.cfg.fall_multiple * share * usual;
         let lot = mix(self.lots ^ mix(server.entry.id.0) ^ mix(now / window)) >> 11;
         sent + 1.0 <= budget || sent == 0.0 && (lot as f64 / (1u64 << 53) as f64) < budget
     }
 
+    /// Size against the mean of its kind: told weights compare servers of one kind only.
+    fn size(&self, entry: &ServerEntry) -> f64 {
+        let (sum, count) = self.kinds[usize::from(entry.kind)];
+        entry.weight.max(0.01) * count.max(1.0) / sum.max(0.01)
+    }
+
     fn effective_weight(&self, server: &Server, now: Micros) -> f64 {
-        server.entry.weight.max(0.01) * self.capacity_share(&server.entry, now) / server.slow.max(0.5)
+        self.size(&server.entry) * self.capacity_share(&server.entry, now) / server.slow.max(0.5)
     }
 
     fn expected(&self, server: &Server, op: Op, work: f64, aim: f64) -> f64 {
