--- a/src/rules.rs
+++ b/src/rules.rs
@@ -113,10 +113,6 @@
     trial_gap: Micros,
     progress: Micros,
     full_until: Micros,
-    /// Prompt tokens of ours that came into its memory so far.
-    flow: f64,
-    /// So many tokens of all nodes may pass before it forgets a session: told memory at first, then learned.
-    holds: f64,
     /// Recent sends, kept while it is cold.
     sends: VecDeque<Micros>,
 }
@@ -173,13 +169,14 @@
 
 // ---- Sessions and cells
 
+#[derive(Clone, Copy)]
 struct Row {
     writer: ServerId,
     epoch: u64,
     used: Micros,
     /// The session's prompt when it was last answered: its next prompt starts with all of it.
     context: f64,
-    /// The writer's `flow` when it was last used.
+    /// All writers' flow when it was last used.
     flow: f64,
 }
 
@@ -284,6 +281,11 @@
     prefixes: BTreeMap<u64, (f64, Micros)>,
     asked: (f64, Micros),
     lots: u64,
+    /// Prompt tokens of ours that came into writers' memory so far, and those of our running streams.
+    flow: f64,
+    running: f64,
+    /// For each kind: tokens of all nodes that may pass through one writer before it forgets a session.
+    holds: Vec<f64>,
     next_sweep: Micros,
     ticking: bool,
     /// Running mean of first-token time over aim; the part of arrivals refused; running mean of worth.
@@ -314,12 +316,9 @@
     a.hinted_output.unwrap_or(a.max_output).max(1.0)
 }
 
-fn row_key(a: &Arrival) -> Option<(bool, u64)> {
-    match (a.session, a.prefix) {
-        (0, 0) => None,
-        (0, prefix) => Some((false, prefix)),
-        (session, _) => Some((true, session)),
-    }
+/// The keys of an arrival's rows: its session's, and its shared opening's.
+fn row_keys(a: &Arrival) -> impl Iterator<Item = (bool, u64)> {
+    [(true, a.session), (false, a.prefix)].into_iter().filter(|key| key.1 != 0)
 }
 
 impl Router {
@@ -328,7 +327,10 @@
         let kinds = settings.roles.len();
         let kind_done = vec![(0.0, 0); kinds];
         let kinds = vec![(0.0, 0.0); kinds];
-        Router { cfg: settings, random: mix(seed), lots: mix(!seed), kind_done, kinds, ..Router::default() }
+        let memory = |kind| settings.memory_tokens.get(kind).map_or(f64::INFINITY, |m| m * HOLDS_FIRST);
+        let holds = (0..settings.roles.len()).map(memory).collect();
+        let (random, lots) = (mix(seed), mix(!seed));
+        Router { cfg: settings, random, lots, kind_done, kinds, holds, ..Router::default() }
     }
 
     /// Takes in one event and appends what is to be done to `out`.
@@ -362,17 +364,13 @@
                 server.entry.condition = Condition::Gone;
             }
         }
-        let told = self.cfg.memory_tokens.clone();
-        let memory = |kind: u8| told.get(usize::from(kind)).map_or(f64::INFINITY, |m| m * HOLDS_FIRST);
         for entry in entries.iter().filter(|e| usize::from(e.kind) < self.cfg.roles.len()) {
-            let holds = memory(entry.kind);
-            let new = || Server { entry: *entry, slow: 1.0, holds, ..Server::default() };
+            let new = || Server { entry: *entry, slow: 1.0, ..Server::default() };
             let server = self.fleet.entry(entry.id).or_insert_with(new);
             if server.entry.started != entry.started || entry.condition == Condition::Gone {
                 // Restarted or gone: nothing it kept is there any more, and its past tells nothing.
                 server.epoch += 1;
                 (server.slow, server.doubt, server.full_until) = (1.0, 0.0, 0);
-                server.holds = holds;
             }
             server.entry = *entry;
         }
@@ -643,7 +641,7 @@
     /// Tokens of a prompt that nobody has kept. The design page's prompt minus shared opening, extended: what
     /// the session's last prompt held is history, kept where it was read or written, and not new.
     fn new_tokens(&self, a: &Arrival) -> f64 {
-        let row = row_key(a).filter(|key| key.0).and_then(|key| self.rows.get(&key));
+        let row = self.rows.get(&(true, a.session)).filter(|_| a.session != 0);
         let history = row.map_or(0.0, |row| row.context).min(a.prompt_tokens);
         (a.prompt_tokens - a.prefix_tokens.max(history)).max(1.0)
     }
@@ -653,17 +651,22 @@
         if r.path.is_some() {
             return None;
         }
-        let row = self.rows.get(&row_key(&r.a)?).filter(|row| now.saturating_sub(row.used) < ROW_IDLE)?;
-        let server = self.fleet.get(&row.writer).filter(|s| s.epoch == row.epoch)?;
+        let fresh = |row: &&Row| now.saturating_sub(row.used) < ROW_IDLE;
+        let held =
+            |row: &Row| self.fleet.get(&row.writer).filter(|s| s.epoch == row.epoch).map(|s| s.entry.id);
+        let mut rows = row_keys(&r.a).filter_map(|key| self.rows.get(&key).filter(fresh));
+        let row = rows.find(|row| held(row).is_some())?;
+        let server = &self.fleet[&row.writer];
         let writers = self.listed().filter(|s| self.role(s) != Role::Prefill);
         let mut loads: Vec<f64> = writers.map(Server::load).collect();
         loads.sort_by(f64::total_cmp);
         let median = loads.get(loads.len() / 2).copied().unwrap_or(0.0);
         // What a writer has forgotten is new again; see `learn_holds`.
         // Tokens of all nodes, by our part, that came since the row's use or that streams hold push it out.
-        let running: f64 = server.streams.values().map(|w| w.tokens).sum();
-        let passed = (server.flow - row.flow + running) * f64::from(self.cfg.nodes);
-        let kept = passed < server.holds || r.a.prompt_tokens < EMPTY_CELL_NEW;
+        // Judged by the pool: one node sends any one writer too little to tell.
+        let passed =
+            (self.flow - row.flow + self.running) * f64::from(self.cfg.nodes) / loads.len().max(1) as f64;
+        let kept = passed < self.holds[usize::from(server.entry.kind)] || r.a.prompt_tokens < EMPTY_CELL_NEW;
         let new = if kept { r.new } else { r.a.prompt_tokens };
         let output = output(&r.a);
         let crowd = server.load() / median.max(1.0);
@@ -787,7 +790,7 @@
         r.state_at = None;
         r.held_at = None;
         let (to, op, sent, tokens) = (t.server, t.op, t.sent, t.tokens);
-        let (path, arrived, key, context) = (r.path, r.arrived, row_key(&r.a), r.a.prompt_tokens);
+        let (path, arrived, keys, context) = (r.path, r.arrived, row_keys(&r.a), r.a.prompt_tokens);
         let output = output(&r.a);
         if let Some((path, cell)) = path {
             let stats = &mut self.cells.entry(cell).or_default()[path as usize];
@@ -802,11 +805,11 @@
         let server = self.at(to);
         server.waiting.remove(&(id, attempt));
         server.streams.insert((id, attempt), Wait { sent: now, tokens: context, expected });
-        server.flow += if op == Op::Fetch { context } else { tokens };
-        let row = Row { writer: to, epoch: server.epoch, used: now, context, flow: server.flow };
-        if let Some(key) = key {
-            self.rows.insert(key, row);
-        }
+        let epoch = server.epoch;
+        self.running += context;
+        self.flow += if op == Op::Fetch { context } else { tokens };
+        let row = Row { writer: to, epoch, used: now, context, flow: self.flow };
+        self.rows.extend(keys.map(|key| (key, row)));
     }
 
     /// A server did what it was asked: it clears doubt, and its time against its pool's tells its speed.
@@ -833,7 +836,8 @@
         t.out = false;
         let (to, op, sent, work) = (t.server, t.op, t.sent, t.tokens);
         self.at(to).waiting.remove(&(id, attempt));
-        self.at(to).streams.remove(&(id, attempt));
+        let ended = self.at(to).streams.remove(&(id, attempt));
+        self.running -= ended.map_or(0.0, |w| w.tokens);
         match outcome {
             Outcome::Read => {
                 self.progress(now, to, op, now - sent, work);
@@ -853,8 +857,8 @@
                     let norm = self.norms.entry((Op::Stream, role)).or_default();
                     norm.learn((now - first) as f64, output(&r.a));
                 }
-                if let Some(row) = row_key(&r.a).and_then(|key| self.rows.get_mut(&key)) {
-                    row.used = now;
+                for key in row_keys(&r.a) {
+                    self.rows.get_mut(&key).into_iter().for_each(|row| row.used = now);
                 }
             }
             Outcome::Full => self.at(to).full_until = now + (r.aim / 4.0) as Micros,
@@ -897,11 +901,12 @@
     /// full read among running streams. The kept count tells at once, long before the cell's averages do, how
     /// much may pass through that writer. May harm where kept counts are not told.
     fn learn_holds(&mut self, id: ServerId, expected: f64, kept: u32, passed: f64) {
-        let server = self.at(id);
+        let kind = usize::from(self.fleet[&id].entry.kind);
+        let holds = &mut self.holds[kind];
         if f64::from(kept) < 0.5 * expected {
-            server.holds += 0.5 * (server.holds.min(passed * HOLDS_STEP) - server.holds);
+            *holds += 0.5 * (holds.min(passed * HOLDS_STEP) - *holds);
         } else {
-            server.holds = server.holds.max(passed / HOLDS_STEP);
+            *holds = holds.max(passed / HOLDS_STEP);
         }
     }
 
