--- a/src/rules.rs
+++ b/src/rules.rs
@@ -220,6 +220,11 @@
 type CellKey = (u8, u8, u8);
 type Out = Vec<Action>;
 
+/// All cells of one bin of new tokens: judged by while a node has too few answers for the cell itself.
+fn coarse(cell: CellKey) -> CellKey {
+    (u8::MAX, cell.1, u8::MAX)
+}
+
 /// The paper's score, from the averages of a cell: positive means local.
 fn score(local: &PathStats, remote: &PathStats) -> f64 {
     let gain = (remote.ttft.mean - local.ttft.mean) / remote.ttft.mean.max(1.0);
@@ -683,11 +688,10 @@
             return None;
         }
         let writer = row.writer;
-        let [local, remote] = self.cells.get(&key).copied().unwrap_or_default();
-        let local_wins = match local.empty(now) || remote.empty(now) {
-            true => new < EMPTY_CELL_NEW,
-            false => score(&local, &remote) > 0.0,
-        };
+        let cells = [key, coarse(key)].into_iter().filter_map(|key| self.cells.get(&key));
+        let mut fed = cells.filter(|cell| cell.iter().all(|path| !path.empty(now)));
+        let local_wins =
+            fed.next().map_or(new < EMPTY_CELL_NEW, |[local, remote]| score(local, remote) > 0.0);
         if !local_wins || self.chance() < REMOTE_SHARE {
             return None;
         }
@@ -696,6 +700,12 @@
         Some(writer)
     }
 
+    fn learn_cell(&mut self, cell: CellKey, path: Path, learn: impl Fn(&mut PathStats)) {
+        for key in [cell, coarse(cell)] {
+            learn(&mut self.cells.entry(key).or_default()[path as usize]);
+        }
+    }
+
     fn chance(&mut self) -> f64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
         (mix(self.random) >> 11) as f64 / (1u64 << 53) as f64
@@ -792,11 +802,10 @@
         let (to, op, sent, tokens) = (t.server, t.op, t.sent, t.tokens);
         let (path, arrived, keys, context) = (r.path, r.arrived, row_keys(&r.a), r.a.prompt_tokens);
         let output = output(&r.a);
+        let ratio = (now - arrived) as f64 / r.aim.max(1.0);
         if let Some((path, cell)) = path {
-            let stats = &mut self.cells.entry(cell).or_default()[path as usize];
-            stats.ttft.add(now, (now - arrived) as f64);
+            self.learn_cell(cell, path, |stats| stats.ttft.add(now, (now - arrived) as f64));
         }
-        let ratio = (now - arrived) as f64 / r.aim.max(1.0);
         self.delay += STEP * (ratio.min(2.0) - self.delay);
         self.progress(now, to, op, now - sent, tokens);
         let lasts = self.norms.get(&(Op::Stream, self.role(&self.fleet[&to])));
@@ -848,8 +857,8 @@
                     self.learn_holds(to, r.a.prompt_tokens - r.new, kept, r.passed);
                 }
                 if let (Some((path, cell)), Some(first)) = (r.path, r.first_token) {
-                    let stats = &mut self.cells.entry(cell).or_default()[path as usize];
-                    stats.pace.add(now, (now - first) as f64 / output(&r.a));
+                    let pace = (now - first) as f64 / output(&r.a);
+                    self.learn_cell(cell, path, |stats| stats.pace.add(now, pace));
                 }
                 if let Some(first) = r.first_token {
                     (self.at(to).progress, self.at(to).ended) = (now, now);
@@ -965,8 +974,8 @@
             }
             if let (Some((path, cell)), None) = (r.path, r.first_token) {
                 // An unserved request must not flatter its path: the time it cost counts.
-                let stats = &mut self.cells.entry(cell).or_default()[path as usize];
-                stats.ttft.add(now, (now - r.arrived).max(r.aim as Micros) as f64);
+                let cost = (now - r.arrived).max(r.aim as Micros) as f64;
+                self.learn_cell(cell, path, |stats| stats.ttft.add(now, cost));
             }
         }
         if r.first_token.is_none() {
