--- a/src/rules.rs
+++ b/src/rules.rs
@@ -172,6 +172,8 @@
 #[derive(Clone, Copy)]
 struct Row {
     writer: ServerId,
+    /// Whose state it is.
+    session: u64,
     epoch: u64,
     used: Micros,
     /// The session's prompt when it was last answered: its next prompt starts with all of it.
@@ -660,7 +662,8 @@
         let held =
             |row: &Row| self.fleet.get(&row.writer).filter(|s| s.epoch == row.epoch).map(|s| s.entry.id);
         let mut rows = row_keys(&r.a).filter_map(|key| self.rows.get(&key).filter(fresh));
-        let row = rows.find(|row| held(row).is_some())?;
+        let mixed = |row: &Row| self.role(&self.fleet[&row.writer]) == Role::Mixed;
+        let row = rows.find(|row| held(row).is_some() && (row.session == r.a.session || mixed(row)))?;
         let server = &self.fleet[&row.writer];
         let writers = self.listed().filter(|s| self.role(s) != Role::Prefill);
         let mut loads: Vec<f64> = writers.map(Server::load).collect();
@@ -801,7 +804,7 @@
         r.held_at = None;
         let (to, op, sent, tokens) = (t.server, t.op, t.sent, t.tokens);
         let (path, arrived, keys, context) = (r.path, r.arrived, row_keys(&r.a), r.a.prompt_tokens);
-        let output = output(&r.a);
+        let (session, output) = (r.a.session, output(&r.a));
         let ratio = (now - arrived) as f64 / r.aim.max(1.0);
         if let Some((path, cell)) = path {
             self.learn_cell(cell, path, |stats| stats.ttft.add(now, (now - arrived) as f64));
@@ -817,7 +820,7 @@
         let epoch = server.epoch;
         self.running += context;
         self.flow += if op == Op::Fetch { context } else { tokens };
-        let row = Row { writer: to, epoch, used: now, context, flow: self.flow };
+        let row = Row { writer: to, session, epoch, used: now, context, flow: self.flow };
         self.rows.extend(keys.map(|key| (key, row)));
     }
 
