--- a/src/rules.rs
+++ b/src/rules.rs
@@ -73,6 +73,8 @@
 const JAMMED: f64 = 0.8;
 /// Multiple of the readers' time that an op without answers so far is taken to need.
 const UNSEEN: f64 = 3.0;
+/// A tenant is taken to ask for its share until about so many arrivals have told otherwise.
+const TENANT_PRIOR: f64 = 5.0;
 /// Log lines per start.
 const LOG_LINES: u32 = 40;
 
@@ -301,6 +303,8 @@
     steered: Micros,
     worth: f64,
     logged: u32,
+    /// Recent arrivals of each tenant.
+    tenants: Vec<(f64, Micros)>,
 }
 
 /// Timer tokens.
@@ -589,10 +593,26 @@
         self.steer(r.arrived);
         let worth = self.cfg.classes[r.a.class].worth.max(0.01);
         self.worth += if self.worth == 0.0 { worth } else { STEP * (worth - self.worth) };
-        let part = self.shed * (self.worth / worth).clamp(0.5, 2.0);
+        let part = self.shed * (self.worth / worth).clamp(0.5, 2.0) * self.over_share(r);
         self.shed > 0.0 && self.chance() < part.min(SHED_MOST)
     }
 
+    /// A tenant's part of what came lately over its share, squared; 1 without shares. Guards the others when one
+    /// tenant asks too much or its clients repeat without end. May harm where a zone has tenants of its own.
+    fn over_share(&mut self, r: &Request) -> f64 {
+        let now = r.arrived;
+        let quota = |t: &TenantSettings| t.quota_per_s.unwrap_or(0.0);
+        let all: f64 = self.cfg.tenants.iter().map(quota).sum();
+        let share = self.cfg.tenants.get(r.a.tenant).map_or(0.0, quota) / all.max(1e-9);
+        self.tenants.resize(self.cfg.tenants.len(), (0.0, 0));
+        let Some(own) = self.tenants.get_mut(r.a.tenant).filter(|_| share > 0.0) else { return 1.0 };
+        *own = (faded(*own, now, RECENT) + 1.0, now);
+        let own = own.0;
+        let count: f64 = self.tenants.iter().map(|t| faded(*t, now, RECENT)).sum();
+        let over = (own + TENANT_PRIOR * share) / (count + TENANT_PRIOR) / share;
+        (over * over).clamp(0.1, 10.0)
+    }
+
     fn steer(&mut self, now: Micros) {
         let span = now.saturating_sub(self.steered).min(1_000_000) as f64;
         self.steered = now;
@@ -973,7 +993,9 @@
     fn close(&mut self, now: Micros, mut r: Request, out: &mut Out) {
         if !r.over {
             if r.first_token.is_none() && !r.attempts.is_empty() {
-                self.delay += STEP * (2.0 - self.delay);
+                // A client of little patience tells no more than how long it waited.
+                let ratio = (now - r.arrived) as f64 / r.aim.max(1.0);
+                self.delay += STEP * (ratio.min(2.0) - self.delay);
             }
             if let (Some((path, cell)), None) = (r.path, r.first_token) {
                 // An unserved request must not flatter its path: the time it cost counts.
