--- a/src/rules.rs
+++ b/src/rules.rs
@@ -59,10 +59,12 @@
 const TRIAL_GAP: f64 = 0.05;
 /// Part of the cold budget that is spent at most: the learned rate is a guess and chance has a say.
 const COLD_SAFETY: f64 = 0.8;
-/// First tokens are wanted after this share of their aim on average; above it a part of arrivals is refused.
-const DELAY_TARGET: f64 = 0.35;
+/// A part of arrivals is refused while first tokens come later than this share of their aim on average.
+const DELAY_TARGET: f64 = 0.8;
 /// The mean of first-token delays fades over this span, so that a node that refused much soon tries again.
 const DELAY_AGE: f64 = 2e6;
+/// Or over the span in which so many requests arrive, if that is longer.
+const DELAY_ANSWERS: f64 = 8.0;
 /// No more than this part is refused, so that answers go on telling how things stand.
 const SHED_MOST: f64 = 0.8;
 /// A move out of the rack, and again one out of the zone, is worth this multiple of a writer's load.
@@ -297,8 +299,9 @@
     holds: Vec<f64>,
     next_sweep: Micros,
     ticking: bool,
-    /// Running mean of first-token time over aim; the part of arrivals refused; running mean of worth.
-    delay: f64,
+    /// Faded sum and count of first-token times over aims; faded count of arrivals; the part of arrivals refused; running mean of worth.
+    delay: (f64, f64),
+    arrivals: (f64, Micros),
     shed: f64,
     steered: Micros,
     worth: f64,
@@ -575,6 +578,7 @@
         let (new, deadline) = (self.new_tokens(&a), now + a.patience);
         let count = |c: (f64, Micros)| (faded(c, now, CELL_AGE) + a.prompt_tokens, now);
         self.asked = count(self.asked);
+        self.arrivals = (faded(self.arrivals, now, RECENT) + 1.0, now);
         if a.prefix != 0 {
             let of = self.prefixes.entry(a.prefix).or_default();
             *of = count(*of);
@@ -613,12 +617,20 @@
         (over * over).clamp(0.1, 10.0)
     }
 
+    fn learn_delay(&mut self, ratio: f64) {
+        self.delay = (self.delay.0 + ratio.min(2.0), self.delay.1 + 1.0);
+    }
+
     fn steer(&mut self, now: Micros) {
         let span = now.saturating_sub(self.steered).min(1_000_000) as f64;
         self.steered = now;
         self.fleet.values_mut().for_each(|s| s.slow += (1.0 - s.slow) * (span / RECENT).min(1.0));
-        self.delay *= (-span / DELAY_AGE).exp();
-        self.shed = (self.shed + (self.delay - DELAY_TARGET) * span / 1e6).clamp(0.0, SHED_MOST);
+        // A node that sees little looks back longer, so that the mean still rests on several answers.
+        let arrivals = faded(self.arrivals, now, RECENT) / RECENT;
+        let fade = (-span / (DELAY_ANSWERS / arrivals.max(1e-9)).clamp(DELAY_AGE, RECENT)).exp();
+        self.delay = (self.delay.0 * fade, self.delay.1 * fade);
+        self.shed = (self.shed + (self.delay.0 / (self.delay.1 + 1.0) - DELAY_TARGET) * span / 1e6)
+            .clamp(0.0, SHED_MOST);
     }
 
     /// The next thing to do for a request with no attempt out: an attempt, or the final answer.
@@ -824,12 +836,12 @@
         r.held_at = None;
         let (to, op, sent, tokens) = (t.server, t.op, t.sent, t.tokens);
         let (path, arrived, keys, context) = (r.path, r.arrived, row_keys(&r.a), r.a.prompt_tokens);
-        let (session, output) = (r.a.session, output(&r.a));
-        let ratio = (now - arrived) as f64 / r.aim.max(1.0);
+        let (session, output, ratio) = (r.a.session, output(&r.a), (now - arrived) as f64 / r.aim.max(1.0));
+        self.learn_delay(ratio);
         if let Some((path, cell)) = path {
             self.learn_cell(cell, path, |stats| stats.ttft.add(now, (now - arrived) as f64));
         }
-        self.delay += STEP * (ratio.min(2.0) - self.delay);
+
         self.progress(now, to, op, now - sent, tokens);
         let lasts = self.norms.get(&(Op::Stream, self.role(&self.fleet[&to])));
         let lasts = lasts.filter(|n| n.count > NORM_MIN).and_then(|n| n.expect(output));
@@ -995,7 +1007,7 @@
             if r.first_token.is_none() && !r.attempts.is_empty() {
                 // A client of little patience tells no more than how long it waited.
                 let ratio = (now - r.arrived) as f64 / r.aim.max(1.0);
-                self.delay += STEP * (ratio.min(2.0) - self.delay);
+                self.learn_delay(ratio);
             }
             if let (Some((path, cell)), None) = (r.path, r.first_token) {
                 // An unserved request must not flatter its path: the time it cost counts.
