--- a/src/rules.rs
+++ b/src/rules.rs
@@ -598,7 +598,10 @@
         let worth = self.cfg.classes[r.a.class].worth.max(0.01);
         self.worth += if self.worth == 0.0 { worth } else { STEP * (worth - self.worth) };
         let part = self.shed * (self.worth / worth).clamp(0.5, 2.0) * self.over_share(r);
-        self.shed > 0.0 && self.chance() < part.min(SHED_MOST)
+        // What cannot come before its client leaves would only take the time of others.
+        let hopeless = (r.a.patience as f64) < self.delay.0 / (self.delay.1 + 1.0) * r.aim;
+        let part = if hopeless { SHED_MOST } else { part };
+        part > 0.0 && self.chance() < part.min(SHED_MOST)
     }
 
     /// A tenant's part of what came lately over its share, squared; 1 without shares. Guards the others when one
