--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,8 @@
 const STEP: f64 = 0.1;
 /// Lengths of streams are not judged by fewer ends than this.
 const NORM_MIN: u32 = 20;
+/// No answer moves a pool's mean by more than one part in so many.
+const NORM_LEAST: f64 = 4.0;
 /// One observation may not count for more than this multiple of what was expected.
 const CLIP: f64 = 5.0;
 /// A wait of this multiple of its expected time, never under the aim, without progress there is a stall.
@@ -72,7 +74,7 @@
 /// Rates, and a server's slowness (one that gets little work must not stay avoided), fade over this span.
 const RECENT: f64 = 10e6;
 /// Readers that take this share of the wanted time are jammed: a first turn may be read where it is written.
-const JAMMED: f64 = 0.8;
+const JAMMED: f64 = 0.3;
 /// Multiple of the readers' time that an op without answers so far is taken to need.
 const UNSEEN: f64 = 3.0;
 /// A tenant is taken to ask for its share until about so many arrivals have told otherwise.
@@ -150,11 +152,13 @@
     }
 }
 
-/// A pool's running mean of latency and of the work behind it.
+/// A pool's recent mean of latency and of the work behind it.
 #[derive(Clone, Copy, Default)]
 struct Norm {
     latency: f64,
     work: f64,
+    weight: f64,
+    at: Micros,
     count: u32,
 }
 
@@ -162,11 +166,16 @@
     fn expect(&self, work: f64) -> Option<f64> {
         (self.count > 0).then(|| self.latency * (0.5 + 0.5 * work / self.work.max(1.0)))
     }
-    fn learn(&mut self, latency: f64, work: f64) {
-        let step = if self.count > 0 { STEP / 2.0 } else { 1.0 };
+    /// Recent answers count, of a pool that answers seldom the last few.
+    fn learn(&mut self, now: Micros, latency: f64, work: f64) {
+        self.weight = faded((self.weight, self.at), now, RECENT).min(1.0 / STEP) + 1.0;
+        self.at = now;
         let latency = if self.count > 0 { latency.min(self.latency * CLIP) } else { latency };
-        self.latency += step * (latency - self.latency);
-        self.work += step * (work - self.work);
+        self.latency += (latency - self.latency) / self.weight.max(NORM_LEAST);
+        self.work += (work - self.work) / self.weight.max(NORM_LEAST);
+        if self.count == 0 {
+            (self.latency, self.work) = (latency, work);
+        }
         self.count = self.count.saturating_add(1);
     }
 }
@@ -598,10 +607,7 @@
         let worth = self.cfg.classes[r.a.class].worth.max(0.01);
         self.worth += if self.worth == 0.0 { worth } else { STEP * (worth - self.worth) };
         let part = self.shed * (self.worth / worth).clamp(0.5, 2.0) * self.over_share(r);
-        // What cannot come before its client leaves would only take the time of others.
-        let hopeless = (r.a.patience as f64) < self.delay.0 / (self.delay.1 + 1.0) * r.aim;
-        let part = if hopeless { SHED_MOST } else { part };
-        part > 0.0 && self.chance() < part.min(SHED_MOST)
+        self.shed > 0.0 && self.chance() < part.min(SHED_MOST)
     }
 
     /// A tenant's part of what came lately over its share, squared; 1 without shares. Guards the others when one
@@ -864,7 +870,7 @@
         let role = self.role(&self.fleet[&id]);
         let norm = self.norms.entry((op, role)).or_default();
         let ratio = norm.expect(work).map_or(1.0, |e| (took as f64 / e.max(1.0)).min(CLIP));
-        norm.learn(took as f64, work);
+        norm.learn(now, took as f64, work);
         let done = &mut self.kind_done[usize::from(self.fleet[&id].entry.kind)];
         *done = (faded(*done, now, RECENT) + 1.0, now);
         let server = self.at(id);
@@ -902,7 +908,7 @@
                     (self.at(to).progress, self.at(to).ended) = (now, now);
                     let role = self.role(&self.fleet[&to]);
                     let norm = self.norms.entry((Op::Stream, role)).or_default();
-                    norm.learn((now - first) as f64, output(&r.a));
+                    norm.learn(now, (now - first) as f64, output(&r.a));
                 }
                 for key in row_keys(&r.a) {
                     self.rows.get_mut(&key).into_iter().for_each(|row| row.used = now);
