--- a/src/rules.rs
+++ b/src/rules.rs
@@ -682,8 +682,9 @@
         let reader = &self.fleet[&reader];
         let read = self.expected(reader, Op::Read, r.new + reader.waiting_tokens(), r.aim);
         let writer = self.pick_writer(now, None, r, true).map(|id| &self.fleet[&id]);
-        let direct = |s: &Server| self.expected(s, Op::Local, r.a.prompt_tokens, r.aim);
-        read > JAMMED * r.aim && writer.is_some_and(|s| s.grade(now) == 0 && 2.0 * direct(s) < read)
+        let margin = |s: &Server| if self.role(s) == Role::Mixed { 1.0 } else { 2.0 };
+        let direct = |s: &Server| margin(s) * self.expected(s, Op::Local, r.a.prompt_tokens, r.aim);
+        read > JAMMED * r.aim && writer.is_some_and(|s| s.grade(now) == 0 && direct(s) < read)
     }
 
     /// Tokens of a prompt that nobody has kept. The design page's prompt minus shared opening, extended: what
