--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,8 +47,9 @@
 const NORM_LEAST: f64 = 4.0;
 /// One observation may not count for more than this multiple of what was expected.
 const CLIP: f64 = 5.0;
-/// A wait of this multiple of its expected time, never under the aim, without progress there is a stall.
+/// A wait of this multiple of its expected time, and of this part of the aim, without progress there is a stall.
 const STALL: f64 = 6.0;
+const STALL_LEAST: f64 = 0.4;
 /// Several streams of which none ends for this multiple of their expected length have stalled.
 const STREAM_STALL: f64 = 3.0;
 /// Part of the time left that an attempt may take while another could follow.
@@ -466,7 +467,7 @@
         let norm = |key| self.norms.get(&key).and_then(|n| n.expect(work));
         // A writer that has not yet read for us is taken to read more slowly than the readers do.
         let norm = norm((op, self.role(server))).or(norm((Op::Read, Role::Prefill)).map(|e| e * UNSEEN));
-        (norm.unwrap_or(aim / 4.0) * server.slow.clamp(1.0, 2.0)).max(aim / STALL)
+        (norm.unwrap_or(aim / 4.0) * server.slow.clamp(1.0, 2.0)).max(STALL_LEAST * aim / STALL)
     }
 
     /// A server that was listed once stays known.
