--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,7 +46,7 @@
 /// No answer moves a pool's mean by more than one part in so many.
 const NORM_LEAST: f64 = 4.0;
 /// One observation may not count for more than this multiple of what was expected.
-const CLIP: f64 = 5.0;
+const CLIP: f64 = 3.0;
 /// A wait of this multiple of its expected time, and of this part of the aim, without progress there is a stall.
 const STALL: f64 = 6.0;
 const STALL_LEAST: f64 = 0.4;
@@ -80,6 +80,8 @@
 const UNSEEN: f64 = 3.0;
 /// A tenant is taken to ask for its share until about so many arrivals have told otherwise.
 const TENANT_PRIOR: f64 = 5.0;
+/// A server is taken for a usual one until about so many answers have told otherwise.
+const JUDGE_PRIOR: f64 = 3.0;
 /// Log lines per start.
 const LOG_LINES: u32 = 40;
 
@@ -114,6 +116,8 @@
     ended: Micros,
     /// Mean of observed over expected latency; 1 is a usual server of its pool.
     slow: f64,
+    /// Faded count of the answers behind it.
+    judged: (f64, Micros),
     /// Grows with failures; at 1 or more only trials are sent.
     doubt: f64,
     trial_at: Micros,
@@ -131,6 +135,11 @@
     fn waiting_tokens(&self) -> f64 {
         self.waiting.values().map(|w| w.tokens).sum()
     }
+    /// Counts an answer's time against what was expected: the fewer answers lately, the more each tells.
+    fn judge(&mut self, now: Micros, ratio: f64) {
+        self.judged = (faded(self.judged, now, RECENT) + 1.0, now);
+        self.slow += (1.0 / (self.judged.0 + JUDGE_PRIOR)).max(STEP) * (ratio - self.slow);
+    }
     /// Age of the oldest wait: tells of a queue that other nodes filled.
     fn oldest(&self, now: Micros) -> f64 {
         self.waiting.values().map(|w| now.saturating_sub(w.sent)).max().unwrap_or(0) as f64
@@ -876,7 +885,7 @@
         let done = &mut self.kind_done[usize::from(self.fleet[&id].entry.kind)];
         *done = (faded(*done, now, RECENT) + 1.0, now);
         let server = self.at(id);
-        server.slow += STEP * (ratio - server.slow);
+        server.judge(now, ratio);
         server.doubt *= 0.3;
         server.progress = now;
     }
@@ -924,7 +933,7 @@
             }
             // A busy server that got other work done meanwhile is not a sick one.
             Outcome::TimedOut | Outcome::Cancelled if !r.over => {
-                self.at(to).slow += STEP * (CLIP - self.at(to).slow);
+                self.at(to).judge(now, CLIP);
                 if outcome == Outcome::TimedOut && self.at(to).progress < sent {
                     self.blame(to, now, 0.6, out);
                 }
