--- a/src/rules.rs
+++ b/src/rules.rs
@@ -307,6 +307,8 @@
     kinds: Vec<(f64, f64)>,
     /// For each rack its share of writers over its share of readers, within bounds.
     racks: BTreeMap<u16, f64>,
+    /// Faded sum and count of read times over their expectation, at racks of little pull and of much.
+    by_pull: [(f64, f64, Micros); 2],
     /// Recent prompt tokens of each prefix, and of all.
     prefixes: BTreeMap<u64, (f64, Micros)>,
     asked: (f64, Micros),
@@ -468,6 +470,18 @@
         entry.weight.max(0.01) * count.max(1.0) / sum.max(0.01)
     }
 
+    fn pull(&self, entry: &ServerEntry) -> f64 {
+        self.racks.get(&entry.cell).copied().unwrap_or(1.0)
+    }
+
+    /// Read times against their expectation at readers beside few writers and beside many.
+    fn times_by_pull(&self, now: Micros) -> [f64; 2] {
+        self.by_pull.map(|(sum, count, at)| {
+            let fade = faded((1.0, at), now, RECENT);
+            (sum * fade + JUDGE_PRIOR) / (count * fade + JUDGE_PRIOR)
+        })
+    }
+
     fn effective_weight(&self, server: &Server, now: Micros) -> f64 {
         self.size(&server.entry) * self.capacity_share(&server.entry, now) / server.slow.max(0.5)
     }
@@ -507,7 +521,7 @@
     /// Consistent hashing with bounded loads: in the order of the hash, the first reader within the bound. A
     /// prefix has as many homes as its share of what was asked fills, and a session keeps to one of them.
     fn pick_reader(&self, now: Micros, r: &Request) -> Option<ServerId> {
-        let (session, tokens) = (if r.a.session != 0 { r.a.session } else { r.a.id.0 }, r.new);
+        let session = if r.a.session != 0 { r.a.session } else { r.a.id.0 };
         let key = if r.a.prefix != 0 { r.a.prefix } else { session };
         let readers =
             self.listed().filter(|s| self.role(s) == Role::Prefill && !r.tried.contains(&s.entry.id));
@@ -516,8 +530,8 @@
         let mut ring: Vec<&Server> = readers.into_iter().filter(|s| s.grade(now) == best).collect();
         let place = |s: &Server, key: u64| {
             let drawn = (mix(mix(key) ^ mix(s.entry.id.0)) >> 11) as f64 + 1.0;
-            let weight =
-                self.effective_weight(s, now) * self.racks.get(&s.entry.cell).copied().unwrap_or(1.0);
+            // Nothing learned here: all nodes are to name the same homes.
+            let weight = self.size(&s.entry) * self.capacity_share(&s.entry, now) * self.pull(&s.entry);
             -(drawn / (1u64 << 53) as f64).ln() / weight
         };
         ring.sort_by_cached_key(|s| (place(s, key).to_bits(), s.entry.id));
@@ -526,16 +540,19 @@
         let homes = ((share * ring.len() as f64 * HOMES) as usize + 1).min(ring.len());
         let home = (0..homes).min_by(|a, b| place(ring[*a], session).total_cmp(&place(ring[*b], session)));
         ring.rotate_left(home.unwrap_or(0));
-        let weights: f64 = ring.iter().map(|s| self.effective_weight(s, now)).sum();
-        let waiting: f64 = ring.iter().map(|s| s.waiting_tokens()).sum();
-        // What other nodes sent there shows in the age of our own oldest wait.
+        // What other nodes sent there shows in the age of our own oldest wait, and in the recent times of racks
+        // like its own. Elsewhere than at home the shared opening is to be read as well.
         let norm = self.norms.get(&(Op::Read, Role::Prefill)).copied().unwrap_or_default();
         let rate = if norm.count > 0 { norm.work / norm.latency.max(1.0) } else { 0.0 };
-        let filled = |s: &Server| s.waiting_tokens().max(s.oldest(now) * rate) + tokens;
-        let level = |s: &Server| filled(s) / self.effective_weight(s, now);
-        let bound = RING_BOUND * (waiting + tokens) / weights + tokens;
-        let first = ring.iter().find(|s| level(s) <= bound);
-        first.or_else(|| ring.iter().min_by(|a, b| level(a).total_cmp(&level(b)))).map(|s| s.entry.id)
+        let times = self.times_by_pull(now);
+        let cost = |(i, s): (usize, &&Server)| {
+            let work = if i < homes { r.new } else { r.a.prompt_tokens };
+            let filled = norm.work + work + s.waiting_tokens().max(s.oldest(now) * rate);
+            filled * times[usize::from(self.pull(&s.entry) >= 1.0)] / self.effective_weight(s, now)
+        };
+        let costs: Vec<f64> = ring.iter().enumerate().map(cost).collect();
+        let bound = RING_BOUND * costs.iter().copied().fold(f64::INFINITY, f64::min);
+        costs.iter().position(|c| *c <= bound).map(|i| ring[i].entry.id)
     }
 
     // ---- Writer choice
@@ -882,6 +899,12 @@
         let norm = self.norms.entry((op, role)).or_default();
         let ratio = norm.expect(work).map_or(1.0, |e| (took as f64 / e.max(1.0)).min(CLIP));
         norm.learn(now, took as f64, work);
+        if op == Op::Read {
+            let rich = usize::from(self.pull(&self.fleet[&id].entry) >= 1.0);
+            let (sum, count, at) = self.by_pull[rich];
+            let fade = faded((1.0, at), now, RECENT);
+            self.by_pull[rich] = (sum * fade + ratio, count * fade + 1.0, now);
+        }
         let done = &mut self.kind_done[usize::from(self.fleet[&id].entry.kind)];
         *done = (faded(*done, now, RECENT) + 1.0, now);
         let server = self.at(id);
