--- a/src/rules.rs
+++ b/src/rules.rs
@@ -66,6 +66,8 @@
 const DELAY_TARGET: f64 = 0.8;
 /// The mean of first-token delays fades over this span, so that a node that refused much soon tries again.
 const DELAY_AGE: f64 = 2e6;
+/// The rate at which answers begin is counted over this span.
+const DELAY_QUEUE: f64 = 4e6;
 /// Or over the span in which so many requests arrive, if that is longer.
 const DELAY_ANSWERS: f64 = 8.0;
 /// No more than this part is refused, so that answers go on telling how things stand.
@@ -323,6 +325,8 @@
     /// Faded sum and count of first-token times over aims; faded count of arrivals; the part of arrivals refused; running mean of worth.
     delay: (f64, f64),
     arrivals: (f64, Micros),
+    /// Faded count of first tokens.
+    begun: (f64, Micros),
     shed: f64,
     steered: Micros,
     worth: f64,
@@ -665,8 +669,17 @@
         let arrivals = faded(self.arrivals, now, RECENT) / RECENT;
         let fade = (-span / (DELAY_ANSWERS / arrivals.max(1e-9)).clamp(DELAY_AGE, RECENT)).exp();
         self.delay = (self.delay.0 * fade, self.delay.1 * fade);
-        self.shed = (self.shed + (self.delay.0 / (self.delay.1 + 1.0) - DELAY_TARGET) * span / 1e6)
-            .clamp(0.0, SHED_MOST);
+        let mean = self.delay.0 / (self.delay.1 + 1.0);
+        // What waits now, over what gets done (Little's law), tells of a queue before its answers are late.
+        let (mut waiting, mut aims) = (0.0, 0.0);
+        for r in self.open.values().filter(|r| !r.over && r.first_token.is_none()) {
+            (waiting, aims) = (waiting + 1.0, aims + r.aim);
+        }
+        let done = faded(self.begun, now, DELAY_QUEUE) / DELAY_QUEUE;
+        let queue = (waiting - 1.0_f64).max(0.0)
+            / (done + 1.0 / DELAY_QUEUE)
+            / (aims / f64::max(waiting, 1.0)).max(1.0);
+        self.shed = (self.shed + (mean.max(queue) - DELAY_TARGET) * span / 1e6).clamp(0.0, SHED_MOST);
     }
 
     /// The next thing to do for a request with no attempt out: an attempt, or the final answer.
@@ -875,6 +888,7 @@
         let (path, arrived, keys, context) = (r.path, r.arrived, row_keys(&r.a), r.a.prompt_tokens);
         let (session, output, ratio) = (r.a.session, output(&r.a), (now - arrived) as f64 / r.aim.max(1.0));
         self.learn_delay(ratio);
+        self.begun = (faded(self.begun, now, DELAY_QUEUE) + 1.0, now);
         if let Some((path, cell)) = path {
             self.learn_cell(cell, path, |stats| stats.ttft.add(now, (now - arrived) as f64));
         }
