--- a/src/rules.rs
+++ b/src/rules.rs
@@ -73,6 +73,9 @@
 const SHARE_PRIOR: f64 = 5.0;
 /// A move out of the rack, and again one out of the zone, is worth this multiple of a writer's load.
 const OUTSIDE: f64 = 1.5;
+/// Streams that are added to our own when near writers are weighed against far ones: a few alone tell
+/// little.
+const FEW_STREAMS: f64 = 3.0;
 /// Rates, pools' times and a server's slowness (one that gets little must not stay avoided) fade over this
 /// span.
 const RECENT: f64 = 10e6;
@@ -413,11 +416,9 @@
         let able = |s: &Server| !reads || self.role(s) == Role::Mixed || self.cfg.decode_may_prefill;
         let writers = self.pool(false).filter(|s| able(s) && !r.tried.contains(&s.entry.id));
         let writers = writers.filter(|s| self.cold_room(s, now) && self.repeat_allowed(r, s, now));
-        let (mut count, mut ours) = (0.0, 0.0);
         let mut tiers: [Option<(u8, f64, f64, &Server)>; 3] = [None; 3];
         let lot = mix(self.random ^ r.a.id.0);
         for s in writers {
-            (count, ours) = (count + 1.0, ours + s.load());
             let tier = usize::from(from.is_some_and(|f| f.cell != s.entry.cell))
                 + usize::from(from.map_or(self.cfg.zone, |f| f.zone) != s.entry.zone);
             let mut each = (1.0 + s.oldest(now) / r.aim.max(1.0)) / self.effective_weight(s, now);
@@ -430,12 +431,10 @@
                 tiers[tier] = Some((grade, cost, each, s));
             }
         }
-        // Others' streams are taken to lie as ours do on the mean: with many nodes our own few decide
-        // little.
-        let others = f64::from(self.cfg.nodes.saturating_sub(1)) * ours / f64::max(count, 1.0);
+        // Other nodes choose as we do, so our own streams stand for all, as far as so few can.
         let best = tiers.iter().enumerate().filter_map(|(tier, best)| {
             let (grade, _, each, s) = (*best)?;
-            Some((grade, (s.load() + 1.0 + others) * each * OUTSIDE.powi(tier as i32), s.entry.id))
+            Some((grade, (s.load() + FEW_STREAMS) * each * OUTSIDE.powi(tier as i32), s.entry.id))
         });
         best.min_by(|a, b| (a.0, a.1).partial_cmp(&(b.0, b.1)).unwrap_or(Ordering::Equal)).map(|t| t.2)
     }
