--- a/src/rules.rs
+++ b/src/rules.rs
@@ -81,6 +81,8 @@
 const RECENT: f64 = 10e6;
 /// A server is taken for a usual one until about so many answers have told otherwise.
 const JUDGE_PRIOR: f64 = 3.0;
+/// A node that asks a server seldom remembers its slowness over the time in which so many answers come.
+const JUDGE_ANSWERS: f64 = 1.0;
 /// Readers that take this share of the wanted time are jammed: a first turn may be read where it is
 /// written.
 const JAMMED: f64 = 0.3;
@@ -106,7 +108,7 @@
     }
     /// How much slower than a usual server of its pool: the more answers lately, the more they tell.
     fn slow(&self, now: Micros) -> f64 {
-        self.times.mean_near(now, RECENT, 1.0, JUDGE_PRIOR).max(0.5)
+        self.times.mean_near(now, self.span.max(RECENT), 1.0, JUDGE_PRIOR).max(0.5)
     }
     /// Age of the oldest wait: tells of a queue that other nodes filled.
     fn oldest(&self, now: Micros) -> f64 {
@@ -736,8 +738,10 @@
             self.by_pull[rich].add(now, RECENT, ratio);
         }
         self.kind_done[usize::from(entry.kind)].add(now, RECENT, 0.0);
+        let usual = self.usual_rate(&entry, now);
         let server = self.at(id);
-        server.times.add(now, RECENT, ratio);
+        server.span = (JUDGE_ANSWERS / usual.max(1e-12)).clamp(RECENT, CELL_AGE);
+        server.times.add(now, server.span, ratio);
         server.doubt *= 0.3;
         server.progress = now;
     }
@@ -782,7 +786,8 @@
             }
             // A busy server that got other work done meanwhile is not a sick one.
             Outcome::TimedOut | Outcome::Cancelled if !r.over => {
-                self.at(to).times.add(now, RECENT, CLIP);
+                let server = self.at(to);
+                server.times.add(now, server.span.max(RECENT), CLIP);
                 if outcome == Outcome::TimedOut && self.at(to).progress < sent {
                     self.blame(to, now, 0.6, out);
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,6 +78,8 @@
     pub(crate) streams: usize,
     /// Observed over expected latency of its recent answers.
     pub(crate) times: Fading,
+    /// The span over which they fade.
+    pub(crate) span: f64,
     /// Grows with failures; at 1 or more only trials are sent.
     pub(crate) doubt: f64,
     pub(crate) trial_at: Micros,
