--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,11 +47,13 @@
 /// A wait of this multiple of its expected time, and of this part of the aim, without progress is a stall.
 const STALL: f64 = 6.0;
 const STALL_LEAST: f64 = 0.4;
+/// Call-offs are at most this part of arrivals: in a jam each one is work done again.
+const CALL_OFFS: f64 = 0.1;
 /// Part of the time left that an attempt may take while another could follow.
 const ATTEMPT_PART: f64 = 0.65;
 /// No time-out is set under this multiple of what the attempt is expected to take.
 const PATIENT: f64 = 4.0;
-/// Stalled servers are looked for this many times in the shortest wanted first-token time.
+/// Looks for stalled servers in the shortest wanted first-token time.
 const TICKS: u64 = 8;
 /// First pause before a doubted server is tried again: the time in which it would get this many sends of
 /// ours, but at least this share of its time to warm, and never more than that time. It doubles.
@@ -91,9 +93,8 @@
 const DIRECT_MARGIN: f64 = 2.0;
 /// Multiple of the readers' time that an op without answers so far is taken to need.
 const UNSEEN: f64 = 3.0;
-/// Log lines per start.
+/// Log lines per start, and timer tokens.
 const LOG_LINES: u32 = 40;
-/// Timer tokens.
 const SUBSCRIBE: u64 = 0;
 const TICK: u64 = 1;
 
@@ -191,11 +192,12 @@
     asked: Fading,
     next_sweep: Micros,
     ticking: bool,
-    /// First-token times over aims; arrivals, of all and of each tenant; first tokens.
+    /// First-token times over aims; arrivals, of all and of each tenant; first tokens; call-offs.
     delay: Fading,
     arrivals: Fading,
     tenants: Vec<Fading>,
     begun: Fading,
+    called_off: Fading,
     /// The part of arrivals refused, when that was last steered, and the running mean of worth.
     shed: f64,
     steered: Micros,
@@ -681,6 +683,10 @@
             }
         }
         for id in lost {
+            // A wave of long prompts looks like hangs to a node that sees one wait at a time.
+            if self.called_off.left(now, RECENT).1 > CALL_OFFS * self.arrivals.left(now, RECENT).1 + 1.0 {
+                break;
+            }
             for (request, attempt) in self.fleet[&id].waiting.keys().copied() {
                 let Some(r) = self.open.get(&request).filter(|r| !r.over && self.cfg.may_cancel) else {
                     continue;
@@ -688,6 +694,7 @@
                 let read = r.attempts[usize::from(attempt)].op == Op::Read;
                 let repeatable = read || self.cfg.classes[r.a.class].effect == Effect::Safe;
                 if repeatable && r.attempts.len() < self.cfg.max_attempts as usize {
+                    self.called_off.add(now, RECENT, 0.0);
                     out.push(Action::Cancel { request, attempt });
                 }
             }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -136,3 +136,31 @@
     calm.now += 1_500_000;
     assert!(calm.end(1, 0, Outcome::TimedOut).is_some(), "without overload it is read again");
 }
+
+/// Waits that grow everywhere at once are a jam: reading each prompt anew elsewhere would only add to it.
+#[test]
+fn a_jam_of_all_readers_is_not_called_off_over_and_over() {
+    let readers: Vec<ServerEntry> = (1..=30).map(|id| server(id, 0)).chain([server(40, 1)]).collect();
+    let mut rig = Rig::new(settings(), &readers);
+    for id in 0..30 {
+        rig.turn(id, id, 1_000.0);
+    }
+    let (mut cancels, mut next) = (0, 100);
+    for step in 0..100 {
+        rig.now += 100_000;
+        // Two requests a second with prefixes of their own, whose reads take longer than any client waits.
+        if step % 5 == 0 {
+            next += 1;
+            rig.ask(Arrival { prefix: next, ..arrival(next, next, 1_000.0) });
+        }
+        rig.event(Event::Timer(TICK));
+        let called: Vec<_> = rig.done.drain(..).collect();
+        for action in called {
+            if let Action::Cancel { request, attempt } = action {
+                cancels += 1;
+                rig.end(request.0, attempt, Outcome::Cancelled);
+            }
+        }
+    }
+    assert!((1..=8).contains(&cancels), "{cancels} call-offs for 20 requests");
+}
