--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,9 +46,9 @@
 const CLIP: f64 = 3.0;
 /// A wait of this multiple of its expected time, and of this part of the aim, without progress is a stall.
 const STALL: f64 = 6.0;
-const STALL_LEAST: f64 = 0.4;
+const STALL_LEAST: f64 = 0.6;
 /// Call-offs are at most this part of arrivals: in a jam each one is work done again.
-const CALL_OFFS: f64 = 0.1;
+const CALL_OFFS: f64 = 0.05;
 /// Part of the time left that an attempt may take while another could follow.
 const ATTEMPT_PART: f64 = 0.65;
 /// No time-out is set under this multiple of what the attempt is expected to take.
