--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,7 @@
 /// A session row is dropped after this idle time (design page).
 const ROW_IDLE: Micros = 120_000_000;
 /// The first reader of the ring is taken whose cost is within this multiple of the least.
-const RING_BOUND: f64 = 1.5;
+const RING_BOUND: f64 = 1.75;
 /// A reader is preferred by its rack's share of writers over its share of readers, within these bounds.
 const PULL_LEAST: f64 = 0.3;
 const PULL_MOST: f64 = 1.6;
