Workspace: the module in ivyward-core, the bench's adapter in ivyward-benchlink

The project becomes a program of several packages, so the decision module and its adapter need rooms of their own.

--- a/src/bin/ivyward-benchlink/codec.rs
+++ b/crates/ivyward-benchlink/src/codec.rs
@@ -1,6 +1,6 @@
 //! The wire's batches and replies, translated to and from the library's events and actions.
 
-use ivyward::interface::*;
+use ivyward_core::interface::*;
 
 const EVENT_SIZE: usize = 56;
 const ACTION_SIZE: usize = 24;
--- a/src/bin/ivyward-benchlink/main.rs
+++ b/crates/ivyward-benchlink/src/main.rs
@@ -4,8 +4,8 @@
 mod settings;
 
 use codec::{Input, Reply};
-use ivyward::interface::{Action, Event, Settings};
-use ivyward::rules::Router;
+use ivyward_core::interface::{Action, Event, Settings};
+use ivyward_core::rules::Router;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/src/bin/ivyward-benchlink/settings.rs
+++ b/crates/ivyward-benchlink/src/settings.rs
@@ -1,6 +1,6 @@
 //! Reads an instance's settings text into the library's settings.
 
-use ivyward::interface::*;
+use ivyward_core::interface::*;
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
--- a/src/lib.rs
+++ b/crates/ivyward-core/src/lib.rs
@@ -5,8 +5,8 @@
 //! give it events, carry out the actions it returns.
 //!
 //! ```
-//! use ivyward::interface::*;
-//! use ivyward::rules::Router;
+//! use ivyward_core::interface::*;
+//! use ivyward_core::rules::Router;
 //!
 //! let settings = Settings {
 //!     nodes: 1, zone: 0, roles: vec![Role::Prefill, Role::Decode], memory_tokens: vec![],
--- a/tests/common/mod.rs
+++ b/crates/ivyward-core/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small harness: a router, its clock, and what it did at the last event.
 #![allow(dead_code)]
 
-use ivyward::interface::*;
-use ivyward::rules::Router;
+use ivyward_core::interface::*;
+use ivyward_core::rules::Router;
 
 pub const SECOND: Micros = 1_000_000;
 
--- a/tests/health.rs
+++ b/crates/ivyward-core/tests/health.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ivyward::interface::*;
+use ivyward_core::interface::*;
 
 fn fleet() -> Vec<ServerEntry> {
     vec![server(1, 0), server(2, 0), server(3, 0), server(11, 1), server(12, 1), server(13, 1)]
--- a/tests/many_nodes.rs
+++ b/crates/ivyward-core/tests/many_nodes.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use ivyward::interface::*;
-use ivyward::rules::Router;
+use ivyward_core::interface::*;
+use ivyward_core::rules::Router;
 
 /// `nodes` routers with seeds of their own, that have each served `turns` requests among `fleet` over ten seconds.
 fn nodes(nodes: u32, turns: u64, fleet: &[ServerEntry]) -> Vec<Rig> {
