--- /dev/null
+++ b/crates/ivyward-proto/src/lib.rs
@@ -0,0 +1,21 @@
+//! Messages and services of ivyward, as generated from `proto/`.
+//!
+//! - [`front`]: what clients call.
+//! - [`engine`]: what engines serve.
+//! - [`record`]: what a node was told and did, as kept in a recording.
+#![allow(clippy::all, missing_docs)]
+
+/// `ivyward.front.v1`: what clients call.
+pub mod front {
+    tonic::include_proto!("ivyward.front.v1");
+}
+
+/// `ivyward.engine.v1`: what engines serve.
+pub mod engine {
+    tonic::include_proto!("ivyward.engine.v1");
+}
+
+/// `ivyward.record.v1`: what a node was told and did.
+pub mod record {
+    tonic::include_proto!("ivyward.record.v1");
+}
