gRPC over h2 that knows what left the socket

A router must know whether an attempt provably never ran and when the reset of one it gave up was written; ordinary clients hide both. ivyward-wire follows the HTTP/2 frames that cross a connection and tells HEADERS written, GOAWAY's last stream and resets written. Tests: frames found in any chunking, a reset counted only at its last byte.

--- /dev/null
+++ b/crates/ivyward-wire/src/channel.rs
@@ -0,0 +1,420 @@
+//! One connection to a server, its calls, pings and close.
+
+use crate::frame::{Decoder, FrameError};
+use crate::watch::{Trace, Watched};
+use bytes::Bytes;
+use futures_lite::future::{or, poll_fn};
+use h2::client::{ResponseFuture, SendRequest};
+use h2::{Reason, RecvStream, SendStream};
+use http::{HeaderMap, HeaderName, HeaderValue, Request};
+use ivyward_world::io::Io;
+use ivyward_world::{before, Conn, Micros, WorldExt, WorldRef};
+use prost::Message;
+use std::future::Future;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+/// How a connection behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Flow-control window of each stream, in bytes: what a peer may send ahead of the reader.
+    pub stream_window: u32,
+    /// Streams that the connection's window has room for, so that slow ones do not hold up the others.
+    pub streams: u32,
+    /// Largest message taken, in bytes.
+    pub most_message: usize,
+    /// A ping is sent when nothing came in for this span; 0 for never.
+    pub ping_every: Micros,
+    /// A connection on which a ping stays without answer for this span is closed.
+    pub ping_timeout: Micros,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            stream_window: 32 << 10,
+            streams: 100,
+            most_message: 4 << 20,
+            ping_every: 1_000_000,
+            ping_timeout: 1_000_000,
+        }
+    }
+}
+
+/// How a call ended without an answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{cause}")]
+pub struct CallError {
+    /// What happened.
+    pub cause: Cause,
+    /// The server provably did nothing for this call.
+    pub never_ran: bool,
+}
+
+/// What ended a call.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Cause {
+    /// The connection broke, or was closed by either side.
+    #[error("the connection broke: {0}")]
+    Broken(String),
+    /// The server reset the stream.
+    #[error("the server reset the stream: {0}")]
+    Reset(String),
+    /// The server answered with a status other than OK.
+    #[error("the server answered with status {}: {}", .0.code, .0.message)]
+    Status(Status),
+    /// The server sent something that is not what was agreed on.
+    #[error("{0}")]
+    Frame(#[from] FrameError),
+}
+
+/// A gRPC status with its metadata.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Status {
+    /// gRPC's status code; 0 is OK.
+    pub code: u32,
+    /// For people.
+    pub message: String,
+    /// The trailers it came in.
+    pub metadata: HeaderMap,
+}
+
+impl Status {
+    fn from_headers(headers: HeaderMap) -> Option<Status> {
+        let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let code = text("grpc-status")?.parse().unwrap_or(2);
+        let message = text("grpc-message").unwrap_or_default();
+        Some(Status { code, message, metadata: headers })
+    }
+}
+
+/// One HTTP/2 connection as its user holds it. Clones share the connection.
+#[derive(Clone)]
+pub struct Channel {
+    send: SendRequest<Bytes>,
+    trace: Arc<Trace>,
+    close: async_channel::Sender<()>,
+    open: Arc<AtomicUsize>,
+    options: Options,
+    world: WorldRef,
+}
+
+/// Counts a call among those open.
+struct Counted(Arc<AtomicUsize>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Channel {
+    /// Begins HTTP/2 on a connection. Its frames and pings run as a task of the world until it closes.
+    ///
+    /// # Errors
+    /// When the preface cannot be written.
+    pub async fn begin(world: &WorldRef, conn: Conn, options: Options) -> Result<Channel, h2::Error> {
+        let trace = Arc::new(Trace::default());
+        let watched = Watched::new(conn, trace.clone());
+        let window = options.stream_window.saturating_mul(options.streams).max(1 << 16);
+        let (send, mut connection) = h2::client::Builder::new()
+            .initial_window_size(options.stream_window)
+            .initial_connection_window_size(window.min((1 << 31) - 1))
+            .enable_push(false)
+            .handshake(Io(watched))
+            .await?;
+        let (close, closed) = async_channel::bounded::<()>(1);
+        let pings = connection.ping_pong();
+        let (task_trace, task_world) = (trace.clone(), world.clone());
+        world.run(async move {
+            let frames = async {
+                // Errors reach the calls by themselves.
+                let _ = connection.await;
+            };
+            let told = async {
+                let _ = closed.recv().await;
+            };
+            let pinging = async {
+                if let Some(pings) = pings.filter(|_| options.ping_every > 0) {
+                    ping(&task_world, pings, &task_trace, options).await;
+                } else {
+                    std::future::pending::<()>().await;
+                }
+            };
+            // Dropping the frames' future closes the socket.
+            or(frames, or(told, pinging)).await;
+            task_trace.close();
+        });
+        let open = Arc::new(AtomicUsize::new(0));
+        Ok(Channel { send, trace, close, open, options, world: world.clone() })
+    }
+
+    /// Whether new calls may be made on it.
+    pub fn usable(&self) -> bool {
+        !self.trace.closed() && !self.trace.going_away()
+    }
+    /// Whether it is gone.
+    pub fn closed(&self) -> bool {
+        self.trace.closed()
+    }
+    /// Calls open on it.
+    pub fn calls(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+    /// Streams that the server takes at once, as far as it told.
+    pub fn room(&self) -> usize {
+        self.send.current_max_send_streams()
+    }
+    /// Closes the connection; its calls break.
+    pub fn close(&self) {
+        // Full means that it was told already.
+        let _ = self.close.try_send(());
+    }
+
+    /// Makes a call with one request message. The upload and the answer go on in [`Call::next`].
+    ///
+    /// # Errors
+    /// When the call could not even begin; it never ran then.
+    pub async fn call(&self, path: &'static str, body: Bytes, headers: HeaderMap) -> Result<Call, CallError> {
+        let never = |cause| CallError { cause, never_ran: true };
+        let broken = |e: h2::Error| never(Cause::Broken(e.to_string()));
+        let mut send = self.send.clone().ready().await.map_err(broken)?;
+        let mut request = Request::new(());
+        *request.method_mut() = http::Method::POST;
+        *request.version_mut() = http::Version::HTTP_2;
+        *request.uri_mut() = http::Uri::builder()
+            .scheme("http")
+            .authority("engine")
+            .path_and_query(path)
+            .build()
+            .map_err(|e| never(Cause::Broken(e.to_string())))?;
+        *request.headers_mut() = headers;
+        let fixed = [("content-type", "application/grpc"), ("te", "trailers")];
+        for (name, value) in fixed {
+            request.headers_mut().insert(HeaderName::from_static(name), HeaderValue::from_static(value));
+        }
+        let (response, upload) = send.send_request(request, false).map_err(broken)?;
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Ok(Call {
+            stream: u32::from(upload.stream_id()),
+            upload,
+            body: Some(body),
+            answer: Answer::Awaited(response),
+            decoder: Decoder::new(self.options.most_message),
+            channel: self.clone(),
+            over: false,
+            _counted: Counted(self.open.clone()),
+        })
+    }
+}
+
+/// Pings when nothing comes in; returns when the peer is held to be gone.
+async fn ping(world: &WorldRef, mut pings: h2::PingPong, trace: &Trace, options: Options) {
+    let mut seen = trace.received();
+    loop {
+        world.sleep(options.ping_every).await;
+        let now = trace.received();
+        if now != seen {
+            seen = now;
+            continue;
+        }
+        let answered =
+            before(world, world.now() + options.ping_timeout, pings.ping(h2::Ping::opaque())).await;
+        if !matches!(answered, Some(Ok(_))) {
+            return;
+        }
+        seen = trace.received();
+    }
+}
+
+enum Answer {
+    Awaited(ResponseFuture),
+    Body(RecvStream),
+}
+
+/// A call in progress. Dropping it resets its stream; [`Call::abandon`] also waits until that is written.
+pub struct Call {
+    stream: u32,
+    upload: SendStream<Bytes>,
+    body: Option<Bytes>,
+    answer: Answer,
+    decoder: Decoder,
+    channel: Channel,
+    over: bool,
+    _counted: Counted,
+}
+
+impl Call {
+    /// Puts in as much of the request as the server has room for, so that what waits here stays bounded.
+    fn poll_upload(&mut self, cx: &mut Context<'_>) {
+        while let Some(body) = self.body.as_mut() {
+            self.upload.reserve_capacity(body.len());
+            if self.upload.capacity() == 0 {
+                match self.upload.poll_capacity(cx) {
+                    Poll::Pending => return,
+                    Poll::Ready(Some(Ok(_))) => continue,
+                    Poll::Ready(_) => {
+                        // The answer's side tells what happened.
+                        self.body = None;
+                        return;
+                    }
+                }
+            }
+            let part = body.split_to(self.upload.capacity().min(body.len()));
+            let last = body.is_empty();
+            if self.upload.send_data(part, last).is_err() || last {
+                self.body = None;
+            }
+        }
+    }
+
+    fn broken(&self, error: &h2::Error) -> CallError {
+        let trace = &self.channel.trace;
+        let refused = error.is_reset() && error.is_remote() && error.reason() == Some(Reason::REFUSED_STREAM);
+        // Below a GOAWAY's last stream, or once HEADERS left, the server may have worked on it.
+        let never_ran = refused || trace.disowned(self.stream) || !trace.left(self.stream);
+        let text = error.to_string();
+        let cause =
+            if error.is_reset() && error.is_remote() { Cause::Reset(text) } else { Cause::Broken(text) };
+        CallError { cause, never_ran }
+    }
+
+    fn poll_next<M: Message + Default>(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Option<M>, CallError>> {
+        let failed = |cause| Poll::Ready(Err(CallError { cause, never_ran: false }));
+        self.poll_upload(cx);
+        loop {
+            match &mut self.answer {
+                Answer::Awaited(response) => match std::pin::Pin::new(response).poll(cx) {
+                    Poll::Pending => return Poll::Pending,
+                    Poll::Ready(Err(e)) => return Poll::Ready(Err(self.broken(&e))),
+                    Poll::Ready(Ok(response)) => {
+                        let (head, body) = response.into_parts();
+                        if let Some(status) = Status::from_headers(head.headers) {
+                            self.over = true;
+                            return if status.code == 0 {
+                                Poll::Ready(Ok(None))
+                            } else {
+                                failed(Cause::Status(status))
+                            };
+                        }
+                        if head.status != http::StatusCode::OK {
+                            let message =
+                                format!("HTTP status {} instead of a gRPC answer", head.status.as_u16());
+                            return failed(Cause::Status(Status { code: 2, message, ..Status::default() }));
+                        }
+                        self.answer = Answer::Body(body);
+                    }
+                },
+                Answer::Body(body) => {
+                    match self.decoder.pop::<M>() {
+                        Ok(Some(message)) => return Poll::Ready(Ok(Some(message))),
+                        Ok(None) => {}
+                        Err(e) => return failed(Cause::Frame(e)),
+                    }
+                    match body.poll_data(cx) {
+                        Poll::Pending => return Poll::Pending,
+                        Poll::Ready(Some(Ok(chunk))) => {
+                            self.decoder.push(&chunk);
+                            // Fails only when the stream is over, which the next poll tells.
+                            let _ = body.flow_control().release_capacity(chunk.len());
+                        }
+                        Poll::Ready(Some(Err(e))) => return Poll::Ready(Err(self.broken(&e))),
+                        Poll::Ready(None) => match body.poll_trailers(cx) {
+                            Poll::Pending => return Poll::Pending,
+                            Poll::Ready(Err(e)) => return Poll::Ready(Err(self.broken(&e))),
+                            Poll::Ready(Ok(trailers)) => {
+                                let status = trailers.and_then(Status::from_headers);
+                                let status = status.unwrap_or_else(|| Status {
+                                    code: 2,
+                                    message: "the answer ended without a status".into(),
+                                    ..Status::default()
+                                });
+                                if status.code != 0 {
+                                    return failed(Cause::Status(status));
+                                }
+                                if !self.decoder.is_empty() {
+                                    return failed(Cause::Frame(FrameError::Cut));
+                                }
+                                self.over = true;
+                                return Poll::Ready(Ok(None));
+                            }
+                        },
+                    }
+                }
+            }
+        }
+    }
+
+    /// The next message, or `None` after the last one when the status is OK.
+    ///
+    /// # Errors
+    /// [`CallError`] when the call ended in any other way; it says whether the call provably never ran.
+    pub async fn next<M: Message + Default>(&mut self) -> Result<Option<M>, CallError> {
+        poll_fn(|cx| self.poll_next(cx)).await
+    }
+
+    /// The next message if it is there already.
+    pub async fn ready<M: Message + Default>(&mut self) -> Option<Result<Option<M>, CallError>> {
+        poll_fn(|cx| match self.poll_next(cx) {
+            Poll::Pending => Poll::Ready(None),
+            Poll::Ready(next) => Poll::Ready(Some(next)),
+        })
+        .await
+    }
+
+    /// Whether anything of it left the socket.
+    pub fn left(&self) -> bool {
+        self.channel.trace.left(self.stream)
+    }
+
+    /// Whether the server has ended the stream, whatever of it was read here.
+    fn ended(&mut self, cx: &mut Context<'_>) -> bool {
+        loop {
+            match &mut self.answer {
+                Answer::Awaited(response) => match std::pin::Pin::new(response).poll(cx) {
+                    Poll::Pending => return false,
+                    Poll::Ready(Err(_)) => return true,
+                    Poll::Ready(Ok(response)) => self.answer = Answer::Body(response.into_body()),
+                },
+                Answer::Body(body) => match body.poll_data(cx) {
+                    Poll::Pending => return false,
+                    Poll::Ready(Some(Ok(chunk))) => {
+                        let _ = body.flow_control().release_capacity(chunk.len());
+                    }
+                    Poll::Ready(None | Some(Err(_))) => return true,
+                },
+            }
+        }
+    }
+
+    /// Gives the call up: resets its stream and returns once the reset is written or the connection is closed.
+    /// A connection that takes no byte for `within` is closed: nothing gets through it anyway.
+    pub async fn abandon(mut self, within: Micros) {
+        // A stream that both sides have ended gets no reset any more.
+        if self.over || self.channel.closed() || poll_fn(|cx| Poll::Ready(self.ended(cx))).await {
+            return;
+        }
+        let written = self.channel.trace.await_reset(self.stream);
+        self.upload.send_reset(Reason::CANCEL);
+        let world = self.channel.world.clone();
+        let wait = before(&world, world.now().saturating_add(within), written.recv()).await;
+        // Nor does a call whose HEADERS never left, nor one that ended in the moment of its reset.
+        if wait.is_none() && self.left() && !poll_fn(|cx| Poll::Ready(self.ended_well(cx))).await {
+            self.channel.close();
+            // Ends with an error when the connection is closed.
+            let _ = written.recv().await;
+        }
+    }
+
+    /// Whether the stream ended in order, and not by our own reset.
+    fn ended_well(&mut self, cx: &mut Context<'_>) -> bool {
+        match &mut self.answer {
+            Answer::Awaited(_) => false,
+            Answer::Body(body) => matches!(body.poll_data(cx), Poll::Ready(None)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ivyward-wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! gRPC over h2 on an ivyward world.
+//!
+//! - [`frame`]: gRPC's length-prefixed messages.
+//! - [`watch`]: a connection that notes which HTTP/2 frames crossed it.
+//! - [`channel`]: one connection to a server, its calls, pings and close.
+
+pub mod channel;
+pub mod frame;
+pub mod watch;
+
+pub use channel::{Call, CallError, Cause, Channel, Options, Status};
+pub use frame::{encode, Decoder, FrameError};
--- /dev/null
+++ b/crates/ivyward-wire/src/watch.rs
@@ -0,0 +1,255 @@
+//! A connection that notes which HTTP/2 frames crossed it.
+//!
+//! Whether a request may have run turns on facts that h2 does not tell: whether its HEADERS left, up to which
+//! stream a GOAWAY promises that work was done, and when a RST_STREAM was written. Only frame heads (nine
+//! bytes) and the first bytes of GOAWAY are looked at.
+
+use futures_lite::{AsyncRead, AsyncWrite};
+use ivyward_world::Conn;
+use std::collections::BTreeMap;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{ready, Context, Poll};
+
+const HEAD: usize = 9;
+const PREFACE: usize = 24;
+const HEADERS: u8 = 1;
+const RST_STREAM: u8 = 3;
+const GOAWAY: u8 = 7;
+
+/// What is known of a connection's frames. Shared by the connection and its calls.
+#[derive(Debug, Default)]
+pub struct Trace(Mutex<Known>);
+
+#[derive(Debug, Default)]
+struct Known {
+    /// The highest stream whose HEADERS began to leave.
+    headers: u32,
+    /// The last stream that a GOAWAY says may have been worked on.
+    goaway: Option<u32>,
+    /// Who waits for which stream's reset to be written. One entry an abandoned call: bounded by the calls.
+    resets: BTreeMap<u32, async_channel::Sender<()>>,
+    closed: bool,
+    /// When bytes last came in, as counted by the reader.
+    received: u64,
+}
+
+impl Trace {
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+    /// Whether a stream's HEADERS began to leave the socket.
+    pub fn left(&self, stream: u32) -> bool {
+        self.known().headers >= stream
+    }
+    /// Whether the peer promised that it did nothing for a stream.
+    pub fn disowned(&self, stream: u32) -> bool {
+        self.known().goaway.is_some_and(|last| stream > last)
+    }
+    /// Whether the peer takes no new streams.
+    pub fn going_away(&self) -> bool {
+        self.known().goaway.is_some()
+    }
+    /// Whether the connection is gone.
+    pub fn closed(&self) -> bool {
+        self.known().closed
+    }
+    /// Bytes that came in so far.
+    pub fn received(&self) -> u64 {
+        self.known().received
+    }
+    /// Ends with an item when the stream's reset is written, or empty when the connection closes.
+    pub(crate) fn await_reset(&self, stream: u32) -> async_channel::Receiver<()> {
+        let (told, wait) = async_channel::bounded(1);
+        let mut known = self.known();
+        if !known.closed {
+            known.resets.insert(stream, told);
+        }
+        wait
+    }
+    pub(crate) fn close(&self) {
+        let mut known = self.known();
+        known.closed = true;
+        known.resets.clear();
+    }
+    fn wrote(&self, head: &Head) {
+        let mut known = self.known();
+        match head.kind {
+            HEADERS => known.headers = known.headers.max(head.stream),
+            RST_STREAM => {
+                if let Some(told) = known.resets.remove(&head.stream) {
+                    // The one who waits may have left.
+                    let _ = told.try_send(());
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Head {
+    kind: u8,
+    stream: u32,
+}
+
+/// Follows the frames in a run of bytes.
+#[derive(Debug, Default)]
+struct Follower {
+    /// Bytes to pass over before the next frame head or body of interest.
+    skip: usize,
+    /// A head, or head and first four bytes of a GOAWAY, as far as seen.
+    seen: Vec<u8>,
+}
+
+impl Follower {
+    /// Goes over bytes that crossed and reports frames. A reset counts once its whole frame crossed, HEADERS once
+    /// the head did (a part of a request may be enough for its start), GOAWAY once its last stream is known.
+    fn follow(&mut self, mut bytes: &[u8], mut report: impl FnMut(Head, &[u8])) {
+        while !bytes.is_empty() {
+            if self.skip > 0 {
+                let over = self.skip.min(bytes.len());
+                self.skip -= over;
+                bytes = &bytes[over..];
+                continue;
+            }
+            self.seen.push(bytes[0]);
+            bytes = &bytes[1..];
+            if self.seen.len() < HEAD {
+                continue;
+            }
+            let s = &self.seen;
+            let length = usize::from(s[0]) << 16 | usize::from(s[1]) << 8 | usize::from(s[2]);
+            let stream = u32::from_be_bytes([s[5], s[6], s[7], s[8]]) & 0x7fff_ffff;
+            let head = Head { kind: s[3], stream };
+            let body = match head.kind {
+                GOAWAY | RST_STREAM => length.min(4),
+                _ => 0,
+            };
+            if s.len() < HEAD + body {
+                continue;
+            }
+            report(head, &s[HEAD..]);
+            self.seen.clear();
+            self.skip = length - body;
+        }
+    }
+}
+
+/// A connection whose frames are noted.
+pub struct Watched {
+    conn: Conn,
+    trace: Arc<Trace>,
+    out: Follower,
+    back: Follower,
+}
+
+impl Watched {
+    /// Notes the frames of a client's connection from its first byte on.
+    pub fn new(conn: Conn, trace: Arc<Trace>) -> Watched {
+        Watched {
+            conn,
+            trace,
+            out: Follower { skip: PREFACE, ..Follower::default() },
+            back: Follower::default(),
+        }
+    }
+    fn note_out(&mut self, bytes: &[u8]) {
+        let trace = &self.trace;
+        self.out.follow(bytes, |head, _| trace.wrote(&head));
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        let me = &mut *self;
+        let got = ready!(Pin::new(&mut me.conn).poll_read(cx, buf))?;
+        let trace = &me.trace;
+        trace.known().received += got as u64;
+        me.back.follow(&buf[..got], |head, body| {
+            if head.kind == GOAWAY && body.len() == 4 {
+                let last = u32::from_be_bytes([body[0], body[1], body[2], body[3]]) & 0x7fff_ffff;
+                let mut known = trace.known();
+                known.goaway = Some(known.goaway.map_or(last, |before| before.min(last)));
+            }
+        });
+        Poll::Ready(Ok(got))
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let put = ready!(Pin::new(&mut self.conn).poll_write(cx, buf))?;
+        self.note_out(&buf[..put]);
+        Poll::Ready(Ok(put))
+    }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let put = ready!(Pin::new(&mut self.conn).poll_write_vectored(cx, bufs))?;
+        let mut left = put;
+        for buf in bufs {
+            let part = left.min(buf.len());
+            self.note_out(&buf[..part]);
+            left -= part;
+        }
+        Poll::Ready(Ok(put))
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.conn).poll_flush(cx)
+    }
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.conn).poll_close(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn frame(kind: u8, stream: u32, body: &[u8]) -> Vec<u8> {
+        let length = (body.len() as u32).to_be_bytes();
+        [&length[1..], &[kind, 0], &stream.to_be_bytes(), body].concat()
+    }
+
+    #[test]
+    fn frames_are_found_whatever_the_chunks() {
+        let bytes = [
+            frame(4, 0, &[0; 12]),
+            frame(HEADERS, 1, &[7; 300]),
+            frame(0, 1, &[9; 1000]),
+            frame(RST_STREAM, 1, &[0, 0, 0, 8]),
+            frame(GOAWAY, 0, &[0, 0, 0, 5, 0, 0, 0, 0, 1, 2, 3]),
+            frame(6, 0, &[0; 8]),
+        ]
+        .concat();
+        for size in [1, 2, 3, 8, 9, 10, 13, 100, bytes.len()] {
+            let (mut follower, mut got) = (Follower::default(), Vec::new());
+            for chunk in bytes.chunks(size) {
+                follower.follow(chunk, |head, body| got.push((head.kind, head.stream, body.to_vec())));
+            }
+            let kinds: Vec<(u8, u32)> = got.iter().map(|g| (g.0, g.1)).collect();
+            assert_eq!(
+                kinds,
+                [(4, 0), (HEADERS, 1), (0, 1), (RST_STREAM, 1), (GOAWAY, 0), (6, 0)],
+                "chunks of {size}"
+            );
+            assert_eq!(got[4].2, [0, 0, 0, 5]);
+        }
+    }
+
+    #[test]
+    fn a_reset_counts_only_when_its_last_byte_left() {
+        let trace = Trace::default();
+        let wait = trace.await_reset(3);
+        let mut follower = Follower::default();
+        let bytes = frame(RST_STREAM, 3, &[0, 0, 0, 8]);
+        follower.follow(&bytes[..12], |head, _| trace.wrote(&head));
+        assert!(wait.try_recv().is_err() && !wait.is_closed());
+        follower.follow(&bytes[12..], |head, _| trace.wrote(&head));
+        assert!(wait.try_recv().is_ok());
+    }
+}
