--- a/crates/ivyward-wire/src/channel.rs
+++ b/crates/ivyward-wire/src/channel.rs
@@ -269,7 +269,8 @@
         }
     }
 
-    fn broken(&self, error: &h2::Error) -> CallError {
+    fn broken(&mut self, error: &h2::Error) -> CallError {
+        self.over = true;
         let trace = &self.channel.trace;
         let refused = error.is_reset() && error.is_remote() && error.reason() == Some(Reason::REFUSED_STREAM);
         // Below a GOAWAY's last stream, or once HEADERS left, the server may have worked on it.
@@ -392,11 +393,12 @@
     }
 
     /// Gives the call up: resets its stream and returns once the reset is written or the connection is closed.
-    /// A connection that takes no byte for `within` is closed: nothing gets through it anyway.
-    pub async fn abandon(mut self, within: Micros) {
+    /// A connection that takes no byte for `within` is closed: nothing gets through it anyway. Tells whether the
+    /// call had left the socket.
+    pub async fn abandon(mut self, within: Micros) -> bool {
         // A stream that both sides have ended gets no reset any more.
         if self.over || self.channel.closed() || poll_fn(|cx| Poll::Ready(self.ended(cx))).await {
-            return;
+            return self.left();
         }
         let written = self.channel.trace.await_reset(self.stream);
         self.upload.send_reset(Reason::CANCEL);
@@ -408,6 +410,7 @@
             // Ends with an error when the connection is closed.
             let _ = written.recv().await;
         }
+        self.left()
     }
 
     /// Whether the stream ended in order, and not by our own reset.
--- /dev/null
+++ b/crates/ivyward/src/admin.rs
@@ -0,0 +1,73 @@
+//! Health and plain metrics over HTTP/1, read with httparse.
+
+use crate::node::Node;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use ivyward_world::{before, Conn, Listener, WorldExt};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+/// Connections at once; one more is closed.
+const MOST: usize = 32;
+/// Bytes of a request's head.
+const MOST_HEAD: usize = 8 << 10;
+/// Microseconds for a whole request.
+const TIME: u64 = 2_000_000;
+
+impl Node {
+    /// Serves `/healthz` (200 while the node takes requests, else 503) and `/metrics` until the world ends.
+    pub async fn serve_admin(&self, mut listener: Box<dyn Listener>) {
+        let world = self.shared.world.clone();
+        let busy = Arc::new(AtomicUsize::new(0));
+        loop {
+            let Ok((conn, _)) = listener.accept().await else {
+                world.sleep(10_000).await;
+                continue;
+            };
+            if busy.fetch_add(1, Ordering::SeqCst) >= MOST {
+                busy.fetch_sub(1, Ordering::SeqCst);
+                continue;
+            }
+            let (node, busy, until) = (self.clone(), busy.clone(), world.now() + TIME);
+            world.run(async move {
+                // A client that breaks off is its own loss.
+                let _ = before(&node.shared.world, until, one(&node, conn)).await;
+                busy.fetch_sub(1, Ordering::SeqCst);
+            });
+        }
+    }
+}
+
+async fn one(node: &Node, mut conn: Conn) -> std::io::Result<()> {
+    let (mut head, mut chunk) = (Vec::new(), [0u8; 1024]);
+    let (code, body) = loop {
+        let got = conn.read(&mut chunk).await?;
+        if got == 0 {
+            return Ok(());
+        }
+        head.extend_from_slice(&chunk[..got]);
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut request = httparse::Request::new(&mut headers);
+        match request.parse(&head) {
+            Ok(httparse::Status::Complete(_)) => break reply(node, request.method, request.path),
+            Ok(httparse::Status::Partial) if head.len() < MOST_HEAD => {}
+            _ => break ("400 Bad Request", "not an HTTP/1 request of a head under 8 KiB\n".to_string()),
+        }
+    };
+    let head = format!(
+        "HTTP/1.1 {code}\r\ncontent-type: text/plain; charset=utf-8\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
+        body.len()
+    );
+    conn.write_all(head.as_bytes()).await?;
+    conn.write_all(body.as_bytes()).await?;
+    conn.close().await
+}
+
+fn reply(node: &Node, method: Option<&str>, path: Option<&str>) -> (&'static str, String) {
+    match (method, path) {
+        (Some("GET"), Some("/healthz")) if node.taking() => ("200 OK", "ok\n".into()),
+        (Some("GET"), Some("/healthz")) => ("503 Service Unavailable", "stopping\n".into()),
+        (Some("GET"), Some("/metrics")) => ("200 OK", node.metrics().text(node.open())),
+        (Some("GET"), _) => ("404 Not Found", "there are /healthz and /metrics\n".into()),
+        _ => ("405 Method Not Allowed", "only GET\n".into()),
+    }
+}
--- /dev/null
+++ b/crates/ivyward/src/attempt.rs
@@ -0,0 +1,342 @@
+//! One attempt: a call to one engine, from the module's `Send` to its one outcome.
+//!
+//! What proves that an attempt never ran is decided here, in [`never_ran`] and [`turned_away`]; what follows from
+//! it is the module's.
+
+use crate::answer::{Buffer, Over};
+use crate::driver::{Ended, Notice, Shared};
+use crate::link::{DialError, Link};
+use futures_lite::future::{or, poll_fn};
+use ivyward_core::interface::{Micros, Outcome, Report, ReportField};
+use ivyward_proto::engine as pb;
+use ivyward_wire::{encode, Call, CallError, Cause};
+use ivyward_world::{BoxFuture, WorldRef};
+use prost::Message;
+use std::sync::Arc;
+
+/// What the driver may tell a running attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stop {
+    /// The module no longer waits for it. One whose stream has begun goes on.
+    CallOff,
+    /// Nobody wants its answer any more.
+    GiveUp,
+}
+
+/// What an attempt asks of its engine.
+pub(crate) enum Ask {
+    Read(pb::ReadRequest),
+    Write(pb::WriteRequest),
+}
+
+pub(crate) struct Job {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) link: Arc<Link>,
+    pub(crate) request: u64,
+    pub(crate) attempt: u16,
+    pub(crate) ask: Ask,
+    /// When it ends without a first token.
+    pub(crate) until: Micros,
+    pub(crate) buffer: Arc<Buffer>,
+    pub(crate) stop: async_channel::Receiver<Stop>,
+}
+
+/// How an attempt ended, and what is to be said of it.
+pub(crate) struct End {
+    pub(crate) outcome: Outcome,
+    pub(crate) kept: u32,
+    pub(crate) report: Report,
+    pub(crate) text: String,
+}
+
+impl End {
+    fn new(outcome: Outcome, text: impl Into<String>) -> End {
+        End { outcome, kept: 0, report: Report::default(), text: text.into() }
+    }
+}
+
+/// What a failed call counts as. Proofs that it never ran: it did not leave the socket (a failed connection),
+/// REFUSED_STREAM, or a GOAWAY below its stream (turned away). Everything else may have run: a break or reset after
+/// its bytes left, a status (which may come from anything between), bytes that are no message.
+fn never_ran(error: &CallError, left: bool) -> Outcome {
+    match (&error.cause, error.never_ran) {
+        (_, true) if left => Outcome::Full,
+        (_, true) => Outcome::ConnectFailed,
+        (Cause::Broken(_) | Cause::Reset(_), false) => Outcome::Reset,
+        (Cause::Status(_) | Cause::Frame(_), false) => Outcome::Error,
+    }
+}
+
+/// What an engine's own word that it did nothing counts as.
+fn turned_away(away: &pb::TurnedAway) -> End {
+    match away.reason() {
+        pb::turned_away::Reason::StateLost => End::new(Outcome::StateLost, "no state to fetch"),
+        pb::turned_away::Reason::Full => End::new(Outcome::Full, "turned away: full"),
+        pb::turned_away::Reason::Draining => End::new(Outcome::Full, "turned away: draining"),
+        // A reason of a later version: that nothing was run holds all the same.
+        pb::turned_away::Reason::Unspecified => End::new(Outcome::Full, "turned away"),
+    }
+}
+
+/// The values of a load report in the order that the module was told.
+pub(crate) fn report(load: Option<&pb::Load>, fields: &[ReportField]) -> Report {
+    let Some(load) = load else { return Report::default() };
+    let mut report = Report { len: fields.len().min(4), ..Report::default() };
+    for (value, field) in report.values.iter_mut().zip(fields) {
+        let told = match field {
+            ReportField::Outstanding => load.outstanding,
+            ReportField::Backlog => load.backlog,
+            ReportField::Utilization => load.utilization,
+            ReportField::RecentMs => load.recent_ms,
+            ReportField::MemoryShare => load.memory_share,
+            ReportField::WaitingKTokens => load.waiting_ktokens,
+            ReportField::Other => None,
+        };
+        // A missing value, or one that is no number, makes the report worthless rather than wrong.
+        let Some(told) = told.filter(|v| v.is_finite()) else { return Report::default() };
+        *value = told;
+    }
+    report
+}
+
+/// What ends a wait.
+enum Woken<T> {
+    Next(T),
+    Stopped(Stop),
+    Late,
+}
+
+async fn stopped(stop: &async_channel::Receiver<Stop>) -> Stop {
+    match stop.recv().await {
+        Ok(stop) => stop,
+        // The driver is gone, and the node with it.
+        Err(_) => Stop::GiveUp,
+    }
+}
+
+/// Runs an attempt and tells the driver its one outcome.
+pub(crate) async fn run(job: Job) {
+    let end = attempt(&job).await;
+    job.link.call_ended();
+    let ended = Ended { request: job.request, attempt: job.attempt, end };
+    job.shared.tell(Notice::Ended(ended));
+}
+
+async fn attempt(job: &Job) -> End {
+    let world = &job.shared.world;
+    if job.until <= world.now() {
+        return End::new(Outcome::NotSent, "no time left");
+    }
+    let channel = {
+        let dial = async { Woken::Next(job.link.channel(job.until).await) };
+        match or(dial, async { Woken::Stopped(stopped(&job.stop).await) }).await {
+            Woken::Next(Ok(channel)) => channel,
+            Woken::Next(Err(e @ (DialError::Failed(..) | DialError::Late(_)))) => {
+                return End::new(Outcome::ConnectFailed, e.to_string());
+            }
+            _ => return End::new(Outcome::NotSent, "called off before it was sent"),
+        }
+    };
+    // Told during the dial: nothing new goes to an engine that drains or is gone.
+    if job.link.closing() {
+        return End::new(Outcome::NotSent, "the engine drains or is gone");
+    }
+    let (path, body) = match &job.ask {
+        Ask::Read(read) => ("/ivyward.engine.v1.Engine/Read", encode(read)),
+        Ask::Write(write) => ("/ivyward.engine.v1.Engine/Write", encode(write)),
+    };
+    let mut call = match channel.call(path, body, http::HeaderMap::new()).await {
+        Ok(call) => call,
+        Err(e) => return End::new(Outcome::ConnectFailed, e.to_string()),
+    };
+    let end = match job.ask {
+        Ask::Read(_) => read(job, &mut call).await,
+        Ask::Write(_) => write(job, &mut call).await,
+    };
+    // The outcome is told only when the stream is over or its reset is written, so that the next attempt never runs
+    // beside this one.
+    let left = call.abandon(job.shared.settings.reset_wait).await;
+    match end.outcome {
+        Outcome::TimedOut | Outcome::Cancelled if !left => {
+            End::new(Outcome::NotSent, "given up before it left")
+        }
+        _ => end,
+    }
+}
+
+/// Waits for the next message, a word from the driver, or the timer.
+async fn next<M: Message + Default>(
+    job: &Job,
+    call: &mut Call,
+    timer: &mut BoxFuture<()>,
+) -> Woken<Result<Option<M>, CallError>> {
+    or(async { Woken::Next(call.next::<M>().await) }, async {
+        or(async { Woken::Stopped(stopped(&job.stop).await) }, async {
+            timer.await;
+            Woken::Late
+        })
+        .await
+    })
+    .await
+}
+
+/// The first message, or the end of an attempt without one.
+async fn first<M: Message + Default>(job: &Job, call: &mut Call) -> Result<M, End> {
+    let mut timer = job.shared.world.sleep_until(job.until);
+    match next::<M>(job, call, &mut timer).await {
+        Woken::Stopped(_) => Err(End::new(Outcome::Cancelled, "called off")),
+        Woken::Late => Err(End::new(Outcome::TimedOut, "no answer in time")),
+        Woken::Next(Err(e)) => Err(End::new(never_ran(&e, call.left()), e.to_string())),
+        Woken::Next(Ok(None)) => Err(End::new(Outcome::Error, "the engine's answer is empty")),
+        Woken::Next(Ok(Some(message))) => Ok(message),
+    }
+}
+
+fn same_engine(job: &Job, got: u64) -> Result<(), End> {
+    match job.link.id.0 == got {
+        true => Ok(()),
+        false => {
+            Err(End::new(Outcome::Error, format!("engine {:x} answered as engine {got:x}", job.link.id.0)))
+        }
+    }
+}
+
+async fn read(job: &Job, call: &mut Call) -> End {
+    let reply = match first::<pb::ReadReply>(job, call).await {
+        Ok(reply) => reply,
+        Err(end) => return end,
+    };
+    if let Err(end) = same_engine(job, reply.engine) {
+        return end;
+    }
+    let mut end = match reply.result {
+        Some(pb::read_reply::Result::Done(done)) => {
+            End { kept: done.kept_tokens, ..End::new(Outcome::Read, "read") }
+        }
+        Some(pb::read_reply::Result::TurnedAway(away)) => turned_away(&away),
+        None => End::new(Outcome::Error, "a read's reply says nothing"),
+    };
+    end.report = report(reply.load.as_ref(), &job.shared.router_settings.report_fields);
+    end
+}
+
+async fn write(job: &Job, call: &mut Call) -> End {
+    let event = match first::<pb::WriteEvent>(job, call).await {
+        Ok(event) => event,
+        Err(end) => return end,
+    };
+    if let (Ok(()), Some(pb::write_event::Event::TurnedAway(away))) =
+        (same_engine(job, event.engine), &event.event)
+    {
+        return turned_away(away);
+    }
+    stream(job, call, event).await.unwrap_or_else(|end| end)
+}
+
+/// Passes a stream on until its end.
+async fn stream(job: &Job, call: &mut Call, first: pb::WriteEvent) -> Result<End, End> {
+    let world = &job.shared.world;
+    let most = job.shared.most_tokens(&job.ask);
+    let bad = |text: String| End::new(Outcome::Error, text);
+    let (mut expected, mut event, mut told) = (0u32, Some(first), false);
+    let mut stall = Stall::new(world, job.shared.settings.stream_stall);
+    loop {
+        let taken = match event.take() {
+            Some(event) => event,
+            None => match next::<pb::WriteEvent>(job, call, &mut stall.timer).await {
+                Woken::Stopped(Stop::GiveUp) => return Err(End::new(Outcome::Cancelled, "given up")),
+                // A stream that has begun is not called off.
+                Woken::Stopped(Stop::CallOff) => continue,
+                Woken::Late if stall.over(world) => {
+                    return Err(End::new(Outcome::Reset, "no token for too long"))
+                }
+                Woken::Late => continue,
+                Woken::Next(Err(e)) => return Err(End::new(streaming(&e), e.to_string())),
+                Woken::Next(Ok(None)) => return Err(bad("a stream ended without its last word".into())),
+                Woken::Next(Ok(Some(event))) => event,
+            },
+        };
+        same_engine(job, taken.engine)?;
+        match taken.event {
+            Some(pb::write_event::Event::Tokens(run)) => {
+                if run.first_index != expected {
+                    return Err(bad(format!(
+                        "token {} came where token {expected} was due",
+                        run.first_index
+                    )));
+                }
+                let bound = job.buffer.bound();
+                if run.ids.is_empty() || run.ids.len() > bound {
+                    return Err(bad(format!("a run of {} tokens; 1 to {bound} are taken", run.ids.len())));
+                }
+                expected = expected.saturating_add(run.ids.len() as u32);
+                if expected > most {
+                    return Err(bad(format!("more than the {most} tokens that were asked for")));
+                }
+                job.buffer.push(&run.ids).map_err(|Over| End::new(Outcome::Cancelled, "given up"))?;
+                if !told {
+                    told = true;
+                    job.shared.tell(Notice::First(job.request, job.attempt));
+                }
+                // A slow client holds up its own stream alone: its engine is read on when there is room.
+                room(job).await.map_err(|Over| End::new(Outcome::Cancelled, "given up"))?;
+                stall.last = world.now();
+            }
+            Some(pb::write_event::Event::Done(done)) => {
+                if done.tokens != expected {
+                    return Err(bad(format!("the engine counts {} tokens, {expected} came", done.tokens)));
+                }
+                if !told {
+                    job.shared.tell(Notice::First(job.request, job.attempt));
+                }
+                let report = report(done.load.as_ref(), &job.shared.router_settings.report_fields);
+                return Ok(End { kept: done.kept_tokens, report, ..End::new(Outcome::Served, "served") });
+            }
+            Some(pb::write_event::Event::TurnedAway(_)) => {
+                return Err(bad("turned away after the stream had begun".into()));
+            }
+            None => return Err(bad("an engine's message says nothing".into())),
+        }
+    }
+}
+
+/// Waits until the client has room, or nobody wants the tokens any more.
+async fn room(job: &Job) -> Result<(), Over> {
+    let free = poll_fn(|cx| job.buffer.poll_room(cx));
+    let given_up = async {
+        while stopped(&job.stop).await == Stop::CallOff {}
+        Err(Over)
+    };
+    or(free, given_up).await
+}
+
+/// Once a stream has begun, nothing proves that it never ran.
+fn streaming(error: &CallError) -> Outcome {
+    match error.cause {
+        Cause::Broken(_) | Cause::Reset(_) => Outcome::Reset,
+        Cause::Status(_) | Cause::Frame(_) => Outcome::Error,
+    }
+}
+
+/// Looks for streams without progress with one timer a span, not one a token.
+struct Stall {
+    span: Micros,
+    last: Micros,
+    timer: BoxFuture<()>,
+}
+
+impl Stall {
+    fn new(world: &WorldRef, span: Micros) -> Stall {
+        let last = world.now();
+        Stall { span, last, timer: world.sleep_until(last.saturating_add(span)) }
+    }
+    /// After the timer fired: whether the span is over, else the timer is set anew.
+    fn over(&mut self, world: &WorldRef) -> bool {
+        let due = self.last.saturating_add(self.span);
+        if world.now() >= due {
+            return true;
+        }
+        self.timer = world.sleep_until(due);
+        false
+    }
+}
--- /dev/null
+++ b/crates/ivyward/src/door.rs
@@ -0,0 +1,234 @@
+//! The gRPC door: takes calls on a listener and tells each one's final answer in gRPC's own terms.
+
+use crate::answer::{Failure, Final, Part, Refusal};
+use crate::node::{Answer, Node};
+use futures_lite::{Stream, StreamExt};
+use hyper_util::service::TowerToHyperService;
+use ivyward_core::interface::Micros;
+use ivyward_proto::front::front_server::{Front, FrontServer};
+use ivyward_proto::front::{GenerateRequest, Tokens};
+use ivyward_world::io::{Io, Tasks};
+use ivyward_world::{Listener, WorldExt};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tonic::metadata::{MetadataMap, MetadataValue};
+use tonic::{Code, Request, Response, Status};
+use tonic_types::{ErrorDetails, StatusExt};
+use tracing::debug;
+
+/// Calls on one client connection.
+const CALLS_PER_CLIENT: u32 = 4_096;
+/// Bytes of headers that one call may bring.
+const MOST_HEADERS: u32 = 16 << 10;
+/// Bytes of encoded prompt for each token allowed: a varint of 32 bits has five at most.
+const TOKEN_BYTES: usize = 5;
+
+/// The patience that a call's `grpc-timeout` states: at most eight digits and a unit.
+fn grpc_timeout(metadata: &MetadataMap) -> Result<Option<Micros>, String> {
+    let Some(value) = metadata.get("grpc-timeout") else { return Ok(None) };
+    let text = value.to_str().map_err(|_| "grpc-timeout is not text".to_string())?;
+    let bad = || format!("grpc-timeout {text:?} is not up to eight digits and one of H M S m u n");
+    let unit_at = text.len().checked_sub(1).filter(|at| (1..=8).contains(at)).ok_or_else(bad)?;
+    let (digits, unit) = (text.get(..unit_at).ok_or_else(bad)?, text.get(unit_at..).ok_or_else(bad)?);
+    if !digits.bytes().all(|b| b.is_ascii_digit()) {
+        return Err(bad());
+    }
+    let number: u64 = digits.parse().map_err(|_| bad())?;
+    Ok(Some(match unit {
+        "H" => number * 3_600_000_000,
+        "M" => number * 60_000_000,
+        "S" => number * 1_000_000,
+        "m" => number * 1_000,
+        "u" => number,
+        "n" => number / 1_000,
+        _ => return Err(bad()),
+    }))
+}
+
+/// A final answer as a gRPC status; served ones are OK.
+///
+/// A refusal is `RESOURCE_EXHAUSTED` or `UNAVAILABLE` with `grpc-retry-pushback-ms` and a `RetryInfo`; a failure is
+/// none of these and forbids retries by pushback.
+pub fn status(end: &Final) -> Status {
+    let mut metadata = MetadataMap::new();
+    let outcome = match end {
+        Final::Served => "served",
+        Final::Refused { .. } => "refused",
+        Final::Failed(_) => "failed",
+    };
+    metadata.insert("ivyward-outcome", MetadataValue::from_static(outcome));
+    match end {
+        Final::Served => Status::with_metadata(Code::Ok, "", metadata),
+        Final::Refused { retry_after, why } => {
+            let (code, text) = match why {
+                Refusal::Shed => (Code::ResourceExhausted, "refused for overload; trying again is harmless"),
+                Refusal::NodeFull => (Code::ResourceExhausted, "this node is full; trying again is harmless"),
+                Refusal::Stopping => (Code::Unavailable, "this node is stopping; trying again is harmless"),
+            };
+            let after = Duration::from_micros(retry_after.unwrap_or(0));
+            // Rounded up: nobody is to come back too soon.
+            let ms = u64::try_from(after.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX);
+            metadata.insert("grpc-retry-pushback-ms", MetadataValue::from(ms));
+            let details = ErrorDetails::with_retry_info(Some(after));
+            Status::with_error_details_and_metadata(code, text, details, metadata)
+        }
+        Final::Failed(why) => {
+            let (code, text) = match why {
+                Failure::Deadline => (Code::DeadlineExceeded, "no answer in the time given".to_string()),
+                Failure::Attempts(text) => {
+                    (Code::Internal, format!("no attempt led to an answer; the last: {text}"))
+                }
+                Failure::Broken(text) => (Code::Internal, format!("the stream broke: {text}")),
+                Failure::Stopped => (Code::Internal, "the node stopped before the answer's end".to_string()),
+                Failure::Invalid(text) => (Code::InvalidArgument, text.clone()),
+            };
+            metadata.insert("grpc-retry-pushback-ms", MetadataValue::from_static("-1"));
+            Status::with_metadata(code, text, metadata)
+        }
+    }
+}
+
+/// A call's stream of tokens.
+pub struct Tell {
+    answer: Option<Answer>,
+}
+
+impl Stream for Tell {
+    type Item = Result<Tokens, Status>;
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let Some(answer) = self.answer.as_mut() else { return Poll::Ready(None) };
+        match answer.poll_part(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Part::Tokens(run)) => {
+                Poll::Ready(Some(Ok(Tokens { first_index: run.first_index, ids: run.ids })))
+            }
+            Poll::Ready(Part::End(end)) => {
+                self.answer = None;
+                Poll::Ready(Some(Err(status(&end))))
+            }
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Service(Node);
+
+#[tonic::async_trait]
+impl Front for Service {
+    type GenerateStream = Pin<Box<dyn Stream<Item = Result<Tokens, Status>> + Send>>;
+    async fn generate(
+        &self,
+        request: Request<GenerateRequest>,
+    ) -> Result<Response<Self::GenerateStream>, Status> {
+        let patience = match grpc_timeout(request.metadata()) {
+            Ok(patience) => patience,
+            Err(text) => return Err(status(&Final::Failed(Failure::Invalid(text)))),
+        };
+        let answer = self.0.generate(request.into_inner(), patience);
+        Ok(Response::new(Tell { answer: Some(answer) }.boxed()))
+    }
+}
+
+impl Node {
+    /// Serves gRPC on a listener until the node stops: then it closes the door, and each connection once its last
+    /// call is answered.
+    pub async fn serve(&self, mut listener: Box<dyn Listener>) {
+        let world = self.shared.world.clone();
+        let clients = Arc::new(AtomicUsize::new(0));
+        let most = self.shared.settings.most_prompt * TOKEN_BYTES + (64 << 10);
+        let service = FrontServer::new(Service(self.clone())).max_decoding_message_size(most);
+        loop {
+            let accepted = futures_lite::future::or(async { Some(listener.accept().await) }, async {
+                self.closed().await;
+                None
+            });
+            let conn = match accepted.await {
+                None => return,
+                Some(Ok((conn, _))) => conn,
+                Some(Err(e)) => {
+                    // Out of descriptors, most likely: a pause lets some come free.
+                    debug!(error = %e, "a connection could not be accepted");
+                    world.sleep(10_000).await;
+                    continue;
+                }
+            };
+            if clients.fetch_add(1, Ordering::SeqCst) >= self.shared.settings.most_clients {
+                clients.fetch_sub(1, Ordering::SeqCst);
+                self.shared.metrics.clients_turned_away.add(1);
+                continue;
+            }
+            let (service, clients, node) =
+                (TowerToHyperService::new(service.clone()), clients.clone(), self.clone());
+            let tasks = Tasks(world.clone());
+            world.run(async move {
+                let mut builder = hyper::server::conn::http2::Builder::new(tasks);
+                builder
+                    .auto_date_header(false)
+                    .max_concurrent_streams(CALLS_PER_CLIENT)
+                    .max_header_list_size(MOST_HEADERS);
+                let mut connection = std::pin::pin!(builder.serve_connection(Io(conn), service));
+                let stopped = futures_lite::future::or(async { Some(connection.as_mut().await) }, async {
+                    node.closed().await;
+                    None
+                });
+                if stopped.await.is_none() {
+                    connection.as_mut().graceful_shutdown();
+                    // Errors concern this client alone.
+                    let _ = connection.await;
+                }
+                clients.fetch_sub(1, Ordering::SeqCst);
+            });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn timeouts_are_read_as_the_protocol_says() {
+        let read = |text: &'static str| {
+            let mut metadata = MetadataMap::new();
+            metadata.insert("grpc-timeout", MetadataValue::from_static(text));
+            grpc_timeout(&metadata)
+        };
+        for (text, micros) in [("1H", 3_600_000_000), ("2M", 120_000_000), ("3S", 3_000_000), ("4m", 4_000)] {
+            assert_eq!(read(text), Ok(Some(micros)), "{text}");
+        }
+        assert_eq!(read("99999999n"), Ok(Some(99_999)));
+        for text in ["", "S", "1", "123456789S", "-1S", "+1S", "1s", "1.5S", "1 S"] {
+            assert!(read(text).is_err(), "{text:?}");
+        }
+        assert_eq!(grpc_timeout(&MetadataMap::new()), Ok(None));
+    }
+
+    #[test]
+    fn a_failure_never_looks_like_a_refusal() {
+        let refusals = [Refusal::Shed, Refusal::NodeFull, Refusal::Stopping];
+        for why in refusals {
+            let status = status(&Final::Refused { retry_after: Some(1_500), why });
+            assert!(matches!(status.code(), Code::ResourceExhausted | Code::Unavailable));
+            assert_eq!(status.metadata().get("grpc-retry-pushback-ms").unwrap(), "2");
+            let retry = status.get_details_retry_info().unwrap();
+            assert_eq!(retry.retry_delay, Some(Duration::from_micros(1_500)));
+        }
+        let text = || "why".to_string();
+        let failures = [
+            Failure::Deadline,
+            Failure::Attempts(text()),
+            Failure::Broken(text()),
+            Failure::Stopped,
+            Failure::Invalid(text()),
+        ];
+        for why in failures {
+            let status = status(&Final::Failed(why));
+            assert!(!matches!(status.code(), Code::ResourceExhausted | Code::Unavailable | Code::Ok));
+            assert_eq!(status.metadata().get("grpc-retry-pushback-ms").unwrap(), "-1");
+            assert!(status.get_details_retry_info().is_none());
+        }
+    }
+}
--- /dev/null
+++ b/crates/ivyward/src/driver.rs
@@ -0,0 +1,719 @@
+//! The one task that owns the module: turns what happened into events and carries out what it decides.
+//!
+//! It decides nothing itself. What the module is told goes through [`Driver::tell`], what it asks for through
+//! [`Driver::carry_out`]; both are what a recording holds.
+
+use crate::answer::{Buffer, Failure, Final, Refusal};
+use crate::attempt::{self, Ask, End, Job, Stop};
+use crate::link::Link;
+use crate::metrics::Metrics;
+use crate::record::Recorder;
+use crate::settings::{NodeSettings, KINDS};
+use futures_lite::future::or;
+use ivyward_core::interface as core;
+use ivyward_core::interface::{
+    Action, Arrival, Condition, Event, ListKind, Micros, Outcome, RequestId, Role, ServerId,
+};
+use ivyward_core::rules::Router;
+use ivyward_proto::engine as pb;
+use ivyward_wire::encode;
+use ivyward_world::{before, BoxFuture, WorldExt, WorldRef};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use tracing::{debug, info, warn};
+
+/// An engine as a list names it, with its address.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Engine {
+    /// What the module is told. `kind` is an index into [`KINDS`].
+    pub entry: core::ServerEntry,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// A request that was taken in.
+pub(crate) struct Taken {
+    pub(crate) id: u64,
+    pub(crate) arrival: Arrival,
+    pub(crate) prompt: Arc<Vec<u32>>,
+    pub(crate) class: String,
+    pub(crate) call_id: u64,
+    pub(crate) key: String,
+    /// Without a first token by then, the client gives up.
+    pub(crate) first_by: Micros,
+    /// Without the end by then, the client gives up; `None` for never.
+    pub(crate) end_by: Option<Micros>,
+    pub(crate) buffer: Arc<Buffer>,
+}
+
+pub(crate) struct Ended {
+    pub(crate) request: u64,
+    pub(crate) attempt: u16,
+    pub(crate) end: End,
+}
+
+/// What the driver is told.
+pub(crate) enum Notice {
+    Request(Box<Taken>),
+    Gone(u64),
+    First(u64, u16),
+    Ended(Ended),
+    Place { request: u64, attempt: u16, link: Arc<Link>, held: bool },
+    Probed { server: ServerId, alive: bool, report: core::Report },
+    Fleet { kind: ListKind, engines: Vec<Engine>, done: async_channel::Sender<()> },
+    Stop { by: Micros },
+    Flush(async_channel::Sender<()>),
+}
+
+/// What the parts of a node share.
+pub(crate) struct Shared {
+    pub(crate) world: WorldRef,
+    pub(crate) settings: NodeSettings,
+    pub(crate) router_settings: core::Settings,
+    /// Names this run of the node to engines.
+    pub(crate) incarnation: u64,
+    /// Holds at most a few notices for each open request (its arrival, its end, and each attempt's first token
+    /// and end) beside what the node's owner tells and awaits, so `most_open` bounds it.
+    pub(crate) notices: async_channel::Sender<Notice>,
+    pub(crate) open: AtomicUsize,
+    pub(crate) next_id: AtomicU64,
+    pub(crate) stopping: AtomicBool,
+    pub(crate) stop_told: event_listener::Event,
+    pub(crate) releases: AtomicUsize,
+    pub(crate) metrics: Metrics,
+}
+
+impl Shared {
+    pub(crate) fn tell(&self, notice: Notice) {
+        // Fails only when the driver is gone, and the node with it.
+        let _ = self.notices.try_send(notice);
+    }
+    pub(crate) fn most_tokens(&self, ask: &Ask) -> u32 {
+        match ask {
+            Ask::Write(write) => write.max_output_tokens,
+            Ask::Read(_) => 0,
+        }
+    }
+}
+
+struct Attempt {
+    link: Option<Arc<Link>>,
+    reads: bool,
+    out: bool,
+    stop: async_channel::Sender<Stop>,
+}
+
+/// Something that may be kept at an engine for a request.
+struct Kept {
+    link: Arc<Link>,
+    /// The attempt whose key it is kept under.
+    attempt: u16,
+    place: bool,
+}
+
+struct Open {
+    taken: Box<Taken>,
+    attempts: Vec<Attempt>,
+    /// Where its read state waits: an index into `kept` is too fragile, so link and attempt.
+    state: Option<(Arc<Link>, u16)>,
+    kept: Vec<Kept>,
+    streaming: bool,
+    answered: bool,
+    /// The entry in [`Driver::deadlines`].
+    deadline: Micros,
+    /// What the last failed attempt said.
+    last: String,
+}
+
+pub(crate) struct Driver {
+    shared: Arc<Shared>,
+    notices: async_channel::Receiver<Notice>,
+    router: Router,
+    recorder: Option<Recorder>,
+    open: BTreeMap<u64, Open>,
+    links: BTreeMap<ServerId, (Arc<Link>, u8)>,
+    deadlines: BTreeSet<(Micros, u64)>,
+    timers: BTreeSet<(Micros, u64, u64)>,
+    timer_seq: u64,
+    actions: Vec<Action>,
+    stop_by: Option<Micros>,
+}
+
+impl Driver {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        notices: async_channel::Receiver<Notice>,
+        recorder: Option<Recorder>,
+    ) -> Driver {
+        let router = Router::new(shared.router_settings.clone(), shared.settings.seed);
+        Driver {
+            shared,
+            notices,
+            router,
+            recorder,
+            open: BTreeMap::new(),
+            links: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            timers: BTreeSet::new(),
+            timer_seq: 0,
+            actions: Vec::new(),
+            stop_by: None,
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        let world = self.shared.world.clone();
+        let mut armed: Option<(Micros, BoxFuture<()>)> = None;
+        loop {
+            let now = world.now();
+            self.fire(now);
+            if self.stop_by.is_some() && self.open.is_empty() {
+                break;
+            }
+            let notice = match self.notices.try_recv() {
+                Ok(notice) => Some(notice),
+                Err(_) => {
+                    // The timer is set anew only for an earlier time; one that rings too early does no harm.
+                    let due = self.due();
+                    if armed.as_ref().is_none_or(|(at, _)| due < *at) {
+                        armed = Some((due, world.sleep_until(due)));
+                    }
+                    let timer = armed.as_mut().map(|(_, timer)| timer);
+                    let rung = async {
+                        match timer {
+                            Some(timer) => timer.await,
+                            None => std::future::pending().await,
+                        }
+                        None
+                    };
+                    let told = or(async { Some(self.notices.recv().await) }, rung).await;
+                    match told {
+                        Some(Ok(notice)) => Some(notice),
+                        // All handles are gone: nobody is left to serve.
+                        Some(Err(_)) => break,
+                        None => {
+                            armed = None;
+                            None
+                        }
+                    }
+                }
+            };
+            if let Some(notice) = notice {
+                self.take(notice);
+            }
+        }
+        self.flush();
+        self.links.values().for_each(|(link, _)| link.shut());
+    }
+
+    fn flush(&mut self) {
+        if let Some(Err(e)) = self.recorder.as_mut().map(Recorder::flush) {
+            warn!(error = %e, "the recording ends here: it cannot be written");
+            self.recorder = None;
+        }
+    }
+
+    fn due(&self) -> Micros {
+        let timers = self.timers.first().map(|t| t.0);
+        let deadlines = self.deadlines.first().map(|d| d.0);
+        [timers, deadlines, self.stop_by].into_iter().flatten().min().unwrap_or(Micros::MAX)
+    }
+
+    fn fire(&mut self, now: Micros) {
+        while let Some((at, seq, token)) = self.timers.first().copied().filter(|t| t.0 <= now) {
+            self.timers.remove(&(at, seq, token));
+            self.tell(Event::Timer(token));
+        }
+        while let Some((at, id)) = self.deadlines.first().copied().filter(|d| d.0 <= now) {
+            self.deadlines.remove(&(at, id));
+            self.end_now(id, Failure::Deadline);
+        }
+        if self.stop_by.is_some_and(|by| by <= now) {
+            let ids: Vec<u64> = self.open.keys().copied().collect();
+            for id in ids {
+                self.end_now(id, Failure::Stopped);
+            }
+        }
+    }
+
+    /// The client's time, or the node's, is over: it gets its answer now, whatever is out.
+    fn end_now(&mut self, id: u64, why: Failure) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if !open.answered {
+            open.answered = true;
+            if open.taken.buffer.finish(Final::Failed(why)) {
+                self.shared.metrics.failed.add(1);
+            }
+            self.tell(Event::ClientGone(RequestId(id)));
+        }
+        self.give_up_attempts(id);
+        self.sweep(id);
+    }
+
+    fn give_up_attempts(&mut self, id: u64) {
+        let Some(open) = self.open.get(&id) else { return };
+        for attempt in open.attempts.iter().filter(|a| a.out) {
+            // Full means that it was told already; what it was told first was no less.
+            let _ = attempt.stop.try_send(Stop::GiveUp);
+        }
+    }
+
+    fn take(&mut self, notice: Notice) {
+        match notice {
+            Notice::Request(taken) => self.on_request(taken),
+            Notice::Gone(id) => self.on_gone(id),
+            Notice::First(id, attempt) => self.on_first(id, attempt),
+            Notice::Ended(ended) => self.on_ended(ended),
+            Notice::Place { request, attempt, link, held } => self.on_place(request, attempt, link, held),
+            Notice::Probed { server, alive, report } => self.tell(Event::Probed { server, alive, report }),
+            Notice::Fleet { kind, engines, done } => {
+                self.on_fleet(kind, engines);
+                // The one who told may have left.
+                let _ = done.try_send(());
+            }
+            Notice::Stop { by } => self.stop_by = Some(self.stop_by.map_or(by, |before| before.min(by))),
+            Notice::Flush(done) => {
+                self.flush();
+                let _ = done.try_send(());
+            }
+        }
+    }
+
+    /// Tells the module one event and carries out what it asks for: the only way in.
+    fn tell(&mut self, event: Event) {
+        self.tell_at(self.shared.world.now(), event);
+    }
+
+    fn tell_at(&mut self, now: Micros, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        let kept = self.recorder.is_some().then(|| event.clone());
+        self.router.handle(now, event, &mut actions);
+        if let (Some(recorder), Some(event)) = (self.recorder.as_mut(), kept) {
+            if let Err(e) = recorder.step(now, &event, &actions) {
+                warn!(error = %e, "the recording ends here: it cannot be written");
+                self.recorder = None;
+            }
+        }
+        for action in actions.drain(..) {
+            self.carry_out(now, action);
+        }
+        self.actions = actions;
+    }
+
+    /// Does what the module asks for: the only way out.
+    fn carry_out(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { request, server, timeout } => self.send(now, request.0, server, timeout),
+            Action::Cancel { request, attempt } => {
+                let open = self.open.get(&request.0);
+                if let Some(a) = open.and_then(|o| o.attempts.get(usize::from(attempt))).filter(|a| a.out) {
+                    let _ = a.stop.try_send(Stop::CallOff);
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                let retry_after = (retry_after > 0).then_some(retry_after);
+                self.answer(request.0, Final::Refused { retry_after, why: Refusal::Shed });
+            }
+            Action::Fail(request) => {
+                let late = self.open.get(&request.0).filter(|o| now < o.taken.first_by);
+                let why = late.map_or(Failure::Deadline, |o| Failure::Attempts(o.last.clone()));
+                self.answer(request.0, Final::Failed(why));
+            }
+            Action::Release(request) => self.release(request.0),
+            Action::HoldAhead { request, server } => self.hold(request.0, server),
+            Action::SetTimer { at, token } => {
+                self.timer_seq += 1;
+                self.timers.insert((at, self.timer_seq, token));
+            }
+            Action::Probe(server) => self.probe(server),
+            // Lists come by themselves here.
+            Action::Subscribe => {}
+            Action::Log(line) => info!(target: "ivyward::module", "{line}"),
+        }
+    }
+
+    fn answer(&mut self, id: u64, end: Final) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
+        open.answered = true;
+        let counter = match end {
+            Final::Served => &self.shared.metrics.served,
+            Final::Refused { .. } => &self.shared.metrics.refused,
+            Final::Failed(_) => &self.shared.metrics.failed,
+        };
+        if open.taken.buffer.finish(end) {
+            counter.add(1);
+        }
+    }
+
+    /// Forgets a request that is answered and has no attempt out.
+    fn sweep(&mut self, id: u64) {
+        if self.open.get(&id).is_none_or(|o| !o.answered || o.attempts.iter().any(|a| a.out)) {
+            return;
+        }
+        self.release(id);
+        if let Some(open) = self.open.remove(&id) {
+            self.deadlines.remove(&(open.deadline, id));
+            self.shared.open.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+
+    fn on_request(&mut self, taken: Box<Taken>) {
+        let now = self.shared.world.now();
+        let (id, mut arrival) = (taken.id, taken.arrival);
+        // The module's time ends at once with ours, whenever this notice was taken up.
+        arrival.patience = taken.first_by.saturating_sub(now);
+        let deadline = self.backstop(taken.first_by);
+        self.deadlines.insert((deadline, id));
+        let open = Open {
+            taken,
+            attempts: Vec::new(),
+            state: None,
+            kept: Vec::new(),
+            streaming: false,
+            answered: false,
+            deadline,
+            last: "no engine could take it".into(),
+        };
+        self.open.insert(id, open);
+        self.tell_at(now, Event::Request(arrival));
+        self.sweep(id);
+    }
+
+    /// When a client gets its answer whatever the module and the attempts do: half the margin before its end.
+    fn backstop(&self, by: Micros) -> Micros {
+        by.saturating_add(self.shared.settings.answer_margin / 2)
+    }
+
+    fn on_gone(&mut self, id: u64) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
+        open.answered = true;
+        self.shared.metrics.gone.add(1);
+        // Tokens that an attempt still has in hand go nowhere.
+        open.taken.buffer.finish(Final::Failed(Failure::Broken("the client left".into())));
+        let streaming = open.streaming;
+        self.tell(Event::ClientGone(RequestId(id)));
+        if streaming {
+            self.give_up_attempts(id);
+        }
+        self.sweep(id);
+    }
+
+    fn on_first(&mut self, id: u64, attempt: u16) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
+        open.streaming = true;
+        self.deadlines.remove(&(open.deadline, id));
+        // From now on only the call's own deadline counts; first_by is that less the margin.
+        open.deadline = open.taken.end_by.unwrap_or(Micros::MAX);
+        if open.deadline != Micros::MAX {
+            open.deadline = open.deadline.saturating_add(self.shared.settings.answer_margin / 2);
+            self.deadlines.insert((open.deadline, id));
+        }
+        // What the writer fetched or took is let go by that; the rest is let go now.
+        let used = open.state.take();
+        let writer = open.attempts.get(usize::from(attempt)).and_then(|a| a.link.clone());
+        let rest: Vec<Kept> = std::mem::take(&mut open.kept);
+        for kept in rest {
+            let fetched =
+                used.as_ref().is_some_and(|(l, a)| Arc::ptr_eq(l, &kept.link) && *a == kept.attempt);
+            let taken = kept.place && writer.as_ref().is_some_and(|w| Arc::ptr_eq(w, &kept.link));
+            if !(fetched && !kept.place || taken) {
+                self.let_go(id, kept.link, kept.attempt);
+            }
+        }
+        self.tell(Event::FirstToken { request: RequestId(id), attempt });
+    }
+
+    fn on_ended(&mut self, ended: Ended) {
+        let Ended { request: id, attempt: no, end } = ended;
+        self.shared.metrics.outcome(end.outcome);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(attempt) = open.attempts.get_mut(usize::from(no)).filter(|a| a.out) else { return };
+        attempt.out = false;
+        let (reads, link) = (attempt.reads, attempt.link.clone());
+        debug!(request = id, attempt = no, outcome = ?end.outcome, text = end.text, "attempt ended");
+        if !matches!(end.outcome, Outcome::Served | Outcome::Read) {
+            open.last = end.text.clone();
+        }
+        let unknown = !matches!(
+            end.outcome,
+            Outcome::ConnectFailed | Outcome::NotSent | Outcome::Full | Outcome::StateLost | Outcome::Read
+        );
+        if let Some(link) = link {
+            if reads && end.outcome == Outcome::Read {
+                open.kept.push(Kept { link: link.clone(), attempt: no, place: false });
+                open.state = Some((link, no));
+            } else if reads && unknown {
+                // A read whose end is not known may have left a state that nobody will fetch.
+                self.let_go(id, link, no);
+            }
+        }
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if end.outcome == Outcome::StateLost {
+            open.state = None;
+            open.kept.retain(|k| k.place);
+        }
+        let (broke, served) =
+            (open.streaming && end.outcome != Outcome::Served, end.outcome == Outcome::Served);
+        let finished = open.answered || open.streaming || served;
+        let event = Event::AttemptEnded {
+            request: RequestId(id),
+            attempt: no,
+            outcome: end.outcome,
+            kept_tokens: end.kept,
+            finished,
+            report: end.report,
+        };
+        self.tell(event);
+        if served {
+            self.answer(id, Final::Served);
+        } else if broke {
+            self.answer(id, Final::Failed(Failure::Broken(end.text)));
+        }
+        self.sweep(id);
+    }
+
+    fn on_place(&mut self, id: u64, attempt: u16, link: Arc<Link>, held: bool) {
+        let server = link.id;
+        match self.open.get_mut(&id).filter(|o| !o.answered && !o.streaming) {
+            Some(open) if held => open.kept.push(Kept { link, attempt, place: true }),
+            Some(_) => {}
+            // The request ended meanwhile.
+            None if held => return self.let_go(id, link, attempt),
+            None => return,
+        }
+        self.tell(Event::PlaceAnswer { request: RequestId(id), server, held });
+    }
+
+    fn on_fleet(&mut self, kind: ListKind, engines: Vec<Engine>) {
+        let complete = matches!(kind, ListKind::Full | ListKind::Cached);
+        if complete {
+            let named: BTreeSet<ServerId> = engines.iter().map(|e| e.entry.id).collect();
+            for (id, (link, _)) in &self.links {
+                if !named.contains(id) {
+                    link.set_closing(true);
+                }
+            }
+            self.links.retain(|id, _| named.contains(id));
+        }
+        let mut entries = Vec::with_capacity(engines.len());
+        for engine in engines {
+            let Engine { entry, address } = engine;
+            let Some(role) = KINDS.get(usize::from(entry.kind)) else {
+                warn!(
+                    engine = entry.id.0,
+                    kind = entry.kind,
+                    "an engine of a kind that is not known is left out"
+                );
+                continue;
+            };
+            debug!(engine = entry.id.0, ?role, condition = ?entry.condition, %address, "listed");
+            let moved = self.links.get(&entry.id).is_some_and(|(link, _)| link.address != address);
+            if moved || entry.condition == Condition::Gone {
+                if let Some((link, _)) = self.links.remove(&entry.id) {
+                    link.set_closing(true);
+                }
+            }
+            if entry.condition != Condition::Gone {
+                let shared = &self.shared;
+                let (link, kind) = self.links.entry(entry.id).or_insert_with(|| {
+                    (Link::new(&shared.world, entry.id, address, &shared.settings), entry.kind)
+                });
+                *kind = entry.kind;
+                link.set_closing(entry.condition != Condition::Ready);
+            }
+            entries.push(entry);
+        }
+        self.shared.metrics.engines.set(self.links.len() as u64);
+        self.tell(Event::Fleet { kind, entries });
+    }
+
+    fn header(&self, id: u64, attempt: u16, server: ServerId, open: &Open) -> pb::Header {
+        pb::Header {
+            key: Some(pb::AttemptKey {
+                node: self.shared.incarnation,
+                request: id,
+                attempt: u32::from(attempt),
+            }),
+            engine: server.0,
+            call_id: open.taken.call_id,
+            class: open.taken.class.clone(),
+            idempotency_key: open.taken.key.clone(),
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: u64, server: ServerId, timeout: Micros) {
+        let shared = self.shared.clone();
+        let Some(open) = self.open.get(&id) else { return };
+        let no = open.attempts.len() as u16;
+        let found = self.links.get(&server).cloned();
+        // The module sees to both; a message to an engine is too late to find out.
+        let ill = open.answered || open.attempts.iter().any(|a| a.out);
+        if ill {
+            warn!(request = id, "the module asked for an attempt beside another, or after the end: not sent");
+        }
+        let reads = found.as_ref().is_some_and(|(_, kind)| KINDS[usize::from(*kind)] == Role::Prefill);
+        let (stop_tx, stop) = async_channel::bounded(1);
+        let attempt = Attempt { link: found.clone().map(|f| f.0), reads, out: true, stop: stop_tx };
+        let job = found.filter(|_| !ill).map(|(link, _)| {
+            let (taken, header) = (&open.taken, Some(self.header(id, no, server, open)));
+            let (opening, opening_tokens) = (taken.arrival.prefix, taken.arrival.prefix_tokens as u32);
+            let (prompt, session) = (taken.prompt.to_vec(), taken.arrival.session);
+            let ask = if reads {
+                Ask::Read(pb::ReadRequest { header, prompt, opening, opening_tokens, session })
+            } else {
+                let state = open.state.as_ref().map(|(at, attempt)| pb::StateRef {
+                    key: Some(pb::AttemptKey {
+                        node: shared.incarnation,
+                        request: id,
+                        attempt: u32::from(*attempt),
+                    }),
+                    engine: at.id.0,
+                    address: at.address.to_string(),
+                });
+                let max_output_tokens = taken.arrival.max_output as u32;
+                Ask::Write(pb::WriteRequest {
+                    header,
+                    prompt,
+                    opening,
+                    opening_tokens,
+                    session,
+                    max_output_tokens,
+                    state,
+                })
+            };
+            let until =
+                if timeout == 0 { taken.first_by } else { taken.first_by.min(now.saturating_add(timeout)) };
+            let buffer = taken.buffer.clone();
+            Job { shared: shared.clone(), link, request: id, attempt: no, ask, until, buffer, stop }
+        });
+        if let Some(open) = self.open.get_mut(&id) {
+            open.attempts.push(attempt);
+        }
+        match job {
+            Some(job) => {
+                shared.metrics.attempts.add(1);
+                shared.world.run(attempt::run(job));
+            }
+            None => {
+                let end = End {
+                    outcome: Outcome::NotSent,
+                    kept: 0,
+                    report: core::Report::default(),
+                    text: String::new(),
+                };
+                shared.tell(Notice::Ended(Ended { request: id, attempt: no, end }));
+            }
+        }
+    }
+
+    /// Lets go of everything that may be kept for a request.
+    fn release(&mut self, id: u64) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.state = None;
+        for kept in std::mem::take(&mut open.kept) {
+            self.let_go(id, kept.link, kept.attempt);
+        }
+    }
+
+    /// Asks an engine to let go, again with growing pauses while it cannot be reached; after that its own limit
+    /// lets go. The first try leaves at once.
+    fn let_go(&self, id: u64, link: Arc<Link>, attempt: u16) {
+        let shared = self.shared.clone();
+        if shared.releases.fetch_add(1, Ordering::SeqCst) >= shared.settings.most_releases {
+            shared.releases.fetch_sub(1, Ordering::SeqCst);
+            shared.metrics.releases_dropped.add(1);
+            return;
+        }
+        shared.metrics.releases.add(1);
+        let key = pb::AttemptKey { node: shared.incarnation, request: id, attempt: u32::from(attempt) };
+        let body = encode(&pb::ReleaseRequest { key: Some(key), engine: link.id.0 });
+        let world = shared.world.clone();
+        world.clone().run(async move {
+            let give_up = world.now().saturating_add(shared.settings.release_tries);
+            let mut pause = shared.settings.redial_first;
+            loop {
+                if unary::<pb::ReleaseReply>(
+                    &world,
+                    &link,
+                    "/ivyward.engine.v1.Engine/Release",
+                    body.clone(),
+                    &shared,
+                )
+                .await
+                .is_some()
+                {
+                    break;
+                }
+                if world.now().saturating_add(pause) > give_up {
+                    shared.metrics.releases_dropped.add(1);
+                    break;
+                }
+                world.sleep(pause).await;
+                pause = (pause * 2).min(shared.settings.redial_most);
+            }
+            shared.releases.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+
+    fn hold(&mut self, id: u64, server: ServerId) {
+        let (Some(open), Some((link, _))) = (self.open.get(&id), self.links.get(&server).cloned()) else {
+            return;
+        };
+        let attempt = (open.attempts.len() as u16).saturating_sub(1);
+        let prompt_tokens = open.taken.prompt.len() as u32;
+        let header = Some(self.header(id, attempt, server, open));
+        let body = encode(&pb::HoldRequest { header, prompt_tokens });
+        let (shared, world) = (self.shared.clone(), self.shared.world.clone());
+        world.clone().run(async move {
+            let path = "/ivyward.engine.v1.Engine/Hold";
+            let reply = match link.closing() {
+                true => None,
+                false => unary::<pb::HoldReply>(&world, &link, path, body, &shared).await,
+            };
+            let held = reply.as_ref().is_some_and(|r| r.held && r.engine == server.0);
+            if reply.is_none() {
+                // It may hold a place all the same.
+                let key =
+                    pb::AttemptKey { node: shared.incarnation, request: id, attempt: u32::from(attempt) };
+                let body = encode(&pb::ReleaseRequest { key: Some(key), engine: server.0 });
+                unary::<pb::ReleaseReply>(&world, &link, "/ivyward.engine.v1.Engine/Release", body, &shared)
+                    .await;
+            }
+            shared.tell(Notice::Place { request: id, attempt, link, held });
+        });
+    }
+
+    fn probe(&mut self, server: ServerId) {
+        let Some((link, _)) = self.links.get(&server).cloned() else { return };
+        let (shared, world) = (self.shared.clone(), self.shared.world.clone());
+        world.clone().run(async move {
+            let body = encode(&pb::ProbeRequest { engine: server.0 });
+            let reply =
+                unary::<pb::ProbeReply>(&world, &link, "/ivyward.engine.v1.Engine/Probe", body, &shared)
+                    .await;
+            let alive = reply.as_ref().is_some_and(|r| r.engine == server.0);
+            let load = reply.and_then(|r| r.load);
+            let report = attempt::report(load.as_ref(), &shared.router_settings.report_fields);
+            shared.tell(Notice::Probed { server, alive, report });
+        });
+    }
+}
+
+/// A short call whose failure is nobody's outcome.
+async fn unary<M: prost::Message + Default>(
+    world: &WorldRef,
+    link: &Arc<Link>,
+    path: &'static str,
+    body: bytes::Bytes,
+    shared: &Shared,
+) -> Option<M> {
+    let until = world.now().saturating_add(2 * shared.settings.dial_timeout);
+    let channel = link.channel(until).await.ok()?;
+    let mut call = channel.call(path, body, http::HeaderMap::new()).await.ok()?;
+    let reply = before(world, until, call.next::<M>()).await;
+    drop(call);
+    link.call_ended();
+    reply?.ok()?
+}
--- /dev/null
+++ b/crates/ivyward/src/metrics.rs
@@ -0,0 +1,106 @@
+//! Plain counters, and their text form for whoever scrapes them.
+
+use ivyward_core::interface::Outcome;
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// A number that only this node changes.
+#[derive(Debug, Default)]
+pub struct Counter(AtomicU64);
+
+impl Counter {
+    /// Adds to it.
+    pub fn add(&self, n: u64) {
+        self.0.fetch_add(n, Ordering::Relaxed);
+    }
+    /// Sets it, for what goes up and down.
+    pub fn set(&self, n: u64) {
+        self.0.store(n, Ordering::Relaxed);
+    }
+    /// Its value.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// All counters of a node.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    /// Requests taken.
+    pub requests: Counter,
+    /// Requests that were wrong in themselves.
+    pub invalid: Counter,
+    /// Final answers: served.
+    pub served: Counter,
+    /// Final answers: refused, those at the door's bounds among them.
+    pub refused: Counter,
+    /// Final answers: failed.
+    pub failed: Counter,
+    /// Requests whose client left first.
+    pub gone: Counter,
+    /// Attempts sent.
+    pub attempts: Counter,
+    /// Ends of attempts, in the order of [`OUTCOMES`].
+    pub outcomes: [Counter; 10],
+    /// Releases asked of engines.
+    pub releases: Counter,
+    /// Releases left to the engines' own limit.
+    pub releases_dropped: Counter,
+    /// Engines in the list.
+    pub engines: Counter,
+    /// Client connections turned away at the door's bound.
+    pub clients_turned_away: Counter,
+}
+
+/// How attempts end, as the metrics name it.
+pub const OUTCOMES: [(Outcome, &str); 10] = [
+    (Outcome::Served, "served"),
+    (Outcome::Read, "read"),
+    (Outcome::Error, "error"),
+    (Outcome::Full, "full"),
+    (Outcome::StateLost, "state_lost"),
+    (Outcome::TimedOut, "timed_out"),
+    (Outcome::ConnectFailed, "connect_failed"),
+    (Outcome::Reset, "reset"),
+    (Outcome::Cancelled, "cancelled"),
+    (Outcome::NotSent, "not_sent"),
+];
+
+impl Metrics {
+    pub(crate) fn outcome(&self, outcome: Outcome) {
+        if let Some(i) = OUTCOMES.iter().position(|(o, _)| *o == outcome) {
+            self.outcomes[i].add(1);
+        }
+    }
+    /// The counters in the usual text form.
+    pub fn text(&self, open: usize) -> String {
+        let mut out = String::new();
+        let finals = [
+            ("served", &self.served),
+            ("refused", &self.refused),
+            ("failed", &self.failed),
+            ("gone", &self.gone),
+        ];
+        let plain = [
+            ("ivyward_requests_total", self.requests.get()),
+            ("ivyward_invalid_total", self.invalid.get()),
+            ("ivyward_attempts_total", self.attempts.get()),
+            ("ivyward_releases_total", self.releases.get()),
+            ("ivyward_releases_dropped_total", self.releases_dropped.get()),
+            ("ivyward_clients_turned_away_total", self.clients_turned_away.get()),
+            ("ivyward_engines", self.engines.get()),
+            ("ivyward_open_requests", open as u64),
+        ];
+        // Writing to a String cannot fail.
+        for (name, value) in plain {
+            let _ = writeln!(out, "{name} {value}");
+        }
+        for (name, counter) in finals {
+            let _ = writeln!(out, "ivyward_answers_total{{final=\"{name}\"}} {}", counter.get());
+        }
+        for (counter, (_, name)) in self.outcomes.iter().zip(OUTCOMES) {
+            let _ = writeln!(out, "ivyward_attempt_ends_total{{outcome=\"{name}\"}} {}", counter.get());
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/ivyward/src/node.rs
@@ -0,0 +1,286 @@
+//! A node as its owner holds it.
+
+use crate::answer::{Buffer, Failure, Final, Part, Refusal};
+use crate::driver::{Driver, Engine, Notice, Shared, Taken};
+use crate::metrics::Metrics;
+use crate::record::Recorder;
+use crate::settings::{NodeSettings, SettingsError};
+use event_listener::Event;
+use futures_lite::future::poll_fn;
+use ivyward_core::interface::{Arrival, Effect, ListKind, Micros, RequestId};
+use ivyward_proto::front::GenerateRequest;
+use ivyward_world::{WorldExt, WorldRef};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Why a node does not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// A setting cannot hold.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// The recording cannot be written.
+    #[error("the recording cannot be begun: {0}")]
+    Recording(#[from] std::io::Error),
+}
+
+/// A running node. Clones are handles to the same one. It ends by [`Node::stop`], or with its world.
+#[derive(Clone)]
+pub struct Node {
+    pub(crate) shared: Arc<Shared>,
+    done: async_channel::Receiver<()>,
+}
+
+impl Node {
+    /// Starts a node that knows no engines yet: see [`Node::fleet`].
+    ///
+    /// # Errors
+    /// When a setting cannot hold or the recording cannot be written.
+    pub fn start(
+        world: WorldRef,
+        settings: NodeSettings,
+        recording: Option<Box<dyn std::io::Write + Send>>,
+    ) -> Result<Node, StartError> {
+        settings.check()?;
+        let router_settings = settings.router();
+        let recorder =
+            recording.map(|out| Recorder::begin(out, &router_settings, settings.seed)).transpose()?;
+        let (notices, told) = async_channel::unbounded();
+        let shared = Arc::new(Shared {
+            incarnation: world.random(),
+            world: world.clone(),
+            settings,
+            router_settings,
+            notices,
+            open: AtomicUsize::new(0),
+            next_id: AtomicU64::new(1),
+            stopping: AtomicBool::new(false),
+            stop_told: Event::new(),
+            releases: AtomicUsize::new(0),
+            metrics: Metrics::default(),
+        });
+        let (finished, done) = async_channel::bounded::<()>(1);
+        let driver = Driver::new(shared.clone(), told, recorder);
+        world.run(async move {
+            driver.run().await;
+            drop(finished);
+        });
+        Ok(Node { shared, done })
+    }
+
+    /// Tells the node of engines, and returns when it took that in: from then on nothing new goes to one that
+    /// drains or is gone.
+    pub async fn fleet(&self, kind: ListKind, engines: Vec<Engine>) {
+        let (done, wait) = async_channel::bounded(1);
+        self.shared.tell(Notice::Fleet { kind, engines, done });
+        // An error means that the node ended.
+        let _ = wait.recv().await;
+    }
+
+    /// Takes a request. `patience` is how long the client waits for the whole answer, in microseconds; without one
+    /// its class's deadline holds for the first token. Bad requests get their answer like all others.
+    pub fn generate(&self, request: GenerateRequest, patience: Option<Micros>) -> Answer {
+        let shared = &self.shared;
+        let buffer = Arc::new(Buffer::new(shared.settings.stream_buffer));
+        let mut answer = Answer { buffer: buffer.clone(), id: None, shared: shared.clone() };
+        let over = |end| {
+            buffer.finish(end);
+        };
+        let taken = match self.taken(request, patience, buffer.clone()) {
+            Ok(taken) => taken,
+            Err(reason) => {
+                shared.metrics.invalid.add(1);
+                over(Final::Failed(Failure::Invalid(reason)));
+                return answer;
+            }
+        };
+        let refuse = |why| {
+            shared.metrics.refused.add(1);
+            over(Final::Refused { retry_after: Some(shared.router_settings.max_retry_after), why });
+        };
+        if shared.stopping.load(Ordering::SeqCst) {
+            refuse(Refusal::Stopping);
+        } else if taken.first_by <= shared.world.now() {
+            // No time is left to do anything, and nothing was done.
+            refuse(Refusal::Shed);
+        } else if shared.open.fetch_add(1, Ordering::SeqCst) >= shared.settings.most_open {
+            shared.open.fetch_sub(1, Ordering::SeqCst);
+            refuse(Refusal::NodeFull);
+        } else {
+            shared.metrics.requests.add(1);
+            answer.id = Some(taken.id);
+            shared.tell(Notice::Request(Box::new(taken)));
+        }
+        answer
+    }
+
+    fn taken(
+        &self,
+        request: GenerateRequest,
+        patience: Option<Micros>,
+        buffer: Arc<Buffer>,
+    ) -> Result<Taken, String> {
+        let settings = &self.shared.settings;
+        let named = |what: &str, name: &str, names: Vec<&str>| {
+            let found = names.iter().position(|n| *n == name).or(name.is_empty().then_some(0));
+            found.ok_or_else(|| format!("{what} {name:?} is none of: {}", names.join(", ")))
+        };
+        let class =
+            named("class", &request.class, settings.classes.iter().map(|c| c.name.as_str()).collect())?;
+        let tenant = match settings.tenants.is_empty() {
+            true => 0,
+            false => {
+                named("tenant", &request.tenant, settings.tenants.iter().map(|t| t.name.as_str()).collect())?
+            }
+        };
+        let (length, most) = (request.prompt.len(), settings.most_prompt);
+        if !(1..=most).contains(&length) {
+            return Err(format!("a prompt of {length} tokens; 1 to {most} are taken"));
+        }
+        let (output, most) = (request.max_output_tokens as usize, settings.most_output);
+        if !(1..=most).contains(&output) {
+            return Err(format!("max_output_tokens {output} must be from 1 to {most}"));
+        }
+        let opening = request.shared_opening_tokens as usize;
+        if opening > length {
+            return Err(format!("shared_opening_tokens {opening} is over the prompt's {length}"));
+        }
+        let named_class = &settings.classes[class];
+        if named_class.settings.effect == Effect::Keyed && request.idempotency_key.is_empty() {
+            return Err(format!("class {:?} needs an idempotency_key", named_class.name));
+        }
+        let prefix = match opening {
+            0 => 0,
+            _ => {
+                let bytes: Vec<u8> = request.prompt[..opening].iter().flat_map(|t| t.to_le_bytes()).collect();
+                xxh3_64(&bytes).max(1)
+            }
+        };
+        let session = match request.session.is_empty() {
+            true => 0,
+            false => xxh3_64(request.session.as_bytes()).max(1),
+        };
+        let now = self.shared.world.now();
+        let margin = settings.answer_margin;
+        let end_by = patience.map(|p| now.saturating_add(p).saturating_sub(margin));
+        let first = match request.first_token_patience_ms {
+            0 => patience.unwrap_or(named_class.settings.deadline),
+            ms => (u64::from(ms) * 1_000).min(patience.unwrap_or(Micros::MAX)),
+        };
+        let first_by = now.saturating_add(first).saturating_sub(margin);
+        let id = self.shared.next_id.fetch_add(1, Ordering::Relaxed);
+        let arrival = Arrival {
+            id: RequestId(id),
+            class,
+            tenant,
+            session,
+            prefix,
+            patience: 0,
+            prompt_tokens: length as f64,
+            prefix_tokens: opening as f64,
+            max_output: f64::from(request.max_output_tokens),
+            hinted_output: (request.expected_output_tokens > 0)
+                .then(|| f64::from(request.expected_output_tokens)),
+            repeat: request.repeat,
+            resumed: request.resumed,
+        };
+        Ok(Taken {
+            id,
+            arrival,
+            prompt: Arc::new(request.prompt),
+            class: named_class.name.clone(),
+            call_id: request.call_id,
+            key: request.idempotency_key,
+            first_by,
+            end_by,
+            buffer,
+        })
+    }
+
+    /// Takes nothing new, lets what is under way end for `within` microseconds at most, fails the rest, and returns
+    /// when the node is done.
+    pub async fn stop(&self, within: Micros) {
+        self.shared.stopping.store(true, Ordering::SeqCst);
+        self.shared.stop_told.notify(usize::MAX);
+        self.shared.tell(Notice::Stop { by: self.shared.world.now().saturating_add(within) });
+        // Ends with an error when the driver is done.
+        let _ = self.done.recv().await;
+    }
+
+    /// Writes what was recorded so far through to its file.
+    pub async fn flush_recording(&self) {
+        let (done, wait) = async_channel::bounded(1);
+        self.shared.tell(Notice::Flush(done));
+        let _ = wait.recv().await;
+    }
+
+    /// Returns when the node stops taking requests.
+    pub(crate) async fn closed(&self) {
+        loop {
+            let listener = self.shared.stop_told.listen();
+            if !self.taking() {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// The node's counters.
+    pub fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+    /// Requests in hand: taken, and not both answered and without an attempt.
+    pub fn open(&self) -> usize {
+        self.shared.open.load(Ordering::SeqCst)
+    }
+    /// Whether it still takes requests.
+    pub fn taking(&self) -> bool {
+        !self.shared.stopping.load(Ordering::SeqCst)
+    }
+    /// The name of this run of the node, as engines see it.
+    pub fn incarnation(&self) -> u64 {
+        self.shared.incarnation
+    }
+    /// The settings it runs with.
+    pub fn settings(&self) -> &NodeSettings {
+        &self.shared.settings
+    }
+}
+
+/// The answer to a request, as its client takes it. Dropping it before its end gives the request up.
+pub struct Answer {
+    buffer: Arc<Buffer>,
+    id: Option<u64>,
+    shared: Arc<Shared>,
+}
+
+impl Answer {
+    /// The next run of tokens, or the end, after which it must not be asked again.
+    pub fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Part> {
+        self.buffer.poll_part(cx)
+    }
+    /// The next run of tokens, or the end.
+    pub async fn next(&mut self) -> Part {
+        poll_fn(|cx| self.poll_part(cx)).await
+    }
+    /// All tokens and the end.
+    pub async fn collect(mut self) -> (Vec<u32>, Final) {
+        let mut ids = Vec::new();
+        loop {
+            match self.next().await {
+                Part::Tokens(run) => ids.extend(run.ids),
+                Part::End(end) => return (ids, end),
+            }
+        }
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.filter(|_| !self.buffer.told()) {
+            self.shared.tell(Notice::Gone(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ivyward/src/settings.rs
@@ -0,0 +1,320 @@
+//! What a node is told at its start, and the checks that keep impossible settings out.
+
+use ivyward_core::interface as core;
+use ivyward_core::interface::{ClassSettings, Effect, Micros, Role, TenantSettings};
+
+/// The kinds of engines, in the order of their numbers: [`core::ServerEntry::kind`] is an index into it.
+pub const KINDS: [Role; 3] = [Role::Prefill, Role::Decode, Role::Mixed];
+
+/// A request class with its name.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// How clients call it.
+    pub name: String,
+    /// What the module is told of it.
+    pub settings: ClassSettings,
+}
+
+/// A tenant with its name.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// How clients call it.
+    pub name: String,
+    /// What the module is told of it.
+    pub settings: TenantSettings,
+}
+
+/// Settings of a node. Times are microseconds. Field names stand for flags: `answer_margin` is `--answer-margin`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeSettings {
+    /// Feeds the module's random choices.
+    pub seed: u64,
+    /// The request classes; at least one. The first is taken where a client names none.
+    pub classes: Vec<Class>,
+    /// The tenants; may be empty.
+    pub tenants: Vec<Tenant>,
+    /// What the module is told beside classes, tenants and roles, which are filled in from the fields above.
+    pub rules: core::Settings,
+    /// The final answer is given so long before the client's patience ends.
+    pub answer_margin: Micros,
+    /// A connection not open after this span counts as failed.
+    pub dial_timeout: Micros,
+    /// First pause after a failed dial; it doubles, with jitter.
+    pub redial_first: Micros,
+    /// Longest such pause.
+    pub redial_most: Micros,
+    /// A connection that does not take the reset of a given-up call for this span is closed.
+    pub reset_wait: Micros,
+    /// A started stream without a token for this span counts as broken.
+    pub stream_stall: Micros,
+    /// A release that finds no engine is tried again for this span; then the engine's own limit lets go.
+    pub release_tries: Micros,
+    /// Tokens that wait for a slow client; the engine is not read further while so many wait.
+    pub stream_buffer: usize,
+    /// Calls on one connection to an engine.
+    pub calls_per_connection: usize,
+    /// Connections to one engine.
+    pub connections_per_engine: usize,
+    /// Idle span after which a connection to an engine is pinged.
+    pub ping_every: Micros,
+    /// A ping without an answer for this span closes the connection.
+    pub ping_timeout: Micros,
+    /// Requests that the node has in hand; one more is refused.
+    pub most_open: usize,
+    /// Connections that the door takes; one more is closed at once.
+    pub most_clients: usize,
+    /// Longest prompt, in tokens; a longer one is an error of the client.
+    pub most_prompt: usize,
+    /// Most output tokens a client may ask for.
+    pub most_output: usize,
+    /// Releases under way at once; one more is left to the engine's own limit.
+    pub most_releases: usize,
+}
+
+impl Default for NodeSettings {
+    fn default() -> NodeSettings {
+        NodeSettings {
+            seed: 1,
+            classes: Vec::new(),
+            tenants: Vec::new(),
+            rules: core::Settings {
+                nodes: 1,
+                over_share_worth: 1.0,
+                decode_may_prefill: true,
+                release_within: 500_000,
+                drain_grace: 250_000,
+                fall_multiple: 3.0,
+                fall_window: 2_000_000,
+                start_capacity: 0.3,
+                warm_after: 15_000_000,
+                max_attempts: 4,
+                may_cancel: true,
+                max_retry_after: 500_000,
+                ..core::Settings::default()
+            },
+            answer_margin: 30_000,
+            dial_timeout: 250_000,
+            redial_first: 20_000,
+            redial_most: 1_000_000,
+            reset_wait: 100_000,
+            stream_stall: 10_000_000,
+            release_tries: 10_000_000,
+            stream_buffer: 1_024,
+            calls_per_connection: 100,
+            connections_per_engine: 8,
+            ping_every: 1_000_000,
+            ping_timeout: 1_000_000,
+            most_open: 20_000,
+            most_clients: 4_096,
+            most_prompt: 200_000,
+            most_output: 100_000,
+            most_releases: 4_096,
+        }
+    }
+}
+
+/// A setting that cannot hold: which, its value, and why.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{flag} {value}: {reason}")]
+pub struct SettingsError {
+    /// The flag, as on the command line.
+    pub flag: String,
+    /// The value it was given.
+    pub value: String,
+    /// Why it cannot be, and what would do.
+    pub reason: String,
+}
+
+impl SettingsError {
+    /// An error about a flag.
+    pub fn new(flag: impl Into<String>, value: impl ToString, reason: impl Into<String>) -> SettingsError {
+        SettingsError { flag: flag.into(), value: value.to_string(), reason: reason.into() }
+    }
+}
+
+/// A span as people read it.
+fn ms(span: Micros) -> String {
+    format!("{}ms", span as f64 / 1000.0)
+}
+
+impl NodeSettings {
+    /// The module's settings, with classes, tenants and roles filled in.
+    pub fn router(&self) -> core::Settings {
+        core::Settings {
+            roles: KINDS.to_vec(),
+            classes: self.classes.iter().map(|c| c.settings.clone()).collect(),
+            tenants: self.tenants.iter().map(|t| t.settings.clone()).collect(),
+            ..self.rules.clone()
+        }
+    }
+
+    /// Looks for settings that could break a rule or do nothing sensible.
+    ///
+    /// # Errors
+    /// The first one found, as a line that names flag, value and reason.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        self.check_spans()?;
+        self.check_bounds()?;
+        self.check_rules()?;
+        if self.classes.is_empty() {
+            return Err(SettingsError::new("--class", "(none)", "at least one class is needed"));
+        }
+        for (i, class) in self.classes.iter().enumerate() {
+            self.check_class(i, class)?;
+        }
+        for (i, tenant) in self.tenants.iter().enumerate() {
+            let bad = |reason: &str| Err(SettingsError::new("--tenant", &tenant.name, reason));
+            if tenant.name.is_empty() {
+                return bad("a tenant needs a name");
+            }
+            if self.tenants[..i].iter().any(|t| t.name == tenant.name) {
+                return bad("the name is given twice");
+            }
+            if tenant.settings.quota_per_s.is_some_and(|q| !q.is_finite() || q <= 0.0) {
+                return bad("quota must be over 0");
+            }
+        }
+        Ok(())
+    }
+
+    fn check_spans(&self) -> Result<(), SettingsError> {
+        let hour = 3_600_000_000;
+        let spans = [
+            ("--answer-margin", self.answer_margin, 1_000),
+            ("--dial-timeout", self.dial_timeout, 1_000),
+            ("--redial-first", self.redial_first, 1_000),
+            ("--redial-most", self.redial_most, 1_000),
+            ("--reset-wait", self.reset_wait, 1_000),
+            ("--stream-stall", self.stream_stall, 1_000),
+            ("--release-tries", self.release_tries, 0),
+            ("--ping-every", self.ping_every, 0),
+            ("--ping-timeout", self.ping_timeout, 1_000),
+            ("--release-within", self.rules.release_within, 1_000),
+            ("--drain-grace", self.rules.drain_grace, 1_000),
+            ("--fall-window", self.rules.fall_window, 1_000),
+            ("--warm-after", self.rules.warm_after, 0),
+            ("--max-retry-after", self.rules.max_retry_after, 1_000),
+        ];
+        for (flag, span, least) in spans {
+            if span < least {
+                return Err(SettingsError::new(flag, ms(span), format!("at least {} is needed", ms(least))));
+            }
+            if span > hour {
+                return Err(SettingsError::new(flag, ms(span), "an hour at most"));
+            }
+        }
+        if self.redial_first > self.redial_most {
+            let reason = format!("longer than --redial-most, which is {}", ms(self.redial_most));
+            return Err(SettingsError::new("--redial-first", ms(self.redial_first), reason));
+        }
+        // A dial that outlasts the grace would send to an engine that drains.
+        if self.dial_timeout > self.rules.drain_grace {
+            let reason = format!("longer than --drain-grace, which is {}", ms(self.rules.drain_grace));
+            return Err(SettingsError::new("--dial-timeout", ms(self.dial_timeout), reason));
+        }
+        // A given-up read must be over before what it may have left behind is to be let go.
+        if self.reset_wait >= self.rules.release_within {
+            let reason =
+                format!("must be under --release-within, which is {}", ms(self.rules.release_within));
+            return Err(SettingsError::new("--reset-wait", ms(self.reset_wait), reason));
+        }
+        Ok(())
+    }
+
+    fn check_bounds(&self) -> Result<(), SettingsError> {
+        let bounds = [
+            ("--stream-buffer", self.stream_buffer, 1 << 20),
+            ("--calls-per-connection", self.calls_per_connection, 1 << 16),
+            ("--connections-per-engine", self.connections_per_engine, 1 << 12),
+            ("--most-open", self.most_open, 1 << 20),
+            ("--most-clients", self.most_clients, 1 << 20),
+            ("--most-prompt", self.most_prompt, 1 << 22),
+            ("--most-output", self.most_output, 1 << 22),
+            ("--most-releases", self.most_releases, 1 << 20),
+        ];
+        for (flag, value, most) in bounds {
+            if !(1..=most).contains(&value) {
+                return Err(SettingsError::new(flag, value, format!("must be from 1 to {most}")));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_rules(&self) -> Result<(), SettingsError> {
+        let r = &self.rules;
+        let number = |flag: &str, value: f64, from: f64, to: f64| {
+            if value.is_finite() && (from..=to).contains(&value) {
+                return Ok(());
+            }
+            Err(SettingsError::new(flag, value, format!("must be from {from} to {to}")))
+        };
+        number("--fall-multiple", r.fall_multiple, 0.0, 1e6)?;
+        number("--start-capacity", r.start_capacity, 0.0, 1.0)?;
+        number("--over-share-worth", r.over_share_worth, 0.0, 1.0)?;
+        number("--transfer-price", r.transfer_price, 0.0, 1.0)?;
+        number("--cross-zone-price", r.cross_zone_price, 0.0, 1.0)?;
+        number("--nodes", f64::from(r.nodes), 1.0, 1e6)?;
+        number("--max-attempts", f64::from(r.max_attempts), 1.0, 100.0)?;
+        if r.second_copies {
+            return Err(SettingsError::new(
+                "--second-copies",
+                true,
+                "this node has one attempt out at a time",
+            ));
+        }
+        if let Some(tokens) = r.memory_tokens.iter().find(|t| !t.is_finite() || **t <= 0.0) {
+            return Err(SettingsError::new("--memory-tokens", tokens, "must be over 0"));
+        }
+        if r.report_fields.len() > 4 {
+            return Err(SettingsError::new("--report", r.report_fields.len(), "four values at most"));
+        }
+        Ok(())
+    }
+
+    fn check_class(&self, i: usize, class: &Class) -> Result<(), SettingsError> {
+        let bad = |reason: String| Err(SettingsError::new("--class", &class.name, reason));
+        let s = &class.settings;
+        if class.name.is_empty() {
+            return bad("a class needs a name".into());
+        }
+        if self.classes[..i].iter().any(|c| c.name == class.name) {
+            return bad("the name is given twice".into());
+        }
+        let numbers = [
+            ("ttft-aim-per-1000", s.ttft_aim_per_1000, 0.0, 1e9),
+            ("tpot-aim", s.tpot_aim, 0.0, 1e9),
+            ("worth", s.worth, 0.0, 1e6),
+            ("late-share", s.late_share, 0.0, 1.0),
+        ];
+        for (key, value, from, to) in numbers {
+            if !value.is_finite() || !(from..=to).contains(&value) {
+                return bad(format!("{key}={value} must be from {from} to {to}"));
+            }
+        }
+        if s.ttft_aim < 1_000 {
+            return bad(format!("ttft-aim={} must be at least 1ms", ms(s.ttft_aim)));
+        }
+        if s.deadline > 3_600_000_000 {
+            return bad(format!("deadline={} must be an hour at most", ms(s.deadline)));
+        }
+        // Rule 1: the final answer comes before the client gives up.
+        if s.deadline <= 2 * self.answer_margin {
+            let margin = ms(self.answer_margin);
+            return bad(format!(
+                "deadline={} leaves no time beside --answer-margin {margin}",
+                ms(s.deadline)
+            ));
+        }
+        if s.ttft_aim > s.deadline {
+            return bad(format!("ttft-aim={} is over deadline={}", ms(s.ttft_aim), ms(s.deadline)));
+        }
+        // Rule 2: keyed requests are sent again only inside a window in which repeats are dropped.
+        if s.effect == Effect::Keyed && s.repeat_window == 0 {
+            return bad("effect=keyed needs repeat-window, the time in which engines drop repeats".into());
+        }
+        if s.effect != Effect::Keyed && s.repeat_window != 0 {
+            return bad("repeat-window goes with effect=keyed".into());
+        }
+        Ok(())
+    }
+}
