--- /dev/null
+++ b/crates/ivyward-standins/src/client.rs
@@ -0,0 +1,189 @@
+//! A scripted client of a node's door: patience, retries, cancels and impatience.
+
+use crate::sight::{Effect, Heard, Log, Sight};
+use crate::text;
+use futures_lite::future::or;
+use http::{HeaderMap, HeaderValue};
+use ivyward_proto::front::{GenerateRequest, Tokens};
+use ivyward_wire::{encode, Cause, Channel, Options};
+use ivyward_world::{before, Micros, WorldExt, WorldRef};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// How a client behaves. Times are microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Habit {
+    /// How long it waits for the whole answer.
+    pub patience: Micros,
+    /// Leaves without a word after this time.
+    pub leave_after: Option<Micros>,
+    /// Leaves after so many tokens.
+    pub leave_at_token: Option<u32>,
+    /// Waits so long before it takes the next message.
+    pub read_pause: Micros,
+    /// Sends no deadline with its call, and waits as long all the same.
+    pub silent_deadline: bool,
+}
+
+/// A request as a client makes it.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// What is sent; `call_id` names this try.
+    pub request: GenerateRequest,
+    /// The same for all tries of one request.
+    pub operation: u64,
+    /// How far its class may be repeated.
+    pub effect: Effect,
+    /// Which node, as the script counts them.
+    pub node: usize,
+    /// The client's ways.
+    pub habit: Habit,
+}
+
+/// How a try ended, with what a script wants to know.
+#[derive(Clone, Debug, PartialEq)]
+pub struct End {
+    /// How.
+    pub how: Heard,
+    /// gRPC's status code; 0 where none came.
+    pub code: u32,
+    /// What the status said.
+    pub message: String,
+    /// When the refusal says to come back.
+    pub pushback: Option<Micros>,
+    /// From the call to the first token.
+    pub first: Option<Micros>,
+    /// From the call to the end.
+    pub took: Micros,
+    /// Tokens that came.
+    pub tokens: u32,
+}
+
+/// A connection to a node's door.
+#[derive(Clone)]
+pub struct Client {
+    world: WorldRef,
+    log: Log,
+    channel: Arc<Channel>,
+}
+
+impl Client {
+    /// Connects to a door.
+    ///
+    /// # Errors
+    /// What the network says.
+    pub async fn connect(world: &WorldRef, log: &Log, door: SocketAddr) -> std::io::Result<Client> {
+        let conn = world.connect(door).await?;
+        let options = Options { streams: 4_096, ..Options::default() };
+        let channel = Channel::begin(world, conn, options).await.map_err(std::io::Error::other)?;
+        Ok(Client { world: world.clone(), log: log.clone(), channel: Arc::new(channel) })
+    }
+    /// Whether it may still be used.
+    pub fn usable(&self) -> bool {
+        self.channel.usable()
+    }
+    /// Closes the connection; its calls break.
+    pub fn close(&self) {
+        self.channel.close();
+    }
+
+    /// Makes one try and follows it to its end.
+    pub async fn ask(&self, ask: &Ask) -> End {
+        let (call, began) = (ask.request.call_id, self.world.now());
+        let until = began.saturating_add(ask.habit.patience);
+        self.log.add(Sight::Called {
+            call,
+            operation: ask.operation,
+            node: ask.node,
+            effect: ask.effect,
+            until: self.log.now().saturating_add(ask.habit.patience),
+        });
+        let mut end = End {
+            how: Heard::GaveUp,
+            code: 0,
+            message: String::new(),
+            pushback: None,
+            first: None,
+            took: 0,
+            tokens: 0,
+        };
+        let leave = ask.habit.leave_after.map_or(Micros::MAX, |span| began.saturating_add(span));
+        let followed = self.follow(ask, began, &mut end);
+        let how =
+            or(async { Some(before(&self.world, until, followed).await.unwrap_or(Heard::GaveUp)) }, async {
+                self.world.sleep_until(leave).await;
+                None
+            })
+            .await
+            .unwrap_or(Heard::Left);
+        end.how = how;
+        end.took = self.world.now() - began;
+        self.log.add(Sight::Heard { call, how });
+        end
+    }
+
+    async fn follow(&self, ask: &Ask, began: Micros, end: &mut End) -> Heard {
+        let mut headers = HeaderMap::new();
+        if !ask.habit.silent_deadline {
+            let text = format!("{}u", ask.habit.patience.min(99_999_999));
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                headers.insert("grpc-timeout", value);
+            }
+        }
+        let path = "/ivyward.front.v1.Front/Generate";
+        let mut call = match self.channel.call(path, encode(&ask.request), headers).await {
+            Ok(call) => call,
+            Err(e) => {
+                end.message = e.to_string();
+                return Heard::Unreachable;
+            }
+        };
+        let digest = text::digest(&ask.request.prompt);
+        let length = text::length(digest, ask.request.max_output_tokens);
+        loop {
+            match call.next::<Tokens>().await {
+                Ok(Some(run)) => {
+                    if end.first.is_none() {
+                        end.first = Some(self.world.now() - began);
+                        self.log.add(Sight::Began { call: ask.request.call_id });
+                    }
+                    let right = run.first_index == end.tokens
+                        && run.ids.iter().zip(end.tokens..).all(|(id, i)| *id == text::token(digest, i));
+                    end.tokens += run.ids.len() as u32;
+                    if !right || end.tokens > length {
+                        end.message = format!("a run from token {} on is wrong", run.first_index);
+                        return Heard::Wrong;
+                    }
+                    if ask.habit.leave_at_token.is_some_and(|at| end.tokens >= at) {
+                        return Heard::Left;
+                    }
+                    if ask.habit.read_pause > 0 {
+                        self.world.sleep(ask.habit.read_pause).await;
+                    }
+                }
+                Ok(None) if end.tokens == length => return Heard::Served,
+                Ok(None) => {
+                    end.message = format!("{} tokens came of {length}", end.tokens);
+                    return Heard::Wrong;
+                }
+                Err(e) => {
+                    end.message = e.to_string();
+                    let Cause::Status(status) = e.cause else { return Heard::Unreachable };
+                    end.code = status.code;
+                    let text = |name: &str| status.metadata.get(name).and_then(|v| v.to_str().ok());
+                    let pushback = text("grpc-retry-pushback-ms").and_then(|t| t.parse::<i64>().ok());
+                    let detail = status.metadata.contains_key("grpc-status-details-bin");
+                    // Told by code and pushback alone, as any client would; the outcome's name must agree.
+                    let refused = matches!(status.code, 8 | 14) && pushback.is_some_and(|p| p >= 0) && detail;
+                    let said = text("ivyward-outcome");
+                    end.pushback = pushback.filter(|_| refused).map(|ms| ms as u64 * 1_000);
+                    return match (refused, said) {
+                        (true, Some("refused")) => Heard::Refused,
+                        (false, Some("failed")) => Heard::Failed,
+                        _ => Heard::Wrong,
+                    };
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ivyward-standins/src/engine.rs
@@ -0,0 +1,822 @@
+//! An engine on a loopback socket: simple service times, slots, a queue and memory, over real HTTP/2.
+
+use crate::faults::{Faults, Twist};
+use crate::sight::{Gone, Key, Kind, Log, Sight};
+use crate::text;
+use async_lock::Semaphore;
+use bytes::Bytes;
+use event_listener::Event;
+use futures_lite::future::{or, poll_fn};
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream, SendStream};
+use http::{HeaderMap, HeaderValue, Response};
+use ivyward_proto::engine as pb;
+use ivyward_wire::{encode, Channel, Decoder, Options};
+use ivyward_world::io::Io;
+use ivyward_world::{before, Conn, Micros, SmolWorld, WorldExt, WorldRef};
+use prost::Message;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// What an engine does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Reads prompts.
+    Reader,
+    /// Writes answers.
+    Writer,
+    /// Both.
+    Mixed,
+}
+
+/// An engine's make. Times are microseconds.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Its id.
+    pub id: u64,
+    /// What it does.
+    pub role: Role,
+    /// Its rack.
+    pub cell: u16,
+    /// Calls at work at once.
+    pub slots: usize,
+    /// Calls that may wait.
+    pub queue: usize,
+    /// Prompt tokens a second that it reads, when warm and well.
+    pub read_rate: f64,
+    /// State tokens a second that it fetches from its own rack; from another a third of it.
+    pub fetch_rate: f64,
+    /// Time from one token to the next.
+    pub token_gap: Micros,
+    /// Tokens of kept states; past it the oldest are lost.
+    pub memory: u64,
+    /// A state or place that nobody fetches or releases is let go after this.
+    pub keep: Micros,
+    /// The part of its capacity with which it starts, and the time to warm.
+    pub cold: (f64, Micros),
+    /// Pushed over when sent more than this multiple of its present capacity within this span; 0 for never.
+    pub falls: (f64, Micros),
+    /// Calls a second that it does when warm: the measure for falling over.
+    pub capacity: f64,
+    /// HTTP/2 streams that it takes at once on a connection.
+    pub streams: u32,
+}
+
+impl Spec {
+    /// A small engine with quick answers.
+    pub fn small(id: u64, role: Role) -> Spec {
+        Spec {
+            id,
+            role,
+            cell: 0,
+            slots: 64,
+            queue: 64,
+            read_rate: 2e6,
+            fetch_rate: 2e7,
+            token_gap: 1_000,
+            memory: 4_000_000,
+            keep: 2_000_000,
+            cold: (0.3, 1_000_000),
+            falls: (0.0, 1_000_000),
+            capacity: 200.0,
+            streams: 1_000,
+        }
+    }
+}
+
+struct Held {
+    tokens: u64,
+    at: Micros,
+    place: bool,
+}
+
+#[derive(Default)]
+struct State {
+    faults: Faults,
+    random: u64,
+    held: BTreeMap<(Key, bool), Held>,
+    /// Openings and sessions that were read here; forgotten all together when memory is full.
+    known: BTreeMap<u64, u64>,
+    /// Keys of idempotent requests that ran here, with their times.
+    ran: BTreeMap<String, Micros>,
+    arrivals: std::collections::VecDeque<Micros>,
+    draining: bool,
+    fallen: bool,
+}
+
+/// An engine's inside, for as long as its process lives.
+struct Inner {
+    spec: Spec,
+    world: WorldRef,
+    log: Log,
+    started: Micros,
+    cold: bool,
+    state: Mutex<State>,
+    changed: Event,
+    slots: Semaphore,
+    /// Calls at work or waiting.
+    inside: AtomicUsize,
+    close_all: Event,
+}
+
+/// One call's place among those inside.
+struct Inside<'a>(&'a AtomicUsize);
+
+impl Drop for Inside<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Tells the log that a call ended, however that came.
+struct Open<'a> {
+    inner: &'a Inner,
+    key: Key,
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.inner.log.add(Sight::Ended { engine: self.inner.spec.id, key: self.key });
+    }
+}
+
+/// The processes of engines: who gives an engine its world and takes it away.
+pub trait Host: Send + Sync {
+    /// A new process's world, and what kills it.
+    fn process(&self, seed: u64) -> (WorldRef, Box<dyn FnOnce() + Send>);
+}
+
+/// Each process has a thread of its own here.
+pub struct Threads;
+
+impl Host for Threads {
+    fn process(&self, seed: u64) -> (WorldRef, Box<dyn FnOnce() + Send>) {
+        let world = SmolWorld::start(1, seed);
+        (world.clone(), Box::new(move || world.stop()))
+    }
+}
+
+/// An engine that a script holds: it can die and come back under its id and address.
+pub struct Engine {
+    spec: Spec,
+    log: Log,
+    host: Arc<dyn Host>,
+    address: SocketAddr,
+    running: Option<(Arc<Inner>, Box<dyn FnOnce() + Send>)>,
+    starts: u64,
+}
+
+impl Engine {
+    /// Starts an engine, warm, on a free port of 127.0.0.1.
+    ///
+    /// # Errors
+    /// When no port can be taken.
+    pub fn start(host: &Arc<dyn Host>, log: &Log, spec: Spec) -> std::io::Result<Engine> {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut engine =
+            Engine { spec, log: log.clone(), host: host.clone(), address, running: None, starts: 0 };
+        engine.come_up(false)?;
+        Ok(engine)
+    }
+    /// Its make.
+    pub fn spec(&self) -> &Spec {
+        &self.spec
+    }
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+    /// Whether its process runs. One that was pushed over does not, whatever its sockets do.
+    pub fn up(&self) -> bool {
+        self.running.as_ref().is_some_and(|(inner, _)| !inner.lock().fallen)
+    }
+    /// Kills its process: sockets are reset, everything kept is lost.
+    pub fn die(&mut self) {
+        if let Some((inner, kill)) = self.running.take() {
+            kill();
+            inner.lose_all();
+            self.log.add(Sight::Down { engine: self.spec.id, pushed: false });
+        }
+    }
+    /// Starts its process again, cold or warm, at the old address.
+    ///
+    /// # Errors
+    /// When the port cannot be taken.
+    pub fn come_up(&mut self, cold: bool) -> std::io::Result<()> {
+        self.die();
+        self.starts += 1;
+        let (world, kill) = self.host.process(self.spec.id.wrapping_mul(1_000).wrapping_add(self.starts));
+        let listener = world.listen(self.address)?;
+        self.address = listener.address();
+        let inner = Arc::new(Inner {
+            slots: Semaphore::new(self.spec.slots),
+            spec: self.spec.clone(),
+            started: world.now(),
+            world: world.clone(),
+            log: self.log.clone(),
+            cold,
+            state: Mutex::new(State { random: self.spec.id ^ self.starts << 32, ..State::default() }),
+            changed: Event::new(),
+            inside: AtomicUsize::new(0),
+            close_all: Event::new(),
+        });
+        self.log.add(Sight::Up { engine: self.spec.id, cold, capacity: self.spec.capacity });
+        let accepting = inner.clone();
+        world.run(async move { accepting.accept(listener).await });
+        let expiring = inner.clone();
+        world.run(async move { expiring.expire().await });
+        self.running = Some((inner, kill));
+        Ok(())
+    }
+    /// Changes what is wrong with it.
+    pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
+        let Some((inner, _)) = &self.running else { return };
+        let (before, now) = {
+            let mut state = inner.lock();
+            let before = state.faults.hang;
+            change(&mut state.faults);
+            (before, state.faults.hang)
+        };
+        if before != now {
+            self.log.add(Sight::Still { engine: self.spec.id, on: now });
+        }
+        inner.changed.notify(usize::MAX);
+    }
+    /// It takes nothing new from now on, or takes work again.
+    pub fn drain(&self, on: bool) {
+        if let Some((inner, _)) = &self.running {
+            inner.lock().draining = on;
+        }
+    }
+    /// Resets all its connections.
+    pub fn drop_connections(&self) {
+        if let Some((inner, _)) = &self.running {
+            inner.close_all.notify(usize::MAX);
+        }
+    }
+    /// States and places that it keeps for requests.
+    pub fn kept(&self) -> usize {
+        self.running.as_ref().map_or(0, |(inner, _)| inner.lock().held.len())
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.die();
+    }
+}
+
+fn status(code: u32, text: &'static str) -> HeaderMap {
+    let mut trailers = HeaderMap::new();
+    trailers.insert("grpc-status", HeaderValue::from(code));
+    trailers.insert("grpc-message", HeaderValue::from_static(text));
+    trailers
+}
+
+fn away(reason: pb::turned_away::Reason) -> pb::TurnedAway {
+    pb::TurnedAway { reason: reason.into() }
+}
+
+/// A call's answer on its way out.
+struct Out {
+    stream: SendStream<Bytes>,
+}
+
+impl Out {
+    async fn send(&mut self, bytes: Bytes) -> Result<(), h2::Error> {
+        let mut bytes = bytes;
+        while !bytes.is_empty() {
+            self.stream.reserve_capacity(bytes.len());
+            while self.stream.capacity() == 0 {
+                match poll_fn(|cx| self.stream.poll_capacity(cx)).await {
+                    Some(Ok(_)) => {}
+                    Some(Err(e)) => return Err(e),
+                    None => return Err(Reason::CANCEL.into()),
+                }
+            }
+            let part = bytes.split_to(self.stream.capacity().min(bytes.len()));
+            self.stream.send_data(part, false)?;
+        }
+        Ok(())
+    }
+    fn end(mut self, trailers: HeaderMap) {
+        // The caller may have left.
+        let _ = self.stream.send_trailers(trailers);
+    }
+}
+
+impl Inner {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+    fn chance(&self, share: f64) -> bool {
+        let mut state = self.lock();
+        state.random =
+            state.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        ((state.random >> 33) as f64 / (1u64 << 31) as f64) < share
+    }
+    fn faults(&self) -> Faults {
+        self.lock().faults.clone()
+    }
+    fn lose_all(&self) {
+        let lost: Vec<(Key, bool)> = std::mem::take(&mut self.lock().held).into_keys().collect();
+        for (key, place) in lost {
+            self.log.add(Sight::LetGo { engine: self.spec.id, key, place, how: Gone::Lost });
+        }
+    }
+    /// The part of its capacity that it has now.
+    fn share(&self) -> f64 {
+        let (start, warm) = self.spec.cold;
+        let age = self.world.now().saturating_sub(self.started);
+        if !self.cold || age >= warm {
+            return 1.0;
+        }
+        start + (1.0 - start) * age as f64 / warm.max(1) as f64
+    }
+    async fn work(&self, span: f64) {
+        let span = span * self.faults().slowness() / self.share();
+        if span >= 1.0 {
+            self.world.sleep(span as Micros).await;
+        }
+    }
+    /// Waits while it hangs.
+    async fn going(&self) {
+        loop {
+            let listener = self.changed.listen();
+            if !self.lock().faults.hang {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    async fn accept(self: Arc<Self>, mut listener: Box<dyn ivyward_world::Listener>) {
+        loop {
+            self.going().await;
+            let Ok((conn, _)) = listener.accept().await else { continue };
+            if self.lock().fallen {
+                continue;
+            }
+            let me = self.clone();
+            self.world.run(async move { me.connection(conn).await });
+        }
+    }
+
+    async fn connection(self: Arc<Self>, mut conn: Conn) {
+        // What dies here dies as a process does.
+        conn.reset_on_close();
+        let mut builder = h2::server::Builder::new();
+        builder.max_concurrent_streams(self.spec.streams).initial_connection_window_size(4 << 20);
+        let Ok(mut h2) = builder.handshake::<_, Bytes>(Io(conn)).await else { return };
+        loop {
+            // The listener comes before the look at the faults, so that none is missed.
+            let closing = self.close_all.listen();
+            self.going().await;
+            let (next, hang) = (async { Some(h2.accept().await) }, async {
+                loop {
+                    let listener = self.changed.listen();
+                    if self.lock().faults.hang {
+                        return None;
+                    }
+                    listener.await;
+                }
+            });
+            let close = async {
+                closing.await;
+                Some(None)
+            };
+            match or(next, or(hang, close)).await {
+                None => {}
+                Some(Some(Ok((request, respond)))) => {
+                    let me = self.clone();
+                    self.world.run(async move { me.call(request, respond).await });
+                }
+                Some(Some(Err(_)) | None) => return,
+            }
+        }
+    }
+
+    async fn call(self: Arc<Self>, request: http::Request<RecvStream>, respond: SendResponse<Bytes>) {
+        let path = request.uri().path().to_owned();
+        let mut body = request.into_body();
+        let mut decoder = Decoder::new(16 << 20);
+        while let Some(Ok(chunk)) = body.data().await {
+            decoder.push(&chunk);
+            let _ = body.flow_control().release_capacity(chunk.len());
+        }
+        match path.rsplit('/').next() {
+            Some("Read") => self.taken(decoder.pop::<pb::ReadRequest>().ok().flatten(), respond).await,
+            Some("Write") => self.taken(decoder.pop::<pb::WriteRequest>().ok().flatten(), respond).await,
+            Some("Hold") => self.hold(decoder.pop().ok().flatten(), respond).await,
+            Some("Release") => self.release(decoder.pop().ok().flatten(), respond),
+            Some("Fetch") => self.fetched(decoder.pop().ok().flatten(), respond),
+            Some("Probe") => {
+                let load = Some(self.load());
+                answer(respond, &pb::ProbeReply { engine: self.spec.id, load });
+            }
+            _ => refuse(respond, status(12, "no such method")),
+        }
+    }
+
+    /// A read or a write, with what may go wrong before it is begun.
+    async fn taken<A: Work>(&self, ask: Option<A>, mut respond: SendResponse<Bytes>) {
+        let Some((ask, header)) = ask.and_then(|a| a.header().cloned().map(|h| (a, h))) else {
+            return refuse(respond, status(3, "the request is malformed"));
+        };
+        let Some(key) = key(header.key) else { return refuse(respond, status(3, "no attempt key")) };
+        if header.engine != self.spec.id {
+            return refuse(respond, status(9, "another engine is meant"));
+        }
+        self.log.add(Sight::Arrived { engine: self.spec.id, key, call: header.call_id, kind: A::KIND });
+        let _open = Open { inner: self, key };
+        if self.pushed() {
+            return;
+        }
+        let faults = self.faults();
+        if self.chance(faults.refuse_stream) {
+            return respond.send_reset(Reason::REFUSED_STREAM);
+        }
+        if self.chance(faults.stall) {
+            // Until the caller gives up.
+            let _ = poll_fn(|cx| respond.poll_reset(cx)).await;
+            return;
+        }
+        let room = self.inside.fetch_add(1, Ordering::SeqCst) < self.spec.slots + self.spec.queue;
+        let _inside = Inside(&self.inside);
+        if self.lock().draining {
+            return self.turn_away::<A>(respond, pb::turned_away::Reason::Draining);
+        }
+        if !room || self.chance(faults.full) {
+            return self.turn_away::<A>(respond, pb::turned_away::Reason::Full);
+        }
+        let twist = faults.how.filter(|_| self.chance(faults.twist));
+        let fate = Fate { lose: self.chance(faults.lose_answer), reset: self.chance(faults.reset), twist };
+        // The work ends when its caller leaves.
+        let response = Response::builder().header("content-type", "application/grpc").body(());
+        let Ok(response) = response else { return };
+        let Ok(stream) = respond.send_response(response, false) else { return };
+        let mut out = Out { stream };
+        let mut watch = respond;
+        let done = or(async { Some(ask.run(self, key, &header, &fate, &mut out).await) }, async {
+            let _ = poll_fn(|cx| watch.poll_reset(cx)).await;
+            None
+        })
+        .await;
+        match done {
+            None => {}
+            Some(Ok(trailers)) => out.end(trailers),
+            Some(Err(Stopped::Reset)) => out.stream.send_reset(Reason::INTERNAL_ERROR),
+            Some(Err(Stopped::Lost)) => {
+                let _ = poll_fn(|cx| watch.poll_reset(cx)).await;
+            }
+        }
+    }
+
+    /// Counts a call against what a cold engine stands; too many and it falls over.
+    fn pushed(&self) -> bool {
+        let (multiple, window) = self.spec.falls;
+        let now = self.world.now();
+        let mut state = self.lock();
+        if state.fallen {
+            return true;
+        }
+        if multiple <= 0.0 || !self.cold || now.saturating_sub(self.started) > self.spec.cold.1 {
+            return false;
+        }
+        state.arrivals.push_back(now);
+        while state.arrivals.front().is_some_and(|t| now.saturating_sub(*t) > window) {
+            state.arrivals.pop_front();
+        }
+        let most = multiple * self.share() * self.spec.capacity * window as f64 / 1e6;
+        // A little slack for chance, as the rule allows.
+        if (state.arrivals.len() as f64) <= most + 2.0 {
+            return false;
+        }
+        state.fallen = true;
+        drop(state);
+        self.log.add(Sight::Down { engine: self.spec.id, pushed: true });
+        self.close_all.notify(usize::MAX);
+        true
+    }
+
+    fn turn_away<A: Work>(&self, respond: SendResponse<Bytes>, reason: pb::turned_away::Reason) {
+        answer_bytes(respond, A::away(self.spec.id, away(reason)));
+    }
+
+    fn load(&self) -> pb::Load {
+        let inside = self.inside.load(Ordering::SeqCst) as f32;
+        let (slots, held) =
+            (self.spec.slots as f32, self.lock().held.values().map(|h| h.tokens).sum::<u64>());
+        pb::Load {
+            outstanding: Some(inside),
+            backlog: Some((inside - slots).max(0.0)),
+            utilization: Some((inside / slots).min(1.0)),
+            recent_ms: Some(0.0),
+            memory_share: Some((held as f32 / self.spec.memory as f32).min(1.0)),
+            waiting_ktokens: Some(0.0),
+        }
+    }
+
+    fn keep(&self, key: Key, tokens: u64, place: bool) {
+        let mut lost = Vec::new();
+        {
+            let mut state = self.lock();
+            while state.held.values().map(|h| h.tokens).sum::<u64>() + tokens > self.spec.memory {
+                let oldest = state.held.iter().min_by_key(|(_, h)| h.at).map(|(k, _)| *k);
+                let Some(oldest) = oldest else { break };
+                state.held.remove(&oldest);
+                lost.push(oldest);
+            }
+            state.held.insert((key, place), Held { tokens, at: self.world.now(), place });
+        }
+        for (key, place) in lost {
+            self.log.add(Sight::LetGo { engine: self.spec.id, key, place, how: Gone::Lost });
+        }
+        self.log.add(Sight::Kept { engine: self.spec.id, key, place });
+    }
+
+    fn let_go(&self, key: Key, place: bool, how: Gone) -> Option<u64> {
+        let held = self.lock().held.remove(&(key, place))?;
+        self.log.add(Sight::LetGo { engine: self.spec.id, key, place, how });
+        Some(held.tokens)
+    }
+
+    async fn expire(self: Arc<Self>) {
+        loop {
+            self.world.sleep(self.spec.keep / 8 + 1).await;
+            let now = self.world.now();
+            let old = |h: &Held| now.saturating_sub(h.at) >= self.spec.keep;
+            let gone: Vec<(Key, bool)> =
+                self.lock().held.iter().filter(|(_, h)| old(h)).map(|((k, _), h)| (*k, h.place)).collect();
+            for (key, place) in gone {
+                self.let_go(key, place, Gone::Expired);
+            }
+        }
+    }
+
+    async fn hold(&self, ask: Option<pb::HoldRequest>, respond: SendResponse<Bytes>) {
+        let header = ask.as_ref().and_then(|a| a.header.clone());
+        let (Some(ask), Some(header)) = (ask, header) else { return refuse(respond, status(3, "malformed")) };
+        let Some(key) = key(header.key) else { return refuse(respond, status(3, "no attempt key")) };
+        self.log.add(Sight::Arrived { engine: self.spec.id, key, call: header.call_id, kind: Kind::Hold });
+        let held = !self.lock().draining && self.inside.load(Ordering::SeqCst) < self.spec.slots;
+        if held {
+            self.keep(key, u64::from(ask.prompt_tokens), true);
+        }
+        self.log.add(Sight::Ended { engine: self.spec.id, key });
+        answer(respond, &pb::HoldReply { engine: self.spec.id, held });
+    }
+
+    fn release(&self, ask: Option<pb::ReleaseRequest>, respond: SendResponse<Bytes>) {
+        let key = ask.and_then(|a| key(a.key));
+        let released = key.is_some_and(|key| {
+            let gone = [true, false].map(|place| self.let_go(key, place, Gone::Released));
+            gone.iter().any(Option::is_some)
+        });
+        answer(respond, &pb::ReleaseReply { released });
+    }
+
+    fn fetched(&self, ask: Option<pb::FetchRequest>, respond: SendResponse<Bytes>) {
+        let lose = self.lock().faults.drop_states;
+        let how = if lose { Gone::Lost } else { Gone::Taken };
+        let tokens = ask.and_then(|a| key(a.key)).and_then(|key| self.let_go(key, false, how));
+        let found = tokens.filter(|_| !lose);
+        // A slow link shows at the one who fetches: it is told how long by the tokens.
+        let tokens = found.map_or(0, |t| (t as f64 * self.faults().link_slowness()) as u32);
+        answer(respond, &pb::FetchReply { found: found.is_some(), tokens });
+    }
+
+    /// Fetches a state from another engine over a connection of its own.
+    async fn fetch(&self, state: &pb::StateRef) -> Option<u64> {
+        let address: SocketAddr = state.address.parse().ok()?;
+        let until = self.world.now() + 1_000_000;
+        let body = encode(&pb::FetchRequest { key: state.key, engine: state.engine, by: self.spec.id });
+        let fetch = async {
+            let conn = self.world.connect(address).await.ok()?;
+            let channel = Channel::begin(&self.world, conn, Options::default()).await.ok()?;
+            let mut call =
+                channel.call("/ivyward.engine.v1.Engine/Fetch", body, HeaderMap::new()).await.ok()?;
+            let reply = call.next::<pb::FetchReply>().await.ok()??;
+            channel.close();
+            reply.found.then_some(u64::from(reply.tokens))
+        };
+        before(&self.world, until, fetch).await?
+    }
+
+    /// Prompt tokens that it knows already, and remembers the prompt.
+    fn known(&self, opening: (u64, u32), session: u64, prompt: usize) -> u32 {
+        let mut state = self.lock();
+        if state.known.values().sum::<u64>() > self.spec.memory {
+            state.known.clear();
+        }
+        let of = |state: &State, key: u64| state.known.get(&key).copied().unwrap_or(0);
+        let kept =
+            of(&state, session).min(prompt as u64).max(of(&state, opening.0).min(u64::from(opening.1)));
+        for (key, tokens) in [(opening.0, u64::from(opening.1)), (session, prompt as u64)] {
+            if key != 0 {
+                state.known.insert(key, tokens);
+            }
+        }
+        kept as u32
+    }
+}
+
+/// What becomes of a call that was begun.
+struct Fate {
+    lose: bool,
+    reset: bool,
+    twist: Option<Twist>,
+}
+
+enum Stopped {
+    Reset,
+    Lost,
+}
+
+impl From<h2::Error> for Stopped {
+    fn from(_: h2::Error) -> Stopped {
+        // The caller left; there is nobody to tell.
+        Stopped::Lost
+    }
+}
+
+fn key(key: Option<pb::AttemptKey>) -> Option<Key> {
+    key.map(|k| Key { node: k.node, request: k.request, attempt: k.attempt })
+}
+
+/// Answers a call with one message.
+fn answer(respond: SendResponse<Bytes>, message: &impl Message) {
+    answer_bytes(respond, encode(message));
+}
+
+fn answer_bytes(mut respond: SendResponse<Bytes>, bytes: Bytes) {
+    let response = Response::builder().header("content-type", "application/grpc").body(());
+    let Ok(response) = response else { return };
+    if let Ok(mut stream) = respond.send_response(response, false) {
+        // The caller may have left. Small enough for h2 to hold.
+        let _ = stream.send_data(bytes, false);
+        let _ = stream.send_trailers(status(0, ""));
+    }
+}
+
+/// Answers a call with a status alone.
+fn refuse(mut respond: SendResponse<Bytes>, trailers: HeaderMap) {
+    let mut response = Response::new(());
+    *response.headers_mut() = trailers;
+    response.headers_mut().insert("content-type", HeaderValue::from_static("application/grpc"));
+    let _ = respond.send_response(response, true);
+}
+
+/// A call that takes time: a read or a write.
+trait Work: Sized + Send {
+    const KIND: Kind;
+    fn header(&self) -> Option<&pb::Header>;
+    fn away(engine: u64, away: pb::TurnedAway) -> Bytes;
+    fn run(
+        self,
+        engine: &Inner,
+        key: Key,
+        header: &pb::Header,
+        fate: &Fate,
+        out: &mut Out,
+    ) -> impl std::future::Future<Output = Result<HeaderMap, Stopped>> + Send;
+}
+
+impl Work for pb::ReadRequest {
+    const KIND: Kind = Kind::Read;
+    fn header(&self) -> Option<&pb::Header> {
+        self.header.as_ref()
+    }
+    fn away(engine: u64, away: pb::TurnedAway) -> Bytes {
+        encode(&pb::ReadReply { engine, load: None, result: Some(pb::read_reply::Result::TurnedAway(away)) })
+    }
+    async fn run(
+        self,
+        engine: &Inner,
+        key: Key,
+        _: &pb::Header,
+        fate: &Fate,
+        out: &mut Out,
+    ) -> Result<HeaderMap, Stopped> {
+        let _slot = engine.slots.acquire().await;
+        let kept_tokens = engine.known((self.opening, self.opening_tokens), self.session, self.prompt.len());
+        let new = self.prompt.len() as f64 - f64::from(kept_tokens);
+        engine.work(new * 1e6 / engine.spec.read_rate).await;
+        engine.keep(key, self.prompt.len() as u64, false);
+        if fate.reset {
+            return Err(Stopped::Reset);
+        }
+        if fate.lose {
+            return Err(Stopped::Lost);
+        }
+        let done = pb::read_reply::Result::Done(pb::ReadDone { kept_tokens });
+        let mut reply =
+            pb::ReadReply { engine: engine.spec.id, load: Some(engine.load()), result: Some(done) };
+        match fate.twist {
+            Some(Twist::WrongId) => reply.engine ^= 1,
+            Some(Twist::Malformed) => {
+                out.send(Bytes::from_static(&[0, 0, 0, 0, 3, 0xff, 0xff, 0xff])).await?;
+                return Ok(status(0, ""));
+            }
+            Some(Twist::Oversized) => out.send(Bytes::from_static(&[0, 0x7f, 0xff, 0xff, 0xff])).await?,
+            Some(Twist::StatusExhausted) => return Ok(status(8, "slow down")),
+            Some(Twist::NoLastWord) => return Ok(status(0, "")),
+            _ => {}
+        }
+        out.send(encode(&reply)).await?;
+        Ok(status(0, ""))
+    }
+}
+
+impl Work for pb::WriteRequest {
+    const KIND: Kind = Kind::Write;
+    fn header(&self) -> Option<&pb::Header> {
+        self.header.as_ref()
+    }
+    fn away(engine: u64, away: pb::TurnedAway) -> Bytes {
+        encode(&pb::WriteEvent { engine, event: Some(pb::write_event::Event::TurnedAway(away)) })
+    }
+    async fn run(
+        self,
+        engine: &Inner,
+        key: Key,
+        header: &pb::Header,
+        fate: &Fate,
+        out: &mut Out,
+    ) -> Result<HeaderMap, Stopped> {
+        use pb::write_event::Event;
+        let id = engine.spec.id;
+        let say = |event| encode(&pb::WriteEvent { engine: id, event: Some(event) });
+        if let Some(state) = self.state.as_ref().and_then(|s| s.key) {
+            let place = Key { node: state.node, request: state.request, attempt: state.attempt };
+            engine.let_go(place, true, Gone::Taken);
+        }
+        let _slot = engine.slots.acquire().await;
+        let mut kept_tokens = 0;
+        if let Some(state) = &self.state {
+            let Some(tokens) = engine.fetch(state).await else {
+                out.send(Self::away(id, away(pb::turned_away::Reason::StateLost))).await?;
+                return Ok(status(0, ""));
+            };
+            engine.work(tokens as f64 * 1e6 / engine.spec.fetch_rate).await;
+            engine.known((self.opening, self.opening_tokens), self.session, self.prompt.len());
+        } else {
+            kept_tokens = engine.known((self.opening, self.opening_tokens), self.session, self.prompt.len());
+            let new = self.prompt.len() as f64 - f64::from(kept_tokens);
+            // Read between the steps of its answers: slower than a reader.
+            engine.work(2.0 * new * 1e6 / engine.spec.read_rate).await;
+        }
+        let repeat = !header.idempotency_key.is_empty() && {
+            let (mut state, now) = (engine.lock(), engine.world.now());
+            state.ran.retain(|_, at| now.saturating_sub(*at) < 60_000_000);
+            state.ran.insert(header.idempotency_key.clone(), now).is_some()
+        };
+        if !repeat {
+            engine.log.add(Sight::Ran { engine: id, key, call: header.call_id });
+        }
+        if fate.lose {
+            return Err(Stopped::Lost);
+        }
+        if fate.reset {
+            return Err(Stopped::Reset);
+        }
+        let digest = text::digest(&self.prompt);
+        let length = text::length(digest, self.max_output_tokens);
+        let run = |first_index: u32, index: u32| {
+            Event::Tokens(pb::WriteTokens { first_index, ids: vec![text::token(digest, index)] })
+        };
+        for index in 0..length {
+            let span = engine.spec.token_gap as f64 * engine.faults().slowness();
+            if span >= 1.0 {
+                engine.world.sleep(span as Micros).await;
+            }
+            match (fate.twist, index) {
+                (Some(Twist::WrongId), 0) => {
+                    out.send(encode(&pb::WriteEvent { engine: id ^ 1, event: Some(run(0, 0)) })).await?;
+                }
+                (Some(Twist::Malformed), 0) => {
+                    out.send(Bytes::from_static(&[0, 0, 0, 0, 3, 0xff, 0xff, 0xff])).await?;
+                }
+                (Some(Twist::Oversized), 0) => {
+                    out.send(Bytes::from_static(&[0, 0x7f, 0xff, 0xff, 0xff])).await?
+                }
+                (Some(Twist::OutOfOrder), 0) => out.send(say(run(1, 1))).await?,
+                (Some(Twist::Twice), 1) => out.send(say(run(0, 0))).await?,
+                (Some(Twist::CutShort), 2) => return Err(Stopped::Reset),
+                (Some(Twist::Stuck), 2) => return Err(Stopped::Lost),
+                (Some(Twist::StatusExhausted), 0) => return Ok(status(8, "slow down")),
+                (Some(Twist::NoLastWord), 2) => return Ok(status(0, "")),
+                _ => {}
+            }
+            out.send(say(run(index, index))).await?;
+        }
+        let done = pb::WriteDone { tokens: length, kept_tokens, load: Some(engine.load()) };
+        out.send(say(Event::Done(done))).await?;
+        if fate.twist == Some(Twist::AfterEnd) {
+            out.send(say(run(length, 0))).await?;
+        }
+        Ok(status(0, ""))
+    }
+}
--- a/crates/ivyward-world/src/lib.rs
+++ b/crates/ivyward-world/src/lib.rs
@@ -24,6 +24,9 @@
 /// A future that may be moved between threads.
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
+/// The same, borrowing from who gives it.
+pub type BorrowedFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
 /// A byte stream to a peer. Dropping it closes it.
 pub trait Connection: AsyncRead + AsyncWrite + Send + Unpin {
     /// Makes the coming close a reset instead of an orderly end: what a process that dies leaves behind.
@@ -33,7 +36,7 @@
 /// Accepts connections at one address. Dropping it stops listening.
 pub trait Listener: Send {
     /// The next connection and the peer's address. Errors concern one connection; call again.
-    fn accept(&mut self) -> Pin<Box<dyn Future<Output = std::io::Result<(Conn, SocketAddr)>> + Send + '_>>;
+    fn accept(&mut self) -> BorrowedFuture<'_, std::io::Result<(Conn, SocketAddr)>>;
     /// The address it listens at, with the port that was really taken.
     fn address(&self) -> SocketAddr;
 }
--- a/crates/ivyward-world/src/smol.rs
+++ b/crates/ivyward-world/src/smol.rs
@@ -1,7 +1,7 @@
 //! The real surroundings, on async-io and async-executor.
 #![allow(clippy::disallowed_methods, clippy::disallowed_types)] // The one place that may ask the system.
 
-use crate::{BoxFuture, Conn, Connection, Listener, Micros, World};
+use crate::{BorrowedFuture, BoxFuture, Conn, Connection, Listener, Micros, World};
 use async_executor::Executor;
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
@@ -167,9 +167,7 @@
 }
 
 impl Listener for TcpDoor {
-    fn accept(
-        &mut self,
-    ) -> Pin<Box<dyn std::future::Future<Output = io::Result<(Conn, SocketAddr)>> + Send + '_>> {
+    fn accept(&mut self) -> BorrowedFuture<'_, io::Result<(Conn, SocketAddr)>> {
         Box::pin(async move {
             let (stream, peer) = self.socket.accept().await?;
             Ok((Box::new(Tcp::new(stream)?) as Conn, peer))
