--- /dev/null
+++ b/crates/ivyward-lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! Scenarios, load and reports.
+//!
+//! - [`scene`]: nodes, engines and clients on loopback, in one process or with real daemons.
+//! - [`plan`]: a day: when which trouble begins, drawn from a seed or read from a day file.
+//! - [`load`]: sessions and their turns.
+//! - [`badday`]: plays a plan under a load and reports.
+//! - [`relay`]: what a node adds to a stream.
+
+pub mod badday;
+pub mod load;
+pub mod plan;
+pub mod relay;
+pub mod scene;
--- /dev/null
+++ b/crates/ivyward-lab/src/plan.rs
@@ -0,0 +1,1 @@
+//! Comes next.
--- /dev/null
+++ b/crates/ivyward-lab/src/scene.rs
@@ -0,0 +1,520 @@
+//! Nodes, engines and clients on loopback, with one log of what engines and clients saw.
+
+use futures_lite::future::block_on;
+use ivyward::core::interface::{
+    ClassSettings, Condition, Effect, ListKind, Micros, RepeatGroup, ServerEntry, ServerId, Settings,
+};
+use ivyward::{Class, Engine as Listed, Node, NodeSettings};
+use ivyward_proto::front::GenerateRequest;
+use ivyward_standins::engine::Threads;
+use ivyward_standins::sight::{Effect as Seen, Group};
+use ivyward_standins::{audit, Ask, Audit, Client, End, Engine, Habit, Host, Limits, Log, Role, Sight, Spec};
+use ivyward_world::{SmolWorld, WorldExt, WorldRef};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// What went wrong in setting up a scene.
+#[derive(Debug, thiserror::Error)]
+pub enum SceneError {
+    /// The system said no.
+    #[error("{what}: {error}")]
+    Io {
+        /// What was tried.
+        what: String,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// A node did not start.
+    #[error("a node did not start: {0}")]
+    Node(#[from] ivyward::StartError),
+}
+
+fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> SceneError {
+    let what = what.into();
+    move |error| SceneError::Io { what, error }
+}
+
+/// How nodes run.
+#[derive(Clone, Debug, Default)]
+pub enum Runs {
+    /// In this process, each in a world of its own.
+    #[default]
+    Inside,
+    /// As daemons.
+    Daemon(PathBuf),
+}
+
+enum Process {
+    Inside(Arc<SmolWorld>, Node),
+    Daemon(Child),
+}
+
+/// A node of a scene.
+struct Place {
+    address: SocketAddr,
+    process: Option<Process>,
+    client: Option<Client>,
+    starts: u64,
+}
+
+/// A buffer that a recording is written to and read from.
+#[derive(Clone, Default)]
+pub struct Memory(Arc<Mutex<Vec<u8>>>);
+
+impl Memory {
+    /// What was written so far.
+    pub fn bytes(&self) -> Vec<u8> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+impl Write for Memory {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// What a scene is made of.
+#[derive(Clone)]
+pub struct Make {
+    /// Feeds every random choice.
+    pub seed: u64,
+    /// The engines.
+    pub engines: Vec<Spec>,
+    /// The nodes' settings.
+    pub settings: NodeSettings,
+    /// How many nodes.
+    pub nodes: usize,
+    /// How they run.
+    pub runs: Runs,
+    /// What may be in flight on this machine, for the auditor.
+    pub flight: Micros,
+    /// Records the first node's run.
+    pub record: Option<Memory>,
+}
+
+/// Nodes, engines and clients on loopback.
+pub struct Scene {
+    /// The clients' and the script's world.
+    pub world: Arc<SmolWorld>,
+    /// What was seen.
+    pub log: Log,
+    make: Make,
+    engines: Vec<Mutex<Engine>>,
+    places: Vec<Mutex<Place>>,
+    calls: AtomicU64,
+}
+
+/// Classes for scenes: two safe ones, one unsafe, one keyed within everything.
+pub fn classes() -> Vec<Class> {
+    let class = |name: &str, settings: ClassSettings| Class { name: name.into(), settings };
+    let quick = ClassSettings {
+        ttft_aim: 300_000,
+        ttft_aim_per_1000: 20_000.0,
+        tpot_aim: 10_000.0,
+        deadline: 2_500_000,
+        worth: 2.0,
+        late_share: 0.2,
+        effect: Effect::Safe,
+        group: RepeatGroup::All,
+        repeat_window: 0,
+    };
+    let long = ClassSettings { ttft_aim: 800_000, deadline: 4_000_000, worth: 1.0, ..quick.clone() };
+    let order = ClassSettings { effect: Effect::Unsafe, worth: 5.0, ..quick.clone() };
+    let note = ClassSettings { effect: Effect::Keyed, repeat_window: 5_000_000, ..quick.clone() };
+    vec![class("quick-ask", quick), class("list-review", long), class("order", order), class("note", note)]
+}
+
+/// How far a class may be repeated, for the auditor.
+pub fn seen_effect(class: &ClassSettings) -> Seen {
+    let group = match class.group {
+        RepeatGroup::All => Group::All,
+        RepeatGroup::Zone => Group::Zone,
+        RepeatGroup::Cell => Group::Cell,
+    };
+    match class.effect {
+        Effect::Safe => Seen::Safe,
+        Effect::Unsafe => Seen::Unsafe,
+        Effect::Keyed => Seen::Keyed(class.repeat_window, group),
+    }
+}
+
+/// Settings for scenes on one machine: quick pauses, the rules' figures of a small deployment.
+pub fn settings() -> NodeSettings {
+    let base = NodeSettings::default();
+    NodeSettings {
+        classes: classes(),
+        rules: Settings {
+            release_within: 300_000,
+            drain_grace: 250_000,
+            fall_multiple: 4.0,
+            fall_window: 1_000_000,
+            start_capacity: 0.3,
+            warm_after: 4_000_000,
+            max_retry_after: 300_000,
+            ..base.rules.clone()
+        },
+        ping_every: 300_000,
+        ping_timeout: 300_000,
+        redial_most: 300_000,
+        release_tries: 2_000_000,
+        stream_stall: 2_000_000,
+        ..base
+    }
+}
+
+/// A small fleet: `racks` racks, each of one reader, one mixed engine and two writers.
+pub fn fleet(racks: u16) -> Vec<Spec> {
+    let roles = [Role::Reader, Role::Mixed, Role::Writer, Role::Writer];
+    let of = |rack: u16| {
+        roles.iter().enumerate().map(move |(i, role)| Spec {
+            cell: rack,
+            cold: (0.3, 4_000_000),
+            falls: (4.0, 1_000_000),
+            ..Spec::small(u64::from(rack) * 16 + i as u64 + 1, *role)
+        })
+    };
+    (0..racks).flat_map(of).collect()
+}
+
+impl Make {
+    /// A scene of some engines and one node.
+    pub fn new(seed: u64, engines: Vec<Spec>) -> Make {
+        let settings = NodeSettings { seed, ..settings() };
+        Make { seed, engines, settings, nodes: 1, runs: Runs::Inside, flight: 250_000, record: None }
+    }
+    /// Builds it.
+    ///
+    /// # Errors
+    /// When a socket or a process cannot be had, or the settings do not hold.
+    pub fn build(self) -> Result<Scene, SceneError> {
+        let world = SmolWorld::start(2, self.seed);
+        let as_ref: WorldRef = world.clone();
+        let log = Log::new(&as_ref);
+        let host: Arc<dyn Host> = Arc::new(Threads);
+        let mut engines = Vec::new();
+        for spec in &self.engines {
+            engines.push(Mutex::new(
+                Engine::start(&host, &log, spec.clone()).map_err(io("starting an engine"))?,
+            ));
+        }
+        let place = |_| {
+            let address = SocketAddr::from(([127, 0, 0, 1], 0));
+            Mutex::new(Place { address, process: None, client: None, starts: 0 })
+        };
+        let places = (0..self.nodes).map(place).collect();
+        let scene = Scene { world, log, make: self, engines, places, calls: AtomicU64::new(1) };
+        for node in 0..scene.nodes() {
+            scene.start_node(node)?;
+        }
+        Ok(scene)
+    }
+}
+
+impl Scene {
+    fn place(&self, node: usize) -> MutexGuard<'_, Place> {
+        self.places[node].lock().unwrap_or_else(PoisonError::into_inner)
+    }
+    /// An engine, by its number in the make.
+    pub fn engine(&self, i: usize) -> MutexGuard<'_, Engine> {
+        self.engines[i].lock().unwrap_or_else(PoisonError::into_inner)
+    }
+    /// How many engines.
+    pub fn engines(&self) -> usize {
+        self.engines.len()
+    }
+    /// How many nodes.
+    pub fn nodes(&self) -> usize {
+        self.places.len()
+    }
+    /// What it is made of.
+    pub fn make(&self) -> &Make {
+        &self.make
+    }
+    /// The node itself, where it runs in this process.
+    pub fn node(&self, node: usize) -> Option<Node> {
+        match &self.place(node).process {
+            Some(Process::Inside(_, node)) => Some(node.clone()),
+            _ => None,
+        }
+    }
+
+    /// An engine as lists name it.
+    pub fn entry(&self, i: usize, condition: Condition, started: Micros) -> Listed {
+        let engine = self.engine(i);
+        let spec = engine.spec();
+        let kind = match spec.role {
+            Role::Reader => 0,
+            Role::Writer => 1,
+            Role::Mixed => 2,
+        };
+        let entry = ServerEntry {
+            id: ServerId(spec.id),
+            zone: 0,
+            kind,
+            cell: spec.cell,
+            condition,
+            weight: 1.0,
+            started,
+        };
+        Listed { entry, address: engine.address() }
+    }
+
+    /// Starts a node, again at its old door if it had one, and tells it all engines that are up.
+    ///
+    /// # Errors
+    /// When a socket or a process cannot be had.
+    pub fn start_node(&self, i: usize) -> Result<(), SceneError> {
+        let (address, starts) = {
+            let mut place = self.place(i);
+            place.starts += 1;
+            (place.address, place.starts)
+        };
+        let entries: Vec<Listed> = (0..self.engines()).map(|e| self.entry(e, Condition::Ready, 0)).collect();
+        let seed = self.make.seed.wrapping_mul(100).wrapping_add(i as u64 * 10 + starts);
+        let settings = NodeSettings { seed, ..self.make.settings.clone() };
+        let (address, process) = match &self.make.runs {
+            Runs::Inside => {
+                let world = SmolWorld::start(1, seed);
+                let as_ref: WorldRef = world.clone();
+                let record = self.make.record.clone().filter(|_| i == 0 && starts == 1);
+                let record = record.map(|m| Box::new(m) as Box<dyn Write + Send>);
+                let node = Node::start(as_ref.clone(), settings, record)?;
+                let listener = as_ref.listen(address).map_err(io("opening a door"))?;
+                let address = listener.address();
+                block_on(node.fleet(ListKind::Full, entries));
+                let serving = node.clone();
+                world.run(async move { serving.serve(listener).await });
+                (address, Process::Inside(world, node))
+            }
+            Runs::Daemon(path) => {
+                let (child, address) = daemon(path, &settings, &entries, address)?;
+                (address, Process::Daemon(child))
+            }
+        };
+        let mut place = self.place(i);
+        (place.address, place.process, place.client) = (address, Some(process), None);
+        Ok(())
+    }
+
+    /// Kills a node outright: its clients and engines see resets.
+    pub fn kill_node(&self, i: usize) {
+        let process = self.place(i).process.take();
+        let run = match process {
+            Some(Process::Inside(world, node)) => {
+                let run = node.incarnation();
+                self.log.add(Sight::Killed { node: i, run });
+                world.stop();
+                run
+            }
+            Some(Process::Daemon(mut child)) => {
+                self.log.add(Sight::Killed { node: i, run: 0 });
+                // Already gone is as good.
+                let _ = child.kill();
+                let _ = child.wait();
+                0
+            }
+            None => return,
+        };
+        self.log.add(Sight::Killed { node: i, run });
+        self.place(i).client = None;
+    }
+
+    /// Tells nodes of an engine, and notes when each took it in. Daemons have a fixed list.
+    pub async fn tell(
+        &self,
+        nodes: &[usize],
+        engine: usize,
+        condition: Condition,
+        started_ago: Option<Micros>,
+    ) {
+        for node in nodes {
+            let Some(handle) = self.node(*node) else { continue };
+            let started = match (started_ago, &self.place(*node).process) {
+                (Some(ago), Some(Process::Inside(world, _))) => {
+                    let now = { ivyward_world::World::now(&**world) };
+                    now.saturating_sub(ago).max(1)
+                }
+                _ => 0,
+            };
+            let entry = self.entry(engine, condition, started);
+            handle.fleet(ListKind::Changes, vec![entry]).await;
+            let ready = condition == Condition::Ready;
+            self.log.add(Sight::Told { node: handle.incarnation(), engine: entry.entry.id.0, ready });
+        }
+    }
+
+    /// A name for a call that no other has.
+    pub fn call_id(&self) -> u64 {
+        self.calls.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// A connection to a node's door, opened if need be.
+    ///
+    /// # Errors
+    /// When the node cannot be reached.
+    pub async fn client(&self, node: usize) -> std::io::Result<Client> {
+        let address = {
+            let place = self.place(node);
+            if let Some(client) = place.client.clone().filter(Client::usable) {
+                return Ok(client);
+            }
+            place.address
+        };
+        let world: WorldRef = self.world.clone();
+        let client = Client::connect(&world, &self.log, address).await?;
+        self.place(node).client = Some(client.clone());
+        Ok(client)
+    }
+
+    /// A request of a class for a node, with a name of its own.
+    pub fn ask(&self, node: usize, class: usize, prompt: Vec<u32>, most: u32) -> Ask {
+        let call = self.call_id();
+        let named = &self.make.settings.classes[class];
+        let request = GenerateRequest {
+            prompt,
+            max_output_tokens: most,
+            class: named.name.clone(),
+            call_id: call,
+            idempotency_key: format!("op-{call}"),
+            ..GenerateRequest::default()
+        };
+        let habit = Habit { patience: named.settings.deadline, ..Habit::default() };
+        Ask { request, operation: call, effect: seen_effect(&named.settings), node, habit }
+    }
+
+    /// Sends a request and follows it to its end; `None` if the node cannot be reached.
+    pub async fn send(&self, ask: &Ask) -> Option<End> {
+        Some(self.client(ask.node).await.ok()?.ask(ask).await)
+    }
+
+    /// What the auditor allows and asks for here.
+    pub fn limits(&self) -> Limits {
+        let rules = &self.make.settings.rules;
+        Limits {
+            flight: self.make.flight,
+            drain_grace: rules.drain_grace,
+            fall_multiple: rules.fall_multiple,
+            fall_window: rules.fall_window,
+            start_capacity: rules.start_capacity,
+            warm_after: rules.warm_after,
+            release_within: rules.release_within,
+            places: self.make.engines.iter().map(|s| (s.id, (s.cell, 0))).collect(),
+        }
+    }
+
+    /// Waits until no node has anything in hand and no engine keeps anything for a request, for `span` at most.
+    pub async fn settle(&self, span: Micros) {
+        let until = self.log.now().saturating_add(span);
+        while self.log.now() < until {
+            let open: usize = (0..self.nodes()).filter_map(|n| self.node(n)).map(|n| n.open()).sum();
+            let kept: usize = (0..self.engines()).map(|e| self.engine(e).kept()).sum();
+            if open + kept == 0 {
+                break;
+            }
+            self.world.sleep(5_000).await;
+        }
+    }
+
+    /// Checks the rules on what was seen so far.
+    pub fn audit(&self) -> Audit {
+        audit(&self.log.all(), &self.limits(), self.log.now())
+    }
+}
+
+impl Drop for Scene {
+    fn drop(&mut self) {
+        for i in 0..self.nodes() {
+            self.kill_node(i);
+        }
+        self.world.stop();
+    }
+}
+
+/// Starts a daemon with the same settings, by its flags, and waits for its line that the door is open.
+fn daemon(
+    path: &Path,
+    settings: &NodeSettings,
+    engines: &[Listed],
+    at: SocketAddr,
+) -> Result<(Child, SocketAddr), SceneError> {
+    let mut command = Command::new(path);
+    command.args(ivyward_flags(settings, engines)).arg("--listen").arg(at.to_string());
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null());
+    let what = || format!("starting {}", path.display());
+    let mut child = command.spawn().map_err(io(what()))?;
+    let out = child.stdout.take().ok_or_else(|| io(what())(std::io::Error::other("no output")))?;
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut std::io::BufReader::new(out), &mut line).map_err(io(what()))?;
+    let told = line.trim().strip_prefix("listening on ").and_then(|a| a.parse().ok());
+    told.map(|address| (child, address))
+        .ok_or_else(|| io(what())(std::io::Error::other(format!("it said {line:?} instead of its address"))))
+}
+
+/// The daemon's flags for a node's settings and engines.
+pub fn ivyward_flags(settings: &NodeSettings, engines: &[Listed]) -> Vec<String> {
+    let rules = &settings.rules;
+    let us = |span: Micros| format!("{span}us");
+    let mut flags: Vec<String> = Vec::new();
+    let mut flag = |name: &str, value: String| flags.push(format!("--{name}={value}"));
+    for (name, span) in [
+        ("answer-margin", settings.answer_margin),
+        ("dial-timeout", settings.dial_timeout),
+        ("redial-first", settings.redial_first),
+        ("redial-most", settings.redial_most),
+        ("reset-wait", settings.reset_wait),
+        ("stream-stall", settings.stream_stall),
+        ("release-tries", settings.release_tries),
+        ("ping-every", settings.ping_every),
+        ("ping-timeout", settings.ping_timeout),
+        ("release-within", rules.release_within),
+        ("drain-grace", rules.drain_grace),
+        ("fall-window", rules.fall_window),
+        ("warm-after", rules.warm_after),
+        ("max-retry-after", rules.max_retry_after),
+    ] {
+        flag(name, us(span));
+    }
+    flag("seed", settings.seed.to_string());
+    flag("fall-multiple", rules.fall_multiple.to_string());
+    flag("start-capacity", rules.start_capacity.to_string());
+    flag("max-attempts", rules.max_attempts.to_string());
+    flag("nodes", rules.nodes.to_string());
+    flag("most-open", settings.most_open.to_string());
+    for class in &settings.classes {
+        let s = &class.settings;
+        let effect = match s.effect {
+            Effect::Safe => "safe",
+            Effect::Keyed => "keyed",
+            Effect::Unsafe => "unsafe",
+        };
+        let mut text = format!(
+            "name={},ttft-aim={},ttft-aim-per-1000={},tpot-aim={},deadline={},worth={},late-share={},effect={effect}",
+            class.name,
+            us(s.ttft_aim),
+            us(s.ttft_aim_per_1000 as Micros),
+            us(s.tpot_aim as Micros),
+            us(s.deadline),
+            s.worth,
+            s.late_share
+        );
+        if s.effect == Effect::Keyed {
+            text += &format!(",group=all,repeat-window={}", us(s.repeat_window));
+        }
+        flag("class", text);
+    }
+    for engine in engines {
+        let role = ["prefill", "decode", "mixed"][usize::from(engine.entry.kind)];
+        let (id, cell, weight) = (engine.entry.id.0, engine.entry.cell, engine.entry.weight);
+        flag("server", format!("id={id},address={},role={role},cell={cell},weight={weight}", engine.address));
+    }
+    flags
+}
--- a/crates/ivyward-standins/src/audit.rs
+++ b/crates/ivyward-standins/src/audit.rs
@@ -115,6 +115,9 @@
     out
 }
 
+/// Engine, key, whether a place, since when, and when and how it ended.
+type KeptThing = (u64, Key, bool, Micros, Option<(Micros, Gone)>);
+
 #[derive(Default)]
 struct Facts {
     calls: BTreeMap<u64, Call>,
@@ -130,7 +133,7 @@
     arrivals: BTreeMap<u64, Vec<Micros>>,
     killed_nodes: Vec<(usize, u64, Micros)>,
     /// Kept things: from, to and how.
-    kept: Vec<(u64, Key, bool, Micros, Option<(Micros, Gone)>)>,
+    kept: Vec<KeptThing>,
 }
 
 impl Facts {
--- a/crates/ivyward-standins/src/engine.rs
+++ b/crates/ivyward-standins/src/engine.rs
@@ -142,17 +142,20 @@
     }
 }
 
+/// Kills a process.
+pub type Kill = Box<dyn FnOnce() + Send>;
+
 /// The processes of engines: who gives an engine its world and takes it away.
 pub trait Host: Send + Sync {
     /// A new process's world, and what kills it.
-    fn process(&self, seed: u64) -> (WorldRef, Box<dyn FnOnce() + Send>);
+    fn process(&self, seed: u64) -> (WorldRef, Kill);
 }
 
 /// Each process has a thread of its own here.
 pub struct Threads;
 
 impl Host for Threads {
-    fn process(&self, seed: u64) -> (WorldRef, Box<dyn FnOnce() + Send>) {
+    fn process(&self, seed: u64) -> (WorldRef, Kill) {
         let world = SmolWorld::start(1, seed);
         (world.clone(), Box::new(move || world.stop()))
     }
@@ -164,7 +167,7 @@
     log: Log,
     host: Arc<dyn Host>,
     address: SocketAddr,
-    running: Option<(Arc<Inner>, Box<dyn FnOnce() + Send>)>,
+    running: Option<(Arc<Inner>, Kill)>,
     starts: u64,
 }
 
@@ -279,31 +282,37 @@
     pb::TurnedAway { reason: reason.into() }
 }
 
-/// A call's answer on its way out.
-struct Out {
-    stream: SendStream<Bytes>,
-}
+/// A call's answer on its way out. Shared with the one who looks whether its caller left.
+#[derive(Clone)]
+struct Out(Arc<Mutex<SendStream<Bytes>>>);
 
 impl Out {
-    async fn send(&mut self, bytes: Bytes) -> Result<(), h2::Error> {
-        let mut bytes = bytes;
+    fn lock(&self) -> MutexGuard<'_, SendStream<Bytes>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+    async fn send(&self, mut bytes: Bytes) -> Result<(), h2::Error> {
         while !bytes.is_empty() {
-            self.stream.reserve_capacity(bytes.len());
-            while self.stream.capacity() == 0 {
-                match poll_fn(|cx| self.stream.poll_capacity(cx)).await {
-                    Some(Ok(_)) => {}
-                    Some(Err(e)) => return Err(e),
-                    None => return Err(Reason::CANCEL.into()),
+            let room = poll_fn(|cx| {
+                let mut stream = self.lock();
+                stream.reserve_capacity(bytes.len());
+                match stream.capacity() {
+                    0 => stream.poll_capacity(cx),
+                    room => std::task::Poll::Ready(Some(Ok(room))),
                 }
-            }
-            let part = bytes.split_to(self.stream.capacity().min(bytes.len()));
-            self.stream.send_data(part, false)?;
+            });
+            let room = room.await.unwrap_or_else(|| Err(Reason::CANCEL.into()))?;
+            let part = bytes.split_to(room.min(bytes.len()));
+            self.lock().send_data(part, false)?;
         }
         Ok(())
     }
-    fn end(mut self, trailers: HeaderMap) {
+    /// Returns when the caller left.
+    async fn left(&self) {
+        let _ = poll_fn(|cx| self.lock().poll_reset(cx)).await;
+    }
+    fn end(&self, trailers: HeaderMap) {
         // The caller may have left.
-        let _ = self.stream.send_trailers(trailers);
+        let _ = self.lock().send_trailers(trailers);
     }
 }
 
@@ -457,20 +466,17 @@
         let response = Response::builder().header("content-type", "application/grpc").body(());
         let Ok(response) = response else { return };
         let Ok(stream) = respond.send_response(response, false) else { return };
-        let mut out = Out { stream };
-        let mut watch = respond;
-        let done = or(async { Some(ask.run(self, key, &header, &fate, &mut out).await) }, async {
-            let _ = poll_fn(|cx| watch.poll_reset(cx)).await;
+        let out = Out(Arc::new(Mutex::new(stream)));
+        let done = or(async { Some(ask.run(self, key, &header, &fate, &out).await) }, async {
+            out.left().await;
             None
         })
         .await;
         match done {
             None => {}
             Some(Ok(trailers)) => out.end(trailers),
-            Some(Err(Stopped::Reset)) => out.stream.send_reset(Reason::INTERNAL_ERROR),
-            Some(Err(Stopped::Lost)) => {
-                let _ = poll_fn(|cx| watch.poll_reset(cx)).await;
-            }
+            Some(Err(Stopped::Reset)) => out.lock().send_reset(Reason::INTERNAL_ERROR),
+            Some(Err(Stopped::Lost)) => out.left().await,
         }
     }
 
@@ -680,7 +686,7 @@
         key: Key,
         header: &pb::Header,
         fate: &Fate,
-        out: &mut Out,
+        out: &Out,
     ) -> impl std::future::Future<Output = Result<HeaderMap, Stopped>> + Send;
 }
 
@@ -698,7 +704,7 @@
         key: Key,
         _: &pb::Header,
         fate: &Fate,
-        out: &mut Out,
+        out: &Out,
     ) -> Result<HeaderMap, Stopped> {
         let _slot = engine.slots.acquire().await;
         let kept_tokens = engine.known((self.opening, self.opening_tokens), self.session, self.prompt.len());
@@ -744,7 +750,7 @@
         key: Key,
         header: &pb::Header,
         fate: &Fate,
-        out: &mut Out,
+        out: &Out,
     ) -> Result<HeaderMap, Stopped> {
         use pb::write_event::Event;
         let id = engine.spec.id;
--- a/crates/ivyward-wire/src/channel.rs
+++ b/crates/ivyward-wire/src/channel.rs
@@ -84,11 +84,28 @@
     fn from_headers(headers: HeaderMap) -> Option<Status> {
         let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
         let code = text("grpc-status")?.parse().unwrap_or(2);
-        let message = text("grpc-message").unwrap_or_default();
+        let message = text("grpc-message").map(|m| unescape(&m)).unwrap_or_default();
         Some(Status { code, message, metadata: headers })
     }
 }
 
+/// Takes back the percent-encoding of a status message; what is no valid escape stays as it is.
+fn unescape(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let (mut out, mut i) = (Vec::with_capacity(bytes.len()), 0);
+    while i < bytes.len() {
+        let hex = text.get(i + 1..i + 3).filter(|_| bytes[i] == b'%');
+        if let Some(byte) = hex.and_then(|h| u8::from_str_radix(h, 16).ok()) {
+            out.push(byte);
+            i += 3;
+        } else {
+            out.push(bytes[i]);
+            i += 1;
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
 /// One HTTP/2 connection as its user holds it. Clones share the connection.
 #[derive(Clone)]
 pub struct Channel {
--- a/crates/ivyward/src/lib.rs
+++ b/crates/ivyward/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`answer`]: the final answers and the bounded buffer.
 //! - [`door`]: gRPC, and the final answers in its terms.
 //! - [`record`]: recordings of what the module was told and did, and their replay.
-//! - [`metrics`]: counters.
+//! - [`metrics`]: counters; [`admin`]: health and metrics over HTTP.
 //! - `driver`, `attempt`, `link`: the request path.
 
 pub mod admin;
--- /dev/null
+++ b/crates/ivywardd/src/flags.rs
@@ -0,0 +1,449 @@
+//! The flags, defined once, with their checks. Each is also an environment variable; a long list may stand in a file,
+//! one flag a line, given as `@file`.
+
+use clap::error::ErrorKind;
+use clap::Parser;
+use ivyward::core::interface::{
+    ClassSettings, Condition, Effect, Micros, RepeatGroup, ReportField, ServerEntry, ServerId, Settings,
+    TenantSettings,
+};
+use ivyward::{Class, Engine, NodeSettings, SettingsError, Tenant};
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Most bytes of an `@file`.
+const MOST_FILE: u64 = 16 << 20;
+
+/// A router node for language-model serving with separate prefill and decode engines.
+///
+/// Spans are written like 250ms, 2s or 500us. A flag may be given as @FILE: a file of such flags, one a line, with
+/// blank lines and lines that begin with # left out. Lists in environment variables are separated by ;
+#[derive(Parser, Debug, Clone)]
+#[command(name = "ivywardd", version, max_term_width = 110)]
+pub struct Flags {
+    /// Where clients call (gRPC over HTTP/2 without TLS). Port 0 takes a free one.
+    #[arg(long, env = "IVYWARD_LISTEN", value_name = "ADDRESS", default_value = "127.0.0.1:7430")]
+    pub listen: SocketAddr,
+    /// Where /healthz and /metrics are served; not served if left out.
+    #[arg(long, env = "IVYWARD_ADMIN", value_name = "ADDRESS")]
+    pub admin: Option<SocketAddr>,
+    /// Only says whether the settings hold.
+    #[arg(long)]
+    pub check: bool,
+    /// An engine: id=N,address=HOST:PORT,role=prefill|decode|mixed and, if wanted, zone=N,cell=N,weight=X.
+    #[arg(long = "server", env = "IVYWARD_SERVERS", value_name = "ENGINE", value_delimiter = ';', value_parser = server)]
+    pub servers: Vec<Engine>,
+    /// A request class: name=..,ttft-aim=SPAN,deadline=SPAN and, if wanted, ttft-aim-per-1000=SPAN,tpot-aim=SPAN,
+    /// worth=X,late-share=X,effect=safe|keyed|unsafe,group=all|zone|cell,repeat-window=SPAN. The first is the usual one.
+    #[arg(long = "class", env = "IVYWARD_CLASSES", value_name = "CLASS", value_delimiter = ';', value_parser = class)]
+    pub classes: Vec<Class>,
+    /// A tenant: name=.. and, if wanted, quota=REQUESTS_A_SECOND over all nodes.
+    #[arg(long = "tenant", env = "IVYWARD_TENANTS", value_name = "TENANT", value_delimiter = ';', value_parser = tenant)]
+    pub tenants: Vec<Tenant>,
+
+    /// Nodes that front the service, this one among them.
+    #[arg(long, env = "IVYWARD_NODES", default_value_t = 1)]
+    pub nodes: u32,
+    /// The zone of this node.
+    #[arg(long, env = "IVYWARD_ZONE", default_value_t = 0)]
+    pub zone: u8,
+    /// Feeds the module's random choices; drawn if left out.
+    #[arg(long, env = "IVYWARD_SEED")]
+    pub seed: Option<u64>,
+    /// Memory of each kind of engine for KV state, in tokens: PREFILL,DECODE,MIXED. Not limited if left out.
+    #[arg(long, env = "IVYWARD_MEMORY_TOKENS", value_delimiter = ',', num_args = 3, value_name = "TOKENS")]
+    pub memory_tokens: Vec<f64>,
+    /// Decode engines read prompts themselves when there is no state to fetch.
+    #[arg(long, env = "IVYWARD_DECODE_MAY_PREFILL", default_value_t = true, action = clap::ArgAction::Set)]
+    pub decode_may_prefill: bool,
+    /// Engines hold places ahead (their Hold call).
+    #[arg(long, env = "IVYWARD_HOLD_AHEAD", default_value_t = false, action = clap::ArgAction::Set)]
+    pub hold_ahead: bool,
+    /// Engines may be probed.
+    #[arg(long, env = "IVYWARD_PROBES", default_value_t = false, action = clap::ArgAction::Set)]
+    pub probes: bool,
+    /// Attempts may be called off.
+    #[arg(long, env = "IVYWARD_MAY_CANCEL", default_value_t = true, action = clap::ArgAction::Set)]
+    pub may_cancel: bool,
+    /// Values of the engines' load reports: outstanding, backlog, utilization, recent-ms, memory-share, waiting-ktokens.
+    #[arg(long = "report", env = "IVYWARD_REPORT", value_delimiter = ',', value_parser = report, value_name = "VALUE")]
+    pub report: Vec<ReportField>,
+    /// Worth of traffic beyond a tenant's share, as a part of the usual.
+    #[arg(long, env = "IVYWARD_OVER_SHARE_WORTH", default_value_t = 1.0)]
+    pub over_share_worth: f64,
+    /// Loss when all prompt tokens leave their rack, as a part of all worth.
+    #[arg(long, env = "IVYWARD_TRANSFER_PRICE", default_value_t = 0.0)]
+    pub transfer_price: f64,
+    /// Loss when each request crosses zones once, as a part of all worth.
+    #[arg(long, env = "IVYWARD_CROSS_ZONE_PRICE", default_value_t = 0.0)]
+    pub cross_zone_price: f64,
+    /// Most attempts for one request.
+    #[arg(long, env = "IVYWARD_MAX_ATTEMPTS", default_value_t = 4)]
+    pub max_attempts: u32,
+    /// Longest advice to stay away that clients follow.
+    #[arg(long, env = "IVYWARD_MAX_RETRY_AFTER", value_name = "SPAN", default_value = "500ms", value_parser = span)]
+    pub max_retry_after: Micros,
+    /// Rule: held state is taken or let go within this.
+    #[arg(long, env = "IVYWARD_RELEASE_WITHIN", value_name = "SPAN", default_value = "500ms", value_parser = span)]
+    pub release_within: Micros,
+    /// Rule: nothing new goes to a draining engine after this.
+    #[arg(long, env = "IVYWARD_DRAIN_GRACE", value_name = "SPAN", default_value = "250ms", value_parser = span)]
+    pub drain_grace: Micros,
+    /// Rule: a cold engine falls over at this multiple of its present capacity.
+    #[arg(long, env = "IVYWARD_FALL_MULTIPLE", default_value_t = 3.0)]
+    pub fall_multiple: f64,
+    /// Rule: the span over which that is counted.
+    #[arg(long, env = "IVYWARD_FALL_WINDOW", value_name = "SPAN", default_value = "2s", value_parser = span)]
+    pub fall_window: Micros,
+    /// Part of its capacity with which an engine starts.
+    #[arg(long, env = "IVYWARD_START_CAPACITY", default_value_t = 0.3)]
+    pub start_capacity: f64,
+    /// An engine is warm so long after its start.
+    #[arg(long, env = "IVYWARD_WARM_AFTER", value_name = "SPAN", default_value = "15s", value_parser = span)]
+    pub warm_after: Micros,
+
+    /// The final answer is given so long before the client's patience ends.
+    #[arg(long, env = "IVYWARD_ANSWER_MARGIN", value_name = "SPAN", default_value = "30ms", value_parser = span)]
+    pub answer_margin: Micros,
+    /// A connection to an engine that is not open by then counts as failed.
+    #[arg(long, env = "IVYWARD_DIAL_TIMEOUT", value_name = "SPAN", default_value = "250ms", value_parser = span)]
+    pub dial_timeout: Micros,
+    /// First pause after a failed dial; it doubles, with jitter.
+    #[arg(long, env = "IVYWARD_REDIAL_FIRST", value_name = "SPAN", default_value = "20ms", value_parser = span)]
+    pub redial_first: Micros,
+    /// Longest pause after a failed dial.
+    #[arg(long, env = "IVYWARD_REDIAL_MOST", value_name = "SPAN", default_value = "1s", value_parser = span)]
+    pub redial_most: Micros,
+    /// A connection that does not take the reset of a given-up call by then is closed.
+    #[arg(long, env = "IVYWARD_RESET_WAIT", value_name = "SPAN", default_value = "100ms", value_parser = span)]
+    pub reset_wait: Micros,
+    /// A started stream without a token for so long counts as broken.
+    #[arg(long, env = "IVYWARD_STREAM_STALL", value_name = "SPAN", default_value = "10s", value_parser = span)]
+    pub stream_stall: Micros,
+    /// A release that finds no engine is tried again for so long.
+    #[arg(long, env = "IVYWARD_RELEASE_TRIES", value_name = "SPAN", default_value = "10s", value_parser = span)]
+    pub release_tries: Micros,
+    /// An idle connection to an engine is pinged after this.
+    #[arg(long, env = "IVYWARD_PING_EVERY", value_name = "SPAN", default_value = "1s", value_parser = span)]
+    pub ping_every: Micros,
+    /// A ping without an answer by then closes the connection.
+    #[arg(long, env = "IVYWARD_PING_TIMEOUT", value_name = "SPAN", default_value = "1s", value_parser = span)]
+    pub ping_timeout: Micros,
+    /// Tokens that wait for a slow client.
+    #[arg(long, env = "IVYWARD_STREAM_BUFFER", default_value_t = 1024)]
+    pub stream_buffer: usize,
+    /// Calls on one connection to an engine.
+    #[arg(long, env = "IVYWARD_CALLS_PER_CONNECTION", default_value_t = 100)]
+    pub calls_per_connection: usize,
+    /// Connections to one engine.
+    #[arg(long, env = "IVYWARD_CONNECTIONS_PER_ENGINE", default_value_t = 8)]
+    pub connections_per_engine: usize,
+    /// Requests in hand; one more is refused.
+    #[arg(long, env = "IVYWARD_MOST_OPEN", default_value_t = 20_000)]
+    pub most_open: usize,
+    /// Client connections; one more is closed at once.
+    #[arg(long, env = "IVYWARD_MOST_CLIENTS", default_value_t = 4_096)]
+    pub most_clients: usize,
+    /// Longest prompt, in tokens.
+    #[arg(long, env = "IVYWARD_MOST_PROMPT", default_value_t = 200_000)]
+    pub most_prompt: usize,
+    /// Most output tokens that may be asked for.
+    #[arg(long, env = "IVYWARD_MOST_OUTPUT", default_value_t = 100_000)]
+    pub most_output: usize,
+    /// Releases under way at once; one more is left to the engine's own limit.
+    #[arg(long, env = "IVYWARD_MOST_RELEASES", default_value_t = 4_096)]
+    pub most_releases: usize,
+
+    /// After SIGTERM, what is under way has so long to end.
+    #[arg(long, env = "IVYWARD_STOP_WITHIN", value_name = "SPAN", default_value = "10s", value_parser = span)]
+    pub stop_within: Micros,
+    /// Threads; 0 for one a core.
+    #[arg(long, env = "IVYWARD_THREADS", default_value_t = 0)]
+    pub threads: usize,
+    /// Records what the module is told and does in this file.
+    #[arg(long, env = "IVYWARD_RECORD", value_name = "FILE")]
+    pub record: Option<PathBuf>,
+    /// Log lines as text or json, on standard error.
+    #[arg(long, env = "IVYWARD_LOG_FORMAT", default_value = "text", value_parser = ["text", "json"])]
+    pub log_format: String,
+    /// Least level that is logged: error, warn, info, debug or trace, also by target as in ivyward=debug.
+    #[arg(long, env = "IVYWARD_LOG", default_value = "info")]
+    pub log: String,
+}
+
+/// A span like 250ms, 2s, 1.5s or 500us, in microseconds.
+pub fn span(text: &str) -> Result<Micros, String> {
+    let unit_at =
+        text.find(|c: char| !c.is_ascii_digit() && c != '.').ok_or("a unit is missing: us, ms, s or m")?;
+    let (number, unit) = text.split_at(unit_at);
+    let number: f64 = number.parse().map_err(|_| format!("{number:?} is no number"))?;
+    let scale = match unit {
+        "us" => 1.0,
+        "ms" => 1e3,
+        "s" => 1e6,
+        "m" => 60e6,
+        other => return Err(format!("{other:?} is no unit: us, ms, s or m")),
+    };
+    let micros = number * scale;
+    match micros.is_finite() && micros < 1e15 {
+        true => Ok(micros.round() as Micros),
+        false => Err("that is too long".into()),
+    }
+}
+
+/// The pairs of `key=value,key=value`, each key once and known.
+struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+
+impl<'a> Pairs<'a> {
+    fn read(text: &'a str, known: &[&str]) -> Result<Pairs<'a>, String> {
+        let mut pairs = BTreeMap::new();
+        for part in text.split(',') {
+            let (key, value) = part.split_once('=').ok_or_else(|| format!("{part:?} is not key=value"))?;
+            if !known.contains(&key) {
+                return Err(format!("{key:?} is none of {}", known.join(", ")));
+            }
+            if value.is_empty() {
+                return Err(format!("{key} has no value"));
+            }
+            if pairs.insert(key, value).is_some() {
+                return Err(format!("{key} is given twice"));
+            }
+        }
+        Ok(Pairs(pairs))
+    }
+    fn get<T>(&self, key: &str, read: impl Fn(&str) -> Result<T, String>) -> Result<Option<T>, String> {
+        self.0.get(key).map(|v| read(v).map_err(|e| format!("{key}={v}: {e}"))).transpose()
+    }
+    fn need<T>(&self, key: &str, read: impl Fn(&str) -> Result<T, String>) -> Result<T, String> {
+        self.get(key, read)?.ok_or_else(|| format!("{key} is missing"))
+    }
+    fn number<T: std::str::FromStr>(&self, key: &str, absent: T) -> Result<T, String> {
+        let read = |text: &str| text.parse::<T>().map_err(|_| "no number that fits".to_string());
+        Ok(self.get(key, read)?.unwrap_or(absent))
+    }
+}
+
+fn word<T: Copy>(text: &str, words: &[(&str, T)]) -> Result<T, String> {
+    let names = || words.iter().map(|w| w.0).collect::<Vec<_>>().join(", ");
+    words.iter().find(|w| w.0 == text).map(|w| w.1).ok_or_else(|| format!("must be one of {}", names()))
+}
+
+fn server(text: &str) -> Result<Engine, String> {
+    let pairs = Pairs::read(text, &["id", "address", "role", "zone", "cell", "weight"])?;
+    let id = pairs.need("id", |t| t.parse::<u64>().map_err(|_| "no whole number".into()))?;
+    let address = pairs.need("address", |t| t.parse().map_err(|_| "not IP:PORT".to_string()))?;
+    let kind = pairs.need("role", |t| word(t, &[("prefill", 0), ("decode", 1), ("mixed", 2)]))?;
+    let weight: f64 = pairs.number("weight", 1.0)?;
+    if !weight.is_finite() || weight <= 0.0 {
+        return Err(format!("weight={weight} must be over 0"));
+    }
+    let entry = ServerEntry {
+        id: ServerId(id),
+        zone: pairs.number("zone", 0)?,
+        kind,
+        cell: pairs.number("cell", 0)?,
+        condition: Condition::Ready,
+        weight,
+        started: 0,
+    };
+    Ok(Engine { entry, address })
+}
+
+fn class(text: &str) -> Result<Class, String> {
+    let pairs = Pairs::read(
+        text,
+        &[
+            "name",
+            "ttft-aim",
+            "ttft-aim-per-1000",
+            "tpot-aim",
+            "deadline",
+            "worth",
+            "late-share",
+            "effect",
+            "group",
+            "repeat-window",
+        ],
+    )?;
+    let effects = [("safe", Effect::Safe), ("keyed", Effect::Keyed), ("unsafe", Effect::Unsafe)];
+    let groups = [("all", RepeatGroup::All), ("zone", RepeatGroup::Zone), ("cell", RepeatGroup::Cell)];
+    let settings = ClassSettings {
+        ttft_aim: pairs.need("ttft-aim", span)?,
+        ttft_aim_per_1000: pairs.get("ttft-aim-per-1000", span)?.unwrap_or(0) as f64,
+        tpot_aim: pairs.get("tpot-aim", span)?.unwrap_or(50_000) as f64,
+        deadline: pairs.need("deadline", span)?,
+        worth: pairs.number("worth", 1.0)?,
+        late_share: pairs.number("late-share", 0.0)?,
+        effect: pairs.get("effect", |t| word(t, &effects))?.unwrap_or(Effect::Safe),
+        group: pairs.get("group", |t| word(t, &groups))?.unwrap_or(RepeatGroup::All),
+        repeat_window: pairs.get("repeat-window", span)?.unwrap_or(0),
+    };
+    Ok(Class { name: pairs.need("name", |t| Ok(t.to_owned()))?, settings })
+}
+
+fn tenant(text: &str) -> Result<Tenant, String> {
+    let pairs = Pairs::read(text, &["name", "quota"])?;
+    let quota_per_s = pairs.get("quota", |t| t.parse::<f64>().map_err(|_| "no number".into()))?;
+    Ok(Tenant { name: pairs.need("name", |t| Ok(t.to_owned()))?, settings: TenantSettings { quota_per_s } })
+}
+
+fn report(text: &str) -> Result<ReportField, String> {
+    word(
+        text,
+        &[
+            ("outstanding", ReportField::Outstanding),
+            ("backlog", ReportField::Backlog),
+            ("utilization", ReportField::Utilization),
+            ("recent-ms", ReportField::RecentMs),
+            ("memory-share", ReportField::MemoryShare),
+            ("waiting-ktokens", ReportField::WaitingKTokens),
+        ],
+    )
+}
+
+/// What a start needs, all checked.
+#[derive(Debug, Clone)]
+pub struct Start {
+    /// The flags as given.
+    pub flags: Flags,
+    /// The node's settings.
+    pub settings: NodeSettings,
+}
+
+/// Why there is no start: a line for standard error, or a page that was asked for.
+#[derive(Debug)]
+pub enum Stop {
+    /// Settings that cannot hold, in one line.
+    Bad(String),
+    /// Help or version.
+    Page(String),
+}
+
+/// Puts the flags of `@file`s in their place.
+fn expand(args: impl IntoIterator<Item = OsString>) -> Result<Vec<OsString>, String> {
+    let mut out = Vec::new();
+    for arg in args {
+        let Some(path) = arg.to_str().and_then(|a| a.strip_prefix('@')).map(str::to_owned) else {
+            out.push(arg);
+            continue;
+        };
+        let size = std::fs::metadata(&path).map_err(|e| format!("@{path}: cannot be read: {e}"))?.len();
+        if size > MOST_FILE {
+            return Err(format!("@{path}: {size} bytes; {MOST_FILE} at most"));
+        }
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("@{path}: cannot be read: {e}"))?;
+        for (no, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            if !line.starts_with("--") {
+                return Err(format!("@{path}: line {}: {line:?} is not a flag like --name=value", no + 1));
+            }
+            out.push(line.into());
+        }
+    }
+    Ok(out)
+}
+
+/// Reads and checks the flags, the program's name among `args`.
+pub fn read(args: impl IntoIterator<Item = OsString>) -> Result<Start, Stop> {
+    let args = expand(args).map_err(Stop::Bad)?;
+    let flags = Flags::try_parse_from(args).map_err(|e| match e.kind() {
+        ErrorKind::DisplayHelp | ErrorKind::DisplayVersion => Stop::Page(e.to_string()),
+        // The first line names flag, value and reason; the rest is advice.
+        _ => {
+            let text = e.to_string();
+            let line = text.lines().next().unwrap_or_default();
+            Stop::Bad(line.strip_prefix("error: ").unwrap_or(line).to_owned())
+        }
+    })?;
+    let settings = flags.settings().map_err(|e| Stop::Bad(e.to_string()))?;
+    Ok(Start { flags, settings })
+}
+
+impl Flags {
+    fn settings(&self) -> Result<NodeSettings, SettingsError> {
+        let settings = NodeSettings {
+            seed: self.seed.unwrap_or(0),
+            classes: self.classes.clone(),
+            tenants: self.tenants.clone(),
+            rules: Settings {
+                nodes: self.nodes,
+                zone: self.zone,
+                memory_tokens: self.memory_tokens.clone(),
+                over_share_worth: self.over_share_worth,
+                decode_may_prefill: self.decode_may_prefill,
+                hold_ahead: self.hold_ahead,
+                transfer_price: self.transfer_price,
+                cross_zone_price: self.cross_zone_price,
+                release_within: self.release_within,
+                drain_grace: self.drain_grace,
+                fall_multiple: self.fall_multiple,
+                fall_window: self.fall_window,
+                start_capacity: self.start_capacity,
+                warm_after: self.warm_after,
+                max_attempts: self.max_attempts,
+                may_cancel: self.may_cancel,
+                probes: self.probes,
+                max_retry_after: self.max_retry_after,
+                report_fields: self.report.clone(),
+                ..Settings::default()
+            },
+            answer_margin: self.answer_margin,
+            dial_timeout: self.dial_timeout,
+            redial_first: self.redial_first,
+            redial_most: self.redial_most,
+            reset_wait: self.reset_wait,
+            stream_stall: self.stream_stall,
+            release_tries: self.release_tries,
+            stream_buffer: self.stream_buffer,
+            calls_per_connection: self.calls_per_connection,
+            connections_per_engine: self.connections_per_engine,
+            ping_every: self.ping_every,
+            ping_timeout: self.ping_timeout,
+            most_open: self.most_open,
+            most_clients: self.most_clients,
+            most_prompt: self.most_prompt,
+            most_output: self.most_output,
+            most_releases: self.most_releases,
+        };
+        settings.check()?;
+        if self.servers.is_empty() {
+            return Err(SettingsError::new("--server", "(none)", "at least one engine is needed"));
+        }
+        for (i, engine) in self.servers.iter().enumerate() {
+            let before = &self.servers[..i];
+            if before.iter().any(|e| e.entry.id == engine.entry.id) {
+                return Err(SettingsError::new(
+                    "--server",
+                    format!("id={}", engine.entry.id.0),
+                    "is given twice",
+                ));
+            }
+            if before.iter().any(|e| e.address == engine.address) {
+                return Err(SettingsError::new(
+                    "--server",
+                    format!("address={}", engine.address),
+                    "is given twice",
+                ));
+            }
+        }
+        if self.admin == Some(self.listen) && self.listen.port() != 0 {
+            return Err(SettingsError::new("--admin", self.listen, "is the same as --listen"));
+        }
+        if self.stop_within > 3_600_000_000 {
+            return Err(SettingsError::new(
+                "--stop-within",
+                format!("{}us", self.stop_within),
+                "an hour at most",
+            ));
+        }
+        if self.threads > 1_024 {
+            return Err(SettingsError::new("--threads", self.threads, "1024 at most"));
+        }
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/crates/ivywardd/src/main.rs
@@ -0,0 +1,130 @@
+//! The ivyward daemon: flags, logs, signals and sockets around the library.
+
+mod flags;
+
+use async_signal::{Signal, Signals};
+use flags::{Start, Stop};
+use futures_lite::StreamExt;
+use ivyward::core::interface::ListKind;
+use ivyward::world::{SmolWorld, World, WorldExt, WorldRef};
+use ivyward::Node;
+use std::io::{BufWriter, Write};
+use std::process::ExitCode;
+use tracing::{error, info, warn};
+use tracing_subscriber::EnvFilter;
+
+fn main() -> ExitCode {
+    let start = match flags::read(std::env::args_os()) {
+        Ok(start) => start,
+        Err(Stop::Page(page)) => {
+            print!("{page}");
+            return ExitCode::SUCCESS;
+        }
+        Err(Stop::Bad(line)) => {
+            eprintln!("ivywardd: {line}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if start.flags.check {
+        println!(
+            "the settings hold: {} engines, {} classes",
+            start.flags.servers.len(),
+            start.settings.classes.len()
+        );
+        return ExitCode::SUCCESS;
+    }
+    match run(start) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(line) => {
+            eprintln!("ivywardd: {line}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn logs(start: &Start) -> Result<(), String> {
+    let filter =
+        EnvFilter::try_new(&start.flags.log).map_err(|e| format!("--log {}: {e}", start.flags.log))?;
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let set = match start.flags.log_format.as_str() {
+        "json" => logs.json().try_init(),
+        _ => logs.try_init(),
+    };
+    set.map_err(|e| format!("logs cannot be set up: {e}"))
+}
+
+fn run(mut start: Start) -> Result<(), String> {
+    logs(&start)?;
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    let threads = if start.flags.threads == 0 { cores } else { start.flags.threads };
+    let seed = start.flags.seed.unwrap_or_else(|| u64::from(std::process::id()) << 32 ^ clock());
+    start.settings.seed = seed;
+    let smol = SmolWorld::start(threads, seed);
+    let world: WorldRef = smol.clone();
+    let record = match &start.flags.record {
+        None => None,
+        Some(path) => {
+            let file =
+                std::fs::File::create(path).map_err(|e| format!("--record {}: {e}", path.display()))?;
+            Some(Box::new(BufWriter::with_capacity(64 << 10, file)) as Box<dyn Write + Send>)
+        }
+    };
+    let recording = record.is_some();
+    let node = Node::start(world.clone(), start.settings.clone(), record).map_err(|e| e.to_string())?;
+    let flags = &start.flags;
+    smol.block_on(node.fleet(ListKind::Full, flags.servers.clone()));
+    let door = world.listen(flags.listen).map_err(|e| format!("--listen {}: {e}", flags.listen))?;
+    let address = door.address();
+    if let Some(at) = flags.admin {
+        let admin = world.listen(at).map_err(|e| format!("--admin {at}: {e}"))?;
+        info!(address = %admin.address(), "health and metrics");
+        let node = node.clone();
+        world.run(async move { node.serve_admin(admin).await });
+    }
+    let serving = node.clone();
+    world.run(async move { serving.serve(door).await });
+    // Scripts wait for this line.
+    println!("listening on {address}");
+    info!(%address, engines = flags.servers.len(), threads, seed, "taking requests");
+    smol.block_on(async {
+        loop {
+            let tick = async {
+                world.sleep(1_000_000).await;
+                None
+            };
+            match futures_lite::future::or(async { Some(signals.next().await) }, tick).await {
+                // What was recorded is in the file a second later, also when the process is killed.
+                None if recording => node.flush_recording().await,
+                None => {}
+                Some(Some(Ok(Signal::Hup))) => reload(&node).await,
+                Some(_) => break,
+            }
+        }
+        info!(open = node.open(), within_us = flags.stop_within, "stopping");
+        node.stop(flags.stop_within).await;
+        // The last answers are on their way to their clients.
+        world.sleep(50_000).await;
+    });
+    info!("stopped");
+    smol.stop();
+    Ok(())
+}
+
+fn clock() -> u64 {
+    let world = SmolWorld::start(1, 0);
+    world.unix_micros()
+}
+
+/// Reads the flags again and takes over the engines.
+async fn reload(node: &Node) {
+    match flags::read(std::env::args_os()) {
+        Ok(start) => {
+            info!(engines = start.flags.servers.len(), "engines read again; other settings need a restart");
+            node.fleet(ListKind::Full, start.flags.servers).await;
+        }
+        Err(Stop::Bad(line)) => error!("the settings do not hold and nothing was taken over: {line}"),
+        Err(Stop::Page(_)) => warn!("nothing to take over"),
+    }
+}
