--- a/crates/ivyward-lab/src/badday.rs
+++ b/crates/ivyward-lab/src/badday.rs
@@ -1,1 +1,461 @@
-//! Comes next.
+//! Plays a day's troubles under its load on real sockets, and reports what came of it.
+
+use crate::load::{play, Load, Tried};
+use crate::plan::{Plan, Spell, Trouble};
+use crate::scene::{settings, Make, Memory, Runs, Scene, SceneError};
+use hdrhistogram::Histogram;
+use ivyward::core::interface::{Condition, Micros};
+use ivyward::NodeSettings;
+use ivyward_standins::audit::RULES;
+use ivyward_standins::sight::Heard;
+use ivyward_standins::{Audit, Role, Spec, Twist};
+use ivyward_world::WorldExt;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Arc;
+
+/// How the list of engines runs behind, in microseconds, and how much further while it is late.
+const LIST_BEHIND: Micros = 150_000;
+const LIST_LATE: Micros = 1_500_000;
+
+/// What to play.
+#[derive(Clone, Debug)]
+pub struct Day {
+    /// The troubles.
+    pub plan: Plan,
+    /// The load.
+    pub load: Load,
+    /// How many nodes.
+    pub nodes: usize,
+    /// How many racks of one reader, one mixed engine and two writers.
+    pub racks: u16,
+    /// How nodes run.
+    pub runs: Runs,
+    /// What the auditor takes for in flight on this machine.
+    pub flight: Micros,
+}
+
+impl Day {
+    /// A day of so many requests, with these kinds of trouble or all.
+    pub fn drawn(seed: u64, requests: usize, kinds: &[Trouble]) -> Day {
+        let load = Load { requests, rate: 200.0, output: 24 };
+        let length = (requests as f64 / load.rate * 1e6) as Micros;
+        let plan = Plan::draw(seed, length.max(2_000_000), kinds);
+        Day { plan, load, nodes: 3, racks: 4, runs: Runs::Inside, flight: 250_000 }
+    }
+}
+
+/// The engines of a day: slower than those of tests, so that queues form.
+pub fn engines(racks: u16) -> Vec<Spec> {
+    let mut specs = crate::scene::fleet(racks);
+    for spec in &mut specs {
+        spec.token_gap = 4_000;
+        spec.fetch_rate = 400_000.0;
+        (spec.slots, spec.queue) = (24, 16);
+        spec.capacity = 200.0;
+        spec.read_rate = 15_000.0;
+        if spec.role == Role::Reader {
+            (spec.slots, spec.queue) = (4, 24);
+            spec.read_rate = 25_000.0;
+            spec.capacity = 150.0;
+        }
+    }
+    specs
+}
+
+/// What came of a day.
+pub struct Report {
+    /// The day.
+    pub day: Day,
+    /// Every try.
+    pub tries: Vec<Tried>,
+    /// What the auditor found.
+    pub audit: Audit,
+    /// The first node's recording.
+    pub recording: Vec<u8>,
+}
+
+/// Plays a day.
+///
+/// # Errors
+/// When the scene cannot be set up.
+pub fn run(day: Day) -> Result<Report, SceneError> {
+    let memory = Memory::default();
+    let make = Make {
+        seed: day.plan.seed,
+        engines: engines(day.racks),
+        settings: NodeSettings {
+            rules: ivyward_core::interface::Settings { nodes: day.nodes as u32, ..settings().rules },
+            ..settings()
+        },
+        nodes: day.nodes,
+        runs: day.runs.clone(),
+        flight: day.flight,
+        record: Some(memory.clone()),
+    };
+    let scene = Arc::new(make.build()?);
+    let plan = Arc::new(day.plan.clone());
+    let tries = scene.world.clone().block_on(async {
+        let (done, wait) = async_channel::bounded::<()>(1);
+        for (i, spell) in plan.spells.iter().enumerate() {
+            let (scene, plan, spell, done) = (scene.clone(), plan.clone(), spell.clone(), done.clone());
+            scene.world.clone().run(async move {
+                scene.world.sleep(spell.at).await;
+                trouble(&scene, &plan, &spell, i).await;
+                drop(done);
+            });
+        }
+        drop(done);
+        let tries = play(&scene, &plan, &day.load).await;
+        // Troubles that outlast the load end by themselves.
+        let _ = wait.recv().await;
+        scene.settle(5_000_000).await;
+        if let Some(node) = scene.node(0) {
+            node.flush_recording().await;
+        }
+        tries
+    });
+    let audit = scene.audit();
+    Ok(Report { day, tries, audit, recording: memory.bytes() })
+}
+
+/// Engines for a trouble: up to a share of all, of one role if wanted.
+fn some(scene: &Scene, random: &mut SmallRng, share: f64, role: Option<Role>) -> Vec<usize> {
+    let fits = |i: &usize| role.is_none_or(|r| scene.engine(*i).spec().role == r);
+    let mut all: Vec<usize> = (0..scene.engines()).filter(fits).collect();
+    all.shuffle(random);
+    let count = ((all.len() as f64 * share).round() as usize).clamp(1, all.len());
+    all.truncate(count);
+    all
+}
+
+async fn list(
+    scene: &Arc<Scene>,
+    plan: &Plan,
+    engine: usize,
+    condition: Condition,
+    since: Option<Micros>,
+    at: Micros,
+) {
+    scene.list(engine, condition, since);
+    let late = plan.on(Trouble::DiscoveryStale, at).map_or(0, |s| (LIST_LATE as f64 * s.size) as Micros);
+    for node in 0..scene.nodes() {
+        // Nodes hear of it one after the other.
+        scene.world.sleep((LIST_BEHIND + late) / scene.nodes() as u64).await;
+        scene.tell(node, engine).await;
+    }
+}
+
+/// An engine dies, the list learns of it, it comes back cold, and the list learns of that.
+async fn crash(scene: &Arc<Scene>, plan: &Plan, engine: usize, spell: &Spell) {
+    scene.engine(engine).die();
+    list(scene, plan, engine, Condition::Gone, None, spell.at).await;
+    scene.world.sleep(spell.len / 2).await;
+    come_back(scene, plan, engine, spell).await;
+}
+
+async fn come_back(scene: &Arc<Scene>, plan: &Plan, engine: usize, spell: &Spell) {
+    // A port that is still taken is tried again.
+    for _ in 0..50 {
+        if scene.engine(engine).come_up(true).is_ok() {
+            break;
+        }
+        scene.world.sleep(20_000).await;
+    }
+    let since = Some(scene.log.now());
+    list(scene, plan, engine, Condition::Ready, since, spell.at + spell.len).await;
+}
+
+async fn trouble(scene: &Arc<Scene>, plan: &Plan, spell: &Spell, no: usize) {
+    let mut random = SmallRng::seed_from_u64(plan.seed.wrapping_mul(31).wrapping_add(no as u64));
+    let world = scene.world.clone();
+    let size = spell.size;
+    let all = |engines: &[usize], change: &dyn Fn(&mut ivyward_standins::Faults)| {
+        engines.iter().for_each(|e| scene.engine(*e).fault(change));
+    };
+    match spell.kind {
+        Trouble::Crash => {
+            for engine in some(scene, &mut random, 0.2 * size, None) {
+                crash(scene, plan, engine, spell).await;
+            }
+        }
+        Trouble::Hang => {
+            let hung = some(scene, &mut random, 0.2 * size, None);
+            all(&hung, &|f| f.hang = true);
+            world.sleep(spell.len).await;
+            all(&hung, &|f| f.hang = false);
+        }
+        Trouble::Slow => {
+            let slow = some(scene, &mut random, 0.25, None);
+            all(&slow, &|f| f.slow = 2.0 + 6.0 * size);
+            world.sleep(spell.len).await;
+            all(&slow, &|f| f.slow = 1.0);
+        }
+        Trouble::Pauses => {
+            let engines = some(scene, &mut random, 0.4 * size, None);
+            let until = scene.log.now() + spell.len;
+            while scene.log.now() < until {
+                let one = engines[random.random_range(0..engines.len())];
+                let span = random.random_range(80_000..250_000);
+                scene.engine(one).fault(|f| f.hang = true);
+                world.sleep(span).await;
+                scene.engine(one).fault(|f| f.hang = false);
+                world.sleep(span).await;
+            }
+        }
+        Trouble::BalancerCrash => {
+            let node = random.random_range(0..scene.nodes());
+            scene.kill_node(node);
+            world.sleep(spell.len / 2).await;
+            for _ in 0..50 {
+                if scene.start_node(node).is_ok() {
+                    break;
+                }
+                world.sleep(20_000).await;
+            }
+        }
+        Trouble::OriginSlow => {
+            let readers = some(scene, &mut random, 0.5, Some(Role::Reader));
+            all(&readers, &|f| f.slow_link = 2.0 + 18.0 * size);
+            world.sleep(spell.len).await;
+            all(&readers, &|f| f.slow_link = 1.0);
+        }
+        Trouble::AnswerLost => {
+            let engines = some(scene, &mut random, 0.5, None);
+            all(&engines, &|f| (f.lose_answer, f.reset) = (0.06 * size, 0.06 * size));
+            world.sleep(spell.len).await;
+            all(&engines, &|f| (f.lose_answer, f.reset) = (0.0, 0.0));
+        }
+        Trouble::Ageing => {
+            let engines = some(scene, &mut random, 0.3, Some(Role::Writer));
+            for step in 1..=10 {
+                all(&engines, &|f| f.slow = 1.0 + 5.0 * size * f64::from(step) / 10.0);
+                world.sleep(spell.len / 10).await;
+            }
+            let first = engines[0];
+            all(&engines, &|f| f.slow = 1.0);
+            crash(scene, plan, first, &Spell { len: spell.len / 4, ..spell.clone() }).await;
+        }
+        Trouble::Drain => {
+            for engine in some(scene, &mut random, 0.15 * size, None) {
+                scene.engine(engine).drain(true);
+                list(scene, plan, engine, Condition::Draining, None, spell.at).await;
+                world.sleep(spell.len / 2).await;
+                scene.engine(engine).die();
+                list(scene, plan, engine, Condition::Gone, None, spell.at).await;
+                come_back(scene, plan, engine, spell).await;
+            }
+        }
+        Trouble::Malformed => {
+            let engines = some(scene, &mut random, 0.3, None);
+            let twists = [
+                Twist::WrongId,
+                Twist::Malformed,
+                Twist::Oversized,
+                Twist::OutOfOrder,
+                Twist::Twice,
+                Twist::AfterEnd,
+                Twist::CutShort,
+                Twist::StatusExhausted,
+                Twist::NoLastWord,
+            ];
+            let until = scene.log.now() + spell.len;
+            while scene.log.now() < until {
+                let twist = twists[random.random_range(0..twists.len())];
+                let engine = engines[random.random_range(0..engines.len())];
+                scene.engine(engine).fault(|f| {
+                    (f.how, f.twist) = (Some(twist), 0.2 * size);
+                    (f.refuse_stream, f.full, f.stall) = (0.1 * size, 0.1 * size, 0.02 * size);
+                });
+                world.sleep(spell.len / 8).await;
+                scene.engine(engine).fault(|f| {
+                    (f.twist, f.refuse_stream, f.full, f.stall) = (0.0, 0.0, 0.0, 0.0);
+                });
+            }
+        }
+        // These are the load's, or the list's.
+        Trouble::Burst
+        | Trouble::HotKey
+        | Trouble::HeavyTail
+        | Trouble::DiscoveryStale
+        | Trouble::GiveUp
+        | Trouble::RetryAbuse => world.sleep(spell.len).await,
+    }
+}
+
+/// Ends of a group of tries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Ends {
+    /// All.
+    pub requests: u64,
+    /// Served.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Given up: the client left by its script, or its node was killed.
+    pub given_up: u64,
+    /// Ended in a way that breaks a rule.
+    pub broken: u64,
+}
+
+impl Ends {
+    fn add(&mut self, how: Heard) {
+        self.requests += 1;
+        match how {
+            Heard::Served => self.served += 1,
+            Heard::Refused => self.refused += 1,
+            Heard::Failed => self.failed += 1,
+            Heard::Left | Heard::Unreachable => self.given_up += 1,
+            Heard::GaveUp | Heard::Wrong => self.broken += 1,
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Json<'a> {
+    plan: &'a Plan,
+    all: Ends,
+    classes: BTreeMap<String, Ends>,
+    first_token_ms: BTreeMap<String, f64>,
+    token_pace_ms: BTreeMap<String, f64>,
+    rules_kept: usize,
+    rules: BTreeMap<&'a str, (u64, u64)>,
+    attempts_side_by_side: (u64, u64),
+    longest_overlap_ms: f64,
+    broken: Vec<String>,
+}
+
+/// Microseconds up to ten minutes, to three digits.
+fn histogram() -> Histogram<u64> {
+    // The bounds are fixed and right.
+    Histogram::new_with_bounds(1, 600_000_000, 3).unwrap_or_else(|_| unreachable!("fixed bounds"))
+}
+
+fn percentiles(values: impl Iterator<Item = u64>) -> BTreeMap<String, f64> {
+    let mut h = histogram();
+    values.for_each(|v| h.saturating_record(v.max(1)));
+    [50.0, 90.0, 99.0, 99.9].map(|p| (format!("p{p}"), h.value_at_percentile(p) as f64 / 1e3)).into()
+}
+
+impl Report {
+    /// Ends of all tries.
+    pub fn all(&self) -> Ends {
+        self.ends(|_| true)
+    }
+    fn ends(&self, of: impl Fn(&Tried) -> bool) -> Ends {
+        let mut ends = Ends::default();
+        self.tries.iter().filter(|t| of(t)).for_each(|t| ends.add(t.end.how));
+        ends
+    }
+    fn first_tokens(&self, class: Option<usize>) -> BTreeMap<String, f64> {
+        let of = self.tries.iter().filter(|t| class.is_none_or(|c| t.class == c));
+        percentiles(of.filter_map(|t| t.end.first))
+    }
+    fn paces(&self) -> BTreeMap<String, f64> {
+        let served = self.tries.iter().filter(|t| t.end.how == Heard::Served && t.end.tokens > 1);
+        percentiles(served.filter_map(|t| Some((t.end.took - t.end.first?) / u64::from(t.end.tokens - 1))))
+    }
+    fn class_names(&self) -> Vec<String> {
+        crate::scene::classes().into_iter().map(|c| c.name).collect()
+    }
+
+    /// The last line.
+    pub fn verdict(&self) -> String {
+        let e = self.all();
+        format!(
+            "rules kept: {} of 5; requests {}: served {}, refused {}, failed {}, given up {}",
+            self.audit.kept(),
+            e.requests,
+            e.served,
+            e.refused,
+            e.failed,
+            e.given_up + e.broken
+        )
+    }
+
+    /// All of it as JSON.
+    ///
+    /// # Errors
+    /// Never for these types, but the library says so.
+    pub fn json(&self) -> serde_json::Result<String> {
+        let classes = self.class_names().into_iter().enumerate();
+        let rules = self.audit.rules.iter().zip(RULES);
+        let json = Json {
+            plan: &self.day.plan,
+            all: self.all(),
+            classes: classes.map(|(i, name)| (name, self.ends(|t| t.class == i))).collect(),
+            first_token_ms: self.first_tokens(None),
+            token_pace_ms: self.paces(),
+            rules_kept: self.audit.kept(),
+            rules: rules.map(|(r, name)| (name, (r.checked, r.count))).collect(),
+            attempts_side_by_side: (self.audit.overlap.checked, self.audit.overlap.count),
+            longest_overlap_ms: self.audit.longest_overlap as f64 / 1e3,
+            broken: self.audit.broken(),
+        };
+        serde_json::to_string_pretty(&json)
+    }
+
+    /// All of it as text, the verdict last.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        let row = |name: &str, e: Ends| {
+            format!(
+                "{name:<18}{:>9}{:>9}{:>9}{:>9}{:>10}",
+                e.requests,
+                e.served,
+                e.refused,
+                e.failed,
+                e.given_up + e.broken
+            )
+        };
+        let mut line = |text: String| {
+            // Writing to a String cannot fail.
+            let _ = writeln!(out, "{text}");
+        };
+        line(format!(
+            "{:<18}{:>9}{:>9}{:>9}{:>9}{:>10}",
+            "class", "requests", "served", "refused", "failed", "given up"
+        ));
+        for (i, name) in self.class_names().iter().enumerate() {
+            line(row(name, self.ends(|t| t.class == i)));
+        }
+        line(String::new());
+        line(format!(
+            "{:<18}{:>9}{:>9}{:>9}{:>9}{:>10}",
+            "during", "requests", "served", "refused", "failed", "given up"
+        ));
+        for spell in &self.day.plan.spells {
+            let during = self.ends(|t| (spell.at..spell.at + spell.len).contains(&t.at));
+            line(row(&spell.kind.name(), during));
+        }
+        let quiet = |t: &Tried| !self.day.plan.spells.iter().any(|s| (s.at..s.at + s.len).contains(&t.at));
+        line(row("(none of these)", self.ends(quiet)));
+        line(String::new());
+        let show = |p: &BTreeMap<String, f64>| {
+            p.iter().map(|(k, v)| format!("{k} {v:.1}")).collect::<Vec<_>>().join("  ")
+        };
+        line(format!("first token, ms: {}", show(&self.first_tokens(None))));
+        line(format!("token pace, ms:  {}", show(&self.paces())));
+        line(String::new());
+        for (rule, name) in self.audit.rules.iter().zip(RULES) {
+            line(format!("{name:<18} checked {:>7} times, broken {}", rule.checked, rule.count));
+        }
+        let o = &self.audit.overlap;
+        let longest = self.audit.longest_overlap as f64 / 1e3;
+        line(format!(
+            "{:<18} checked {:>7} times, broken {} (longest {longest:.1} ms, in flight)",
+            "side by side", o.checked, o.count
+        ));
+        for broken in self.audit.broken() {
+            line(format!("  {broken}"));
+        }
+        line(self.verdict());
+        out
+    }
+}
--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -1,1 +1,115 @@
-fn main() {}
+//! Scenarios, load and reports on loopback.
+
+use clap::{Parser, Subcommand};
+use ivyward_lab::badday::{self, Day};
+use ivyward_lab::plan::{Plan, Trouble};
+use ivyward_lab::scene::Runs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "ivyward-lab", version, about, max_term_width = 110)]
+struct Flags {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Plays a bad day against real nodes and stand-in engines, and checks the five rules from what crossed the sockets.
+    BadDay {
+        /// Draws the day.
+        #[arg(long, env = "IVYWARD_LAB_SEED", default_value_t = 1)]
+        seed: u64,
+        /// First tries.
+        #[arg(long, env = "IVYWARD_LAB_REQUESTS", default_value_t = 3_000, value_parser = clap::value_parser!(u64).range(1..=200_000))]
+        requests: u64,
+        /// First tries a second, on the mean.
+        #[arg(long, env = "IVYWARD_LAB_RATE", default_value_t = 200, value_parser = clap::value_parser!(u64).range(1..=5_000))]
+        rate: u64,
+        /// Nodes.
+        #[arg(long, env = "IVYWARD_LAB_NODES", default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=32))]
+        nodes: u64,
+        /// Racks of one reader, one mixed engine and two writers.
+        #[arg(long, env = "IVYWARD_LAB_RACKS", default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=32))]
+        racks: u16,
+        /// Only these kinds of trouble; may be given several times.
+        #[arg(long, value_parser = Trouble::named)]
+        trouble: Vec<Trouble>,
+        /// Plays the kinds of trouble of a day file, scaled to this machine.
+        #[arg(long, value_name = "FILE", conflicts_with = "trouble")]
+        day: Option<PathBuf>,
+        /// Prints JSON instead of tables.
+        #[arg(long)]
+        json: bool,
+        /// Runs these daemons instead of nodes in this process.
+        #[arg(long, value_name = "PATH")]
+        daemon: Option<PathBuf>,
+        /// Keeps the first node's recording in this file.
+        #[arg(long, value_name = "FILE")]
+        record: Option<PathBuf>,
+    },
+    /// Replays a node's recording into a fresh module and compares every action.
+    ReplayRecord {
+        /// The recording.
+        file: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let result = match Flags::parse().what {
+        What::BadDay { seed, requests, rate, nodes, racks, trouble, day, json, daemon, record } => {
+            let mut play = Day::drawn(seed, requests as usize, &trouble);
+            play.load.rate = rate as f64;
+            (play.nodes, play.racks) = (nodes as usize, racks);
+            let length = ((requests as f64 / rate as f64 * 1e6) as u64).max(2_000_000);
+            play.plan = Plan::draw(seed, length, &trouble);
+            if let Some(path) = daemon {
+                play.runs = Runs::Daemon(path);
+            }
+            bad_day(play, day, json, record)
+        }
+        What::ReplayRecord { file } => replay(&file),
+    };
+    match result {
+        Ok(code) => code,
+        Err(line) => {
+            eprintln!("ivyward-lab: {line}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn bad_day(
+    mut play: Day,
+    day: Option<PathBuf>,
+    json: bool,
+    record: Option<PathBuf>,
+) -> Result<ExitCode, String> {
+    if let Some(path) = day {
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("--day {}: {e}", path.display()))?;
+        let (plan, unknown) = Plan::from_day(&text, play.plan.seed, play.plan.length)
+            .map_err(|e| format!("--day {}: {e}", path.display()))?;
+        for kind in unknown {
+            eprintln!("ivyward-lab: trouble {kind:?} is not known here and is left out");
+        }
+        play.plan = plan;
+    }
+    let report = badday::run(play).map_err(|e| e.to_string())?;
+    if let Some(path) = record {
+        std::fs::write(&path, &report.recording).map_err(|e| format!("--record {}: {e}", path.display()))?;
+    }
+    match json {
+        true => println!("{}\n{}", report.json().map_err(|e| e.to_string())?, report.verdict()),
+        false => print!("{}", report.text()),
+    }
+    Ok(if report.audit.kept() == 5 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn replay(file: &std::path::Path) -> Result<ExitCode, String> {
+    let open = std::fs::File::open(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let done = ivyward::record::replay(std::io::BufReader::new(open)).map_err(|e| e.to_string())?;
+    let cut = if done.cut { "; the recording ends inside an entry" } else { "" };
+    println!("{} events, {} actions, all as recorded{cut}", done.events, done.actions);
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/ivyward-standins/src/audit.rs
+++ b/crates/ivyward-standins/src/audit.rs
@@ -325,6 +325,8 @@
         for Seen { at, what } in log {
             match *what {
                 Sight::Told { node, engine, ready: false } => {
+                    // A notice after which nothing came is a rule kept, too.
+                    out.rules[2].check(true, String::new);
                     told.entry((node, engine)).or_insert(*at);
                 }
                 Sight::Told { node, engine, ready: true } => {
