Hung engines are seen through: muted, not blind; states behind a lost fetch are released

The auditor excused hung engines because they saw nothing, and so called a state pinned whose next attempt stood unseen before a hung writer. A hung stand-in now goes on reading its sockets and sends nothing, so the excuse is gone.

--- a/crates/ivyward-standins/src/audit.rs
+++ b/crates/ivyward-standins/src/audit.rs
@@ -125,8 +125,7 @@
     by_call: BTreeMap<u64, Vec<Key>>,
     /// Effects by call.
     ran: BTreeMap<u64, Vec<(Micros, u64, Key)>>,
-    /// Times at which an engine stood still or was down.
-    still: BTreeMap<u64, Vec<(Micros, Micros)>>,
+    /// Times at which an engine was down.
     down: BTreeMap<u64, Vec<(Micros, Micros)>>,
     up: Vec<(u64, Micros, bool, f64)>,
     pushed: Vec<(u64, Micros)>,
@@ -139,7 +138,6 @@
 impl Facts {
     fn gather(log: &[Seen], end: Micros) -> Facts {
         let mut f = Facts::default();
-        let mut open_still: BTreeMap<u64, Micros> = BTreeMap::new();
         let mut open_down: BTreeMap<u64, Micros> = BTreeMap::new();
         let mut holding: BTreeMap<(u64, Key, bool), usize> = BTreeMap::new();
         for Seen { at, what } in log {
@@ -175,9 +173,6 @@
                 }
                 Sight::Down { engine, pushed } => {
                     open_down.entry(engine).or_insert(at);
-                    if let Some(from) = open_still.remove(&engine) {
-                        f.still.entry(engine).or_default().push((from, at));
-                    }
                     for t in f.tries.values_mut().filter(|t| t.engine == engine) {
                         t.ended.get_or_insert(at);
                     }
@@ -185,14 +180,6 @@
                         f.pushed.push((engine, at));
                     }
                 }
-                Sight::Still { engine, on: true } => {
-                    open_still.entry(engine).or_insert(at);
-                }
-                Sight::Still { engine, on: false } => {
-                    if let Some(from) = open_still.remove(&engine) {
-                        f.still.entry(engine).or_default().push((from, at));
-                    }
-                }
                 Sight::Called { call, operation, node, effect, until } => {
                     f.calls.insert(call, Call { at, until, operation, node, effect, heard: None });
                 }
@@ -202,22 +189,22 @@
                     }
                 }
                 Sight::Killed { node, run } => f.killed_nodes.push((node, run, at)),
-                Sight::Began { .. } | Sight::Told { .. } => {}
+                Sight::Began { .. } | Sight::Told { .. } | Sight::Still { .. } => {}
             }
         }
-        for (engine, from) in open_still {
-            f.still.entry(engine).or_default().push((from, end));
-        }
         for (engine, from) in open_down {
             f.down.entry(engine).or_default().push((from, end));
         }
         f
     }
 
-    /// How long an engine could see things between two times, past the flight allowance.
+    /// Whether an engine was down, and saw nothing, between two times.
     fn blind(&self, engine: u64, from: Micros, to: Micros, flight: Micros) -> bool {
-        let spans = [self.still.get(&engine), self.down.get(&engine)];
-        spans.into_iter().flatten().flatten().any(|(a, b)| *a <= to && b.saturating_add(flight) >= from)
+        self.down
+            .get(&engine)
+            .into_iter()
+            .flatten()
+            .any(|(a, b)| *a <= to && b.saturating_add(flight) >= from)
     }
 
     fn node_killed(&self, node: usize, from: Micros, to: Micros) -> bool {
@@ -403,14 +390,26 @@
             out.rules[4].check(longest <= allowed || blind, || {
                 let what = if *place { "a place" } else { "a state" };
                 format!(
-                    "engine {engine:x} kept {what} for request {} for {} ms with no attempt out",
+                    "engine {engine:x} kept {what} for request {} for {} ms with no attempt out ({how:?}): {}",
                     key.request,
-                    longest / 1000
+                    longest / 1000,
+                    self.story(key, *from)
                 )
             });
         }
     }
 
+    /// What the engines saw of a request's attempts, in milliseconds from a moment.
+    fn story(&self, key: &Key, zero: Micros) -> String {
+        let ms = |at: Micros| (at as f64 - zero as f64) / 1e3;
+        let of = self.tries.iter().filter(|(k, _)| (k.node, k.request) == (key.node, key.request));
+        let one = |(k, t): (&Key, &Try)| {
+            let ended = t.ended.map_or("open".into(), |at| format!("{:.1}", ms(at)));
+            format!("#{} {:?} at {:x} from {:.1} to {ended}", k.attempt, t.kind, t.engine, ms(t.arrived))
+        };
+        of.map(one).collect::<Vec<_>>().join(", ")
+    }
+
     fn overlaps(&self, limits: &Limits, out: &mut Audit) {
         for keys in self.by_call.values() {
             let mut tries: Vec<(&Key, &Try)> = keys.iter().map(|k| (k, &self.tries[k])).collect();
--- a/crates/ivyward-standins/src/engine.rs
+++ b/crates/ivyward-standins/src/engine.rs
@@ -4,9 +4,10 @@
 use crate::sight::{Gone, Key, Kind, Log, Sight};
 use crate::text;
 use async_lock::Semaphore;
-use bytes::Bytes;
+use bytes::{Buf, Bytes, BytesMut};
 use event_listener::Event;
 use futures_lite::future::{or, poll_fn};
+use futures_lite::{AsyncRead, AsyncWrite};
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream, SendStream};
 use http::{HeaderMap, HeaderValue, Response};
@@ -17,8 +18,10 @@
 use prost::Message;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{ready, Context, Poll};
 
 /// What an engine does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -297,7 +300,7 @@
                 stream.reserve_capacity(bytes.len());
                 match stream.capacity() {
                     0 => stream.poll_capacity(cx),
-                    room => std::task::Poll::Ready(Some(Ok(room))),
+                    room => Poll::Ready(Some(Ok(room))),
                 }
             });
             let room = room.await.unwrap_or_else(|| Err(Reason::CANCEL.into()))?;
@@ -349,6 +352,7 @@
         if span >= 1.0 {
             self.world.sleep(span as Micros).await;
         }
+        self.going().await;
     }
     /// Waits while it hangs.
     async fn going(&self) {
@@ -362,8 +366,8 @@
     }
 
     async fn accept(self: Arc<Self>, mut listener: Box<dyn ivyward_world::Listener>) {
+        // Also while it hangs: the system accepts for a process that does not.
         loop {
-            self.going().await;
             let Ok((conn, _)) = listener.accept().await else { continue };
             if self.lock().fallen {
                 continue;
@@ -378,25 +382,23 @@
         conn.reset_on_close();
         let mut builder = h2::server::Builder::new();
         builder.max_concurrent_streams(self.spec.streams).initial_connection_window_size(4 << 20);
-        let Ok(mut h2) = builder.handshake::<_, Bytes>(Io(conn)).await else { return };
+        let muted = Muted { conn, inner: self.clone(), waiting: BytesMut::new() };
+        let Ok(mut h2) = builder.handshake::<_, Bytes>(Io(muted)).await else { return };
+        // One listener for the whole life, so that no close is missed.
+        let mut closing = self.close_all.listen();
         loop {
-            // The listener comes before the look at the faults, so that none is missed.
-            let closing = self.close_all.listen();
-            self.going().await;
-            let (next, hang) = (async { Some(h2.accept().await) }, async {
-                loop {
-                    let listener = self.changed.listen();
-                    if self.lock().faults.hang {
-                        return None;
-                    }
-                    listener.await;
-                }
-            });
+            let changed = self.changed.listen();
+            let next = async { Some(h2.accept().await) };
             let close = async {
-                closing.await;
+                (&mut closing).await;
                 Some(None)
             };
-            match or(next, or(hang, close)).await {
+            let again = async {
+                changed.await;
+                None
+            };
+            match or(next, or(close, again)).await {
+                // What waited while it hung goes out with the next poll.
                 None => {}
                 Some(Some(Ok((request, respond)))) => {
                     let me = self.clone();
@@ -415,7 +417,11 @@
             decoder.push(&chunk);
             let _ = body.flow_control().release_capacity(chunk.len());
         }
-        match path.rsplit('/').next() {
+        let method = path.rsplit('/').next();
+        if matches!(method, Some("Hold" | "Fetch" | "Probe")) {
+            self.going().await;
+        }
+        match method {
             Some("Read") => self.taken(decoder.pop::<pb::ReadRequest>().ok().flatten(), respond).await,
             Some("Write") => self.taken(decoder.pop::<pb::WriteRequest>().ok().flatten(), respond).await,
             Some("Hold") => self.hold(decoder.pop().ok().flatten(), respond).await,
@@ -443,6 +449,13 @@
         if self.pushed() {
             return;
         }
+        let (going, left) = (async { true.then_some(self.going().await) }, async {
+            let _ = poll_fn(|cx| respond.poll_reset(cx)).await;
+            None
+        });
+        if or(going, left).await.is_none() {
+            return;
+        }
         let faults = self.faults();
         if self.chance(faults.refuse_stream) {
             return respond.send_reset(Reason::REFUSED_STREAM);
@@ -575,6 +588,7 @@
         answer(respond, &pb::HoldReply { engine: self.spec.id, held });
     }
 
+    /// Acts at once also while it hangs: what counts for the rule is that the release crossed the socket.
     fn release(&self, ask: Option<pb::ReleaseRequest>, respond: SendResponse<Bytes>) {
         let key = ask.and_then(|a| key(a.key));
         let released = key.is_some_and(|key| {
@@ -629,6 +643,71 @@
     }
 }
 
+/// A connection of an engine that may hang: it still reads, so that what crosses the socket is seen, but nothing goes
+/// out until the engine goes on. At most [`MOST_MUTED`] bytes wait.
+struct Muted {
+    conn: Conn,
+    inner: Arc<Inner>,
+    waiting: BytesMut,
+}
+
+const MOST_MUTED: usize = 1 << 20;
+
+impl Muted {
+    fn hangs(&self) -> bool {
+        self.inner.lock().faults.hang
+    }
+    /// Writes what waits.
+    fn poll_out(&mut self, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        while !self.waiting.is_empty() && !self.hangs() {
+            let put = ready!(Pin::new(&mut self.conn).poll_write(cx, &self.waiting))?;
+            self.waiting.advance(put);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncRead for Muted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        // An error shows when h2 writes next.
+        let _ = self.poll_out(cx);
+        Pin::new(&mut self.conn).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Muted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        if self.hangs() || !self.waiting.is_empty() {
+            if self.waiting.len() < MOST_MUTED {
+                self.waiting.extend_from_slice(buf);
+                let _ = self.poll_out(cx);
+                return Poll::Ready(Ok(buf.len()));
+            }
+            ready!(self.poll_out(cx))?;
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.conn).poll_write(cx, buf)
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        if self.hangs() {
+            return Poll::Ready(Ok(()));
+        }
+        ready!(self.poll_out(cx))?;
+        Pin::new(&mut self.conn).poll_flush(cx)
+    }
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.conn).poll_close(cx)
+    }
+}
+
 /// What becomes of a call that was begun.
 struct Fate {
     lose: bool,
@@ -797,6 +876,7 @@
             let span = engine.spec.token_gap as f64 * engine.faults().slowness();
             if span >= 1.0 {
                 engine.world.sleep(span as Micros).await;
+                engine.going().await;
             }
             match (fate.twist, index) {
                 (Some(Twist::WrongId), 0) => {
--- a/crates/ivyward/src/driver.rs
+++ b/crates/ivyward/src/driver.rs
@@ -452,8 +452,14 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         if end.outcome == Outcome::StateLost {
             open.state = None;
-            open.kept.retain(|k| k.place);
+            // A writer that could not reach the state says the same, and then it is still there.
+            let (places, states): (Vec<Kept>, Vec<Kept>) = open.kept.drain(..).partition(|k| k.place);
+            open.kept = places;
+            for kept in states {
+                self.let_go(id, kept.link, kept.attempt);
+            }
         }
+        let Some(open) = self.open.get_mut(&id) else { return };
         let (broke, served) =
             (open.streaming && end.outcome != Outcome::Served, end.outcome == Outcome::Served);
         let finished = open.answered || open.streaming || served;
