Stops that end, dials that end: the node yields while it waits for its last attempts

The fault tests hung twice. A stop whose time was over kept the driver's timer due, so its task never yielded to the attempts that were to end; and an engine that closed each new connection at once was dialled without end.

--- a/crates/ivyward-standins/src/engine.rs
+++ b/crates/ivyward-standins/src/engine.rs
@@ -107,7 +107,7 @@
     arrivals: std::collections::VecDeque<Micros>,
     tokens: u64,
     draining: bool,
-    going_away: bool,
+    goaways: u64,
     fallen: bool,
 }
 
@@ -271,7 +271,7 @@
     /// Tells all callers by GOAWAY that it takes no more streams on their connections.
     pub fn go_away(&self) {
         if let Some((inner, _)) = &self.running {
-            inner.lock().going_away = true;
+            inner.lock().goaways += 1;
             inner.changed.notify(usize::MAX);
         }
     }
@@ -397,11 +397,14 @@
         builder.max_concurrent_streams(self.spec.streams).initial_connection_window_size(4 << 20);
         let muted = Muted { conn, inner: self.clone(), waiting: BytesMut::new() };
         let Ok(mut h2) = builder.handshake::<_, Bytes>(Io(muted)).await else { return };
+        let mut goaways = self.lock().goaways;
         // One listener for the whole life, so that no close is missed.
         let mut closing = self.close_all.listen();
         loop {
             let changed = self.changed.listen();
-            if self.lock().going_away {
+            if self.lock().goaways != goaways {
+                // Only those that were open then.
+                goaways = self.lock().goaways;
                 h2.graceful_shutdown();
             }
             let next = async { Some(h2.accept().await) };
--- a/crates/ivyward/src/driver.rs
+++ b/crates/ivyward/src/driver.rs
@@ -139,6 +139,7 @@
     timer_seq: u64,
     actions: Vec<Action>,
     stop_by: Option<Micros>,
+    stop_over: bool,
 }
 
 impl Driver {
@@ -160,6 +161,7 @@
             timer_seq: 0,
             actions: Vec::new(),
             stop_by: None,
+            stop_over: false,
         }
     }
 
@@ -218,7 +220,8 @@
     fn due(&self) -> Micros {
         let timers = self.timers.first().map(|t| t.0);
         let deadlines = self.deadlines.first().map(|d| d.0);
-        [timers, deadlines, self.stop_by].into_iter().flatten().min().unwrap_or(Micros::MAX)
+        let stop = self.stop_by.filter(|_| !self.stop_over);
+        [timers, deadlines, stop].into_iter().flatten().min().unwrap_or(Micros::MAX)
     }
 
     fn fire(&mut self, now: Micros) {
@@ -230,7 +233,9 @@
             self.deadlines.remove(&(at, id));
             self.end_now(id, Failure::Deadline);
         }
-        if self.stop_by.is_some_and(|by| by <= now) {
+        if !self.stop_over && self.stop_by.is_some_and(|by| by <= now) {
+            // Once: a time that stays due would keep this task from ever yielding to the attempts that are to end.
+            self.stop_over = true;
             let ids: Vec<u64> = self.open.keys().copied().collect();
             for id in ids {
                 self.end_now(id, Failure::Stopped);
@@ -378,6 +383,10 @@
         };
         self.open.insert(id, open);
         self.tell_at(now, Event::Request(arrival));
+        if self.stop_over {
+            // It slipped in beside the stop.
+            self.end_now(id, Failure::Stopped);
+        }
         self.sweep(id);
     }
 
--- a/crates/ivyward/src/link.rs
+++ b/crates/ivyward/src/link.rs
@@ -101,8 +101,13 @@
                 let mut pool = self.pool();
                 pool.channels.retain(|c| c.usable() || c.calls() > 0 && !c.closed());
                 let room = |c: &&Channel| c.usable() && c.calls() < self.per_channel.min(c.room().max(1));
-                if let Some(channel) = pool.channels.iter().filter(room).min_by_key(|c| c.calls()) {
-                    return Ok(channel.clone());
+                if let Some(channel) = pool.channels.iter().filter(room).min_by_key(|c| c.calls()).cloned() {
+                    (pool.failed, pool.next_dial) = (0, 0);
+                    return Ok(channel);
+                }
+                // Also when dials succeed and the engine closes each connection at once.
+                if self.world.now() >= until {
+                    return Err(DialError::Late(self.address));
                 }
                 if waited.is_some_and(|dials| dials < pool.dials) && pool.last_failed {
                     return Err(DialError::Failed(self.address, pool.error.clone()));
@@ -142,19 +147,16 @@
         pool.dials += 1;
         pool.last_failed = result.is_err();
         match result {
-            Ok(channel) => {
-                pool.failed = 0;
-                pool.channels.push(channel);
-            }
-            Err(text) => {
-                let pause = self.pauses.0.saturating_mul(1 << pool.failed.min(20)).min(self.pauses.1);
-                pool.failed += 1;
-                pool.error = text;
-                // Half to whole of the pause, so that many nodes do not come back in one moment.
-                let jitter = 0.5 + 0.5 * self.world.unit();
-                pool.next_dial = self.world.now() + (pause as f64 * jitter) as Micros;
-            }
+            Ok(channel) => pool.channels.push(channel),
+            Err(text) => pool.error = text,
         }
+        // Also after a success, until a call gets a connection: an engine that closes each one at once is not
+        // dialled without end.
+        let pause = self.pauses.0.saturating_mul(1 << pool.failed.min(20)).min(self.pauses.1);
+        pool.failed += 1;
+        // Half to whole of the pause, so that many nodes do not come back in one moment.
+        let jitter = 0.5 + 0.5 * self.world.unit();
+        pool.next_dial = self.world.now() + (pause as f64 * jitter) as Micros;
         drop(pool);
         self.changed.notify(usize::MAX);
     }
