--- a/crates/ivyward-lab/src/scene.rs
+++ b/crates/ivyward-lab/src/scene.rs
@@ -2,8 +2,9 @@
 
 use futures_lite::future::block_on;
 use ivyward::core::interface::{
-    ClassSettings, Condition, Effect, ListKind, Micros, RepeatGroup, ServerEntry, ServerId, Settings,
+    Action, ClassSettings, Condition, Effect, ListKind, Micros, RepeatGroup, ServerEntry, ServerId, Settings,
 };
+use ivyward::record::{Reader, RecordError};
 use ivyward::{Class, Engine as Listed, Node, NodeSettings};
 use ivyward_proto::front::GenerateRequest;
 use ivyward_standins::engine::Threads;
@@ -82,6 +83,27 @@
     }
 }
 
+/// What a recording says was decided, a line an action, everything but times.
+///
+/// # Errors
+/// When it is no recording.
+pub fn decisions(recording: &[u8]) -> Result<Vec<String>, RecordError> {
+    let mut reader = Reader::begin(recording)?;
+    let mut out = Vec::new();
+    while let Some(step) = reader.step()? {
+        for action in step.actions {
+            match action {
+                Action::SetTimer { .. } => {}
+                Action::Send { request, server, .. } => {
+                    out.push(format!("send {} to {}", request.0, server.0))
+                }
+                other => out.push(format!("{other:?}")),
+            }
+        }
+    }
+    Ok(out)
+}
+
 /// What a scene is made of.
 #[derive(Clone)]
 pub struct Make {
--- /dev/null
+++ b/crates/ivyward-lab/tests/auditor.rs
@@ -0,0 +1,218 @@
+//! The auditor can fail: for each rule a bad node, played by hand on real sockets, breaks it once and is caught, beside
+//! the same steps done rightly, which are not.
+
+mod common;
+use common::*;
+use futures_lite::future::block_on;
+use ivyward_lab::scene::{Make, Scene};
+use ivyward_proto::engine as pb;
+use ivyward_standins::sight::{Effect, Heard, Sight};
+use ivyward_standins::{Role, Spec};
+use ivyward_wire::{encode, Call, Channel, Options};
+use ivyward_world::{WorldExt, WorldRef};
+use std::sync::Arc;
+
+const NODE: u64 = 77;
+
+/// Engines and no node: the test plays it.
+fn engines(specs: Vec<Spec>) -> Arc<Scene> {
+    let mut make = Make::new(9, specs);
+    (make.nodes, make.flight) = (0, 50_000);
+    build(make)
+}
+
+/// What the auditor finds broken, by rule; attempts side by side last.
+fn broken(scene: &Scene) -> [bool; 6] {
+    let audit = scene.audit();
+    let mut out = [false; 6];
+    for (i, rule) in audit.rules.iter().enumerate() {
+        out[i] = rule.count > 0;
+    }
+    out[5] = audit.overlap.count > 0;
+    out
+}
+
+fn only(rule: usize) -> [bool; 6] {
+    std::array::from_fn(|i| i == rule)
+}
+
+async fn dial(scene: &Scene, engine: usize) -> Channel {
+    let world: WorldRef = scene.world.clone();
+    let address = scene.engine(engine).address();
+    let conn = world.connect(address).await.unwrap();
+    Channel::begin(&world, conn, Options::default()).await.unwrap()
+}
+
+fn header(scene: &Scene, engine: usize, request: u64, attempt: u32, call: u64) -> Option<pb::Header> {
+    let key = Some(pb::AttemptKey { node: NODE, request, attempt });
+    let engine = scene.engine(engine).spec().id;
+    Some(pb::Header { key, engine, call_id: call, ..pb::Header::default() })
+}
+
+async fn write(scene: &Scene, engine: usize, request: u64, attempt: u32, call: u64) -> Call {
+    let ask = pb::WriteRequest {
+        header: header(scene, engine, request, attempt, call),
+        prompt: prompt(1, 10),
+        max_output_tokens: 5,
+        ..pb::WriteRequest::default()
+    };
+    let channel = dial(scene, engine).await;
+    channel.call("/ivyward.engine.v1.Engine/Write", encode(&ask), http::HeaderMap::new()).await.unwrap()
+}
+
+async fn read(scene: &Scene, engine: usize, request: u64, attempt: u32) -> Call {
+    let ask = pb::ReadRequest {
+        header: header(scene, engine, request, attempt, 1),
+        prompt: prompt(1, 10),
+        ..pb::ReadRequest::default()
+    };
+    let channel = dial(scene, engine).await;
+    channel.call("/ivyward.engine.v1.Engine/Read", encode(&ask), http::HeaderMap::new()).await.unwrap()
+}
+
+async fn to_end<M: prost::Message + Default>(mut call: Call) {
+    while let Ok(Some(_)) = call.next::<M>().await {}
+}
+
+fn called(scene: &Scene, call: u64, effect: Effect) {
+    let until = scene.log.now() + 1_000_000;
+    scene.log.add(Sight::Called { call, operation: call, node: 0, effect, until });
+}
+
+fn heard(scene: &Scene, call: u64, how: Heard) {
+    scene.log.add(Sight::Heard { call, how });
+}
+
+#[test]
+fn rule_1_a_request_without_an_answer_and_one_sent_after_its_end() {
+    for (how, late, rule) in
+        [(Heard::Served, false, None), (Heard::GaveUp, false, Some(0)), (Heard::Refused, true, Some(0))]
+    {
+        let scene = engines(pools(0, 1));
+        block_on(async {
+            called(&scene, 1, Effect::Safe);
+            if !late {
+                to_end::<pb::WriteEvent>(write(&scene, 0, 1, 0, 1).await).await;
+            }
+            heard(&scene, 1, how);
+            if late {
+                scene.world.sleep(150_000).await;
+                to_end::<pb::WriteEvent>(write(&scene, 0, 1, 0, 1).await).await;
+            }
+        });
+        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "{how:?}");
+    }
+    // One that was never heard of again.
+    let scene = engines(pools(0, 1));
+    called(&scene, 1, Effect::Safe);
+    assert_eq!(broken(&scene), only(0));
+}
+
+#[test]
+fn rule_2_an_unsafe_request_run_twice_or_refused_after_it_ran() {
+    for (effect, runs, how, rule) in [
+        (Effect::Unsafe, 1, Heard::Served, None),
+        (Effect::Unsafe, 2, Heard::Served, Some(1)),
+        (Effect::Unsafe, 1, Heard::Refused, Some(1)),
+        (Effect::Safe, 2, Heard::Refused, None),
+    ] {
+        let scene = engines(pools(0, 2));
+        block_on(async {
+            called(&scene, 1, effect);
+            for attempt in 0..runs {
+                to_end::<pb::WriteEvent>(write(&scene, attempt as usize, 1, attempt, 1).await).await;
+            }
+            scene.settle(1_000_000).await;
+            heard(&scene, 1, how);
+        });
+        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "{effect:?} run {runs} times, {how:?}");
+    }
+}
+
+#[test]
+fn rule_3_work_for_an_engine_that_drains() {
+    for (wait, rule) in [(0, None), (500_000, Some(2))] {
+        let scene = engines(pools(0, 1));
+        block_on(async {
+            let engine = scene.engine(0).spec().id;
+            scene.log.add(Sight::Told { node: NODE, engine, ready: false });
+            scene.world.sleep(wait).await;
+            to_end::<pb::WriteEvent>(write(&scene, 0, 1, 0, 1).await).await;
+        });
+        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "after {wait} us");
+    }
+}
+
+#[test]
+fn rule_4_a_cold_engine_that_is_pushed() {
+    for (calls, rule) in [(5, None), (80, Some(3))] {
+        let mut specs = pools(0, 1);
+        // A tenth of 100 a second, four times that in a second: 40, and two for chance.
+        (specs[0].falls, specs[0].capacity) = ((4.0, 1_000_000), 100.0);
+        specs[0].cold = (0.1, 4_000_000);
+        let mut make = Make::new(9, specs);
+        make.nodes = 0;
+        make.settings.rules.start_capacity = 0.1;
+        let scene = build(make);
+        block_on(async {
+            scene.engine(0).come_up(true).unwrap();
+            for i in 0..calls {
+                if scene.engine(0).up() {
+                    to_end::<pb::WriteEvent>(write(&scene, 0, i, 0, i).await).await;
+                }
+            }
+        });
+        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "{calls} calls");
+        assert_eq!(scene.engine(0).up(), rule.is_none());
+    }
+}
+
+#[test]
+fn rule_5_a_state_that_nobody_lets_go() {
+    for (release, rule) in [(true, None), (false, Some(4))] {
+        let mut specs = pools(1, 0);
+        specs[0].keep = 700_000;
+        let scene = engines(specs);
+        block_on(async {
+            to_end::<pb::ReadReply>(read(&scene, 0, 1, 0).await).await;
+            if release {
+                let key = Some(pb::AttemptKey { node: NODE, request: 1, attempt: 0 });
+                let ask = encode(&pb::ReleaseRequest { key, engine: 1 });
+                let path = "/ivyward.engine.v1.Engine/Release";
+                let call = dial(&scene, 0).await.call(path, ask, http::HeaderMap::new()).await.unwrap();
+                to_end::<pb::ReleaseReply>(call).await;
+            }
+            seen(&scene, |s| matches!(s, Sight::LetGo { .. })).await;
+        });
+        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "released: {release}");
+    }
+}
+
+#[test]
+fn two_attempts_at_once() {
+    for (beside, rule) in [(false, None), (true, Some(5))] {
+        let mut specs = vec![Spec::small(1, Role::Writer), Spec::small(2, Role::Writer)];
+        specs[0].token_gap = 100_000;
+        let scene = engines(specs);
+        block_on(async {
+            let first = write(&scene, 0, 1, 0, 1).await;
+            let run = async {
+                if !beside {
+                    to_end::<pb::WriteEvent>(first).await;
+                    return to_end::<pb::WriteEvent>(write(&scene, 1, 1, 1, 1).await).await;
+                }
+                let (tell, wait) = async_channel::bounded::<()>(1);
+                scene.world.run(async move {
+                    to_end::<pb::WriteEvent>(first).await;
+                    drop(tell);
+                });
+                seen(&scene, |s| matches!(s, Sight::Ran { .. })).await;
+                to_end::<pb::WriteEvent>(write(&scene, 1, 1, 1, 1).await).await;
+                let _ = wait.recv().await;
+            };
+            run.await;
+            seen(&scene, |s| matches!(s, Sight::Ended { key, .. } if key.attempt == 0)).await;
+        });
+        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "beside: {beside}");
+    }
+}
--- a/crates/ivyward-standins/src/engine.rs
+++ b/crates/ivyward-standins/src/engine.rs
@@ -68,6 +68,11 @@
 }
 
 impl Spec {
+    /// One whose times are long beside a machine's noise, so that what is learned from them is the same in each run.
+    pub fn steady(id: u64, role: Role) -> Spec {
+        Spec { read_rate: 4_000.0, fetch_rate: 8_000.0, token_gap: 3_000, ..Spec::small(id, role) }
+    }
+
     /// A small engine with quick answers.
     pub fn small(id: u64, role: Role) -> Spec {
         Spec {
@@ -468,10 +473,14 @@
         if self.pushed() {
             return;
         }
-        let (going, left) = (async { true.then_some(self.going().await) }, async {
+        let going = async {
+            self.going().await;
+            Some(())
+        };
+        let left = async {
             let _ = poll_fn(|cx| respond.poll_reset(cx)).await;
             None
-        });
+        };
         if or(going, left).await.is_none() {
             return;
         }
