Token streams no longer break the connections they share; relay measured

Measuring the relay at 64 streams broke every stream: h2 closes a connection whose reader has too many small frames waiting, and token streams are nothing else. The frame budget now covers all windows full of the smallest frames (windows of 16 KiB, so 34 MB at most for 100 streams); a test with 40 slow clients on one connection guards it. Dials go out as many at once as those who wait need. ivyward-lab relay measures streams straight and through the node in one run, and the driver's share by fleet size.

--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use ivyward_lab::badday::{self, Day};
 use ivyward_lab::plan::{Plan, Trouble};
+use ivyward_lab::relay;
 use ivyward_lab::scene::Runs;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -49,6 +50,19 @@
         #[arg(long, value_name = "FILE")]
         record: Option<PathBuf>,
     },
+    /// Measures what a node adds: streams straight from an engine against the same through a node, and what a decision
+    /// costs by the size of the fleet.
+    Relay {
+        /// Streams at once; may be given several times.
+        #[arg(long, default_values_t = [1, 64, 1000], value_parser = clap::value_parser!(u64).range(1..=4_000))]
+        streams: Vec<u64>,
+        /// Engines in the fleet; may be given several times.
+        #[arg(long, default_values_t = [30, 130, 500, 2000], value_parser = clap::value_parser!(u64).range(4..=4_000))]
+        fleet: Vec<u64>,
+        /// Rounds of each, after one that warms up.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=100))]
+        rounds: u64,
+    },
     /// Replays a node's recording into a fresh module and compares every action.
     ReplayRecord {
         /// The recording.
@@ -69,6 +83,7 @@
             }
             bad_day(play, day, json, record)
         }
+        What::Relay { streams, fleet, rounds } => measure(&streams, &fleet, rounds as usize),
         What::ReplayRecord { file } => replay(&file),
     };
     match result {
@@ -106,6 +121,14 @@
     Ok(if report.audit.kept() == 5 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+fn measure(streams: &[u64], fleet: &[u64], rounds: usize) -> Result<ExitCode, String> {
+    let sizes = |of: &[u64]| of.iter().map(|n| *n as usize).collect::<Vec<_>>();
+    let rows = relay::rows(&sizes(streams), rounds).map_err(|e| e.to_string())?;
+    let costs = relay::costs(&sizes(fleet), 1_600).map_err(|e| e.to_string())?;
+    print!("{}", relay::text(&rows, &costs));
+    Ok(ExitCode::SUCCESS)
+}
+
 fn replay(file: &std::path::Path) -> Result<ExitCode, String> {
     let open = std::fs::File::open(file).map_err(|e| format!("{}: {e}", file.display()))?;
     let done = ivyward::record::replay(std::io::BufReader::new(open)).map_err(|e| e.to_string())?;
--- a/crates/ivyward-lab/tests/path.rs
+++ b/crates/ivyward-lab/tests/path.rs
@@ -204,3 +204,39 @@
         clean(&scene).await;
     });
 }
+
+/// Guards against connections that break under many small frames: slow clients of one engine share its connection, and
+/// none of them, nor a quick one beside them, loses its stream by that.
+#[test]
+fn many_slow_clients_do_not_break_the_connection_they_share() {
+    let mut specs = pools(1, 1);
+    specs[1].token_gap = 0;
+    let scene = build(Make::new(1, specs));
+    block_on(async {
+        let asks = (0..40).map(|i| {
+            let mut ask = scene.ask(0, QUICK, prompt(i, 50), 20_000);
+            ask.habit.read_pause = 200_000;
+            ask.habit.leave_after = Some(1_200_000);
+            // Not all in one moment, which the module would take for overload.
+            ask.habit.patience = 10_000_000;
+            ask
+        });
+        let mut waits = Vec::new();
+        for ask in asks {
+            let (tell, wait) = async_channel::bounded(1);
+            let one = scene.clone();
+            scene.world.run(async move {
+                let _ = tell.send(one.send(&ask).await.unwrap()).await;
+            });
+            scene.world.sleep(5_000).await;
+            waits.push(wait);
+        }
+        let quick = scene.send(&scene.ask(0, QUICK, prompt(99, 50), 20)).await.unwrap();
+        assert_eq!(quick.how, Heard::Served, "{quick:?}");
+        for wait in waits {
+            let end = wait.recv().await.unwrap();
+            assert!(matches!(end.how, Heard::Left | Heard::Refused), "{end:?}");
+        }
+        clean(&scene).await;
+    });
+}
--- a/crates/ivyward-standins/src/engine.rs
+++ b/crates/ivyward-standins/src/engine.rs
@@ -171,6 +171,15 @@
     }
 }
 
+/// All processes share one world and cannot be killed: for large fleets that are only to be there.
+pub struct Together(pub WorldRef);
+
+impl Host for Together {
+    fn process(&self, _: u64) -> (WorldRef, Kill) {
+        (self.0.clone(), Box::new(|| {}))
+    }
+}
+
 /// An engine that a script holds: it can die and come back under its id and address.
 pub struct Engine {
     spec: Spec,
--- a/crates/ivyward-wire/src/channel.rs
+++ b/crates/ivyward-wire/src/channel.rs
@@ -33,7 +33,7 @@
 impl Default for Options {
     fn default() -> Options {
         Options {
-            stream_window: 32 << 10,
+            stream_window: 16 << 10,
             streams: 100,
             most_message: 4 << 20,
             ping_every: 1_000_000,
@@ -42,6 +42,21 @@
     }
 }
 
+/// The least that a token's frame carries: a gRPC prefix and a message of a few bytes.
+const LEAST_FRAME: usize = 12;
+/// What h2 counts for keeping a small frame, in bytes.
+const FRAME_COST: usize = 256;
+
+impl Options {
+    /// Guards against h2's own guard: token streams are all small frames, and a budget made for a few of them would
+    /// close the connection, with every stream on it, as soon as some readers are slow. So it covers all windows full
+    /// of the smallest frames, which is what bounds the memory then.
+    fn frame_budget(&self) -> usize {
+        let frames = self.stream_window as usize / LEAST_FRAME + 1;
+        (self.streams as usize).saturating_mul(frames).saturating_mul(FRAME_COST)
+    }
+}
+
 /// How a call ended without an answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{cause}")]
@@ -138,6 +153,7 @@
         let (send, mut connection) = h2::client::Builder::new()
             .initial_window_size(options.stream_window)
             .initial_connection_window_size(window.min((1 << 31) - 1))
+            .data_frame_budget(options.frame_budget())
             .enable_push(false)
             .handshake(Io(watched))
             .await?;
--- a/crates/ivyward/src/driver.rs
+++ b/crates/ivyward/src/driver.rs
@@ -203,7 +203,9 @@
                 }
             };
             if let Some(notice) = notice {
+                let began = world.now();
                 self.take(notice);
+                self.shared.metrics.driver_us.add(world.now() - began);
             }
         }
         self.flush();
@@ -225,6 +227,15 @@
     }
 
     fn fire(&mut self, now: Micros) {
+        if self.due() > now {
+            return;
+        }
+        let began = self.shared.world.now();
+        self.fire_due(now);
+        self.shared.metrics.driver_us.add(self.shared.world.now() - began);
+    }
+
+    fn fire_due(&mut self, now: Micros) {
         while let Some((at, seq, token)) = self.timers.first().copied().filter(|t| t.0 <= now) {
             self.timers.remove(&(at, seq, token));
             self.tell(Event::Timer(token));
@@ -294,7 +305,9 @@
     fn tell_at(&mut self, now: Micros, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
         let kept = self.recorder.is_some().then(|| event.clone());
+        let began = self.shared.world.now();
         self.router.handle(now, event, &mut actions);
+        self.shared.metrics.module_us.add(self.shared.world.now() - began);
         if let (Some(recorder), Some(event)) = (self.recorder.as_mut(), kept) {
             if let Err(e) = recorder.step(now, &event, &actions) {
                 warn!(error = %e, "the recording ends here: it cannot be written");
--- a/crates/ivyward/src/link.rs
+++ b/crates/ivyward/src/link.rs
@@ -21,7 +21,9 @@
 #[derive(Default)]
 struct Pool {
     channels: Vec<Channel>,
-    dialing: bool,
+    /// Dials under way, and calls that wait for a connection.
+    dialing: usize,
+    waiting: usize,
     /// Dials that failed in a row, and the last one's error.
     failed: u32,
     error: String,
@@ -46,6 +48,22 @@
     closing: AtomicBool,
 }
 
+/// Counts a call among those that wait.
+struct Waiting<'a>(&'a Link);
+
+impl Waiting<'_> {
+    fn new(link: &Link) -> Waiting<'_> {
+        link.pool().waiting += 1;
+        Waiting(link)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.pool().waiting -= 1;
+    }
+}
+
 impl Link {
     pub(crate) fn new(
         world: &WorldRef,
@@ -113,20 +131,24 @@
                     return Err(DialError::Failed(self.address, pool.error.clone()));
                 }
                 waited.get_or_insert(pool.dials);
-                if !pool.dialing && pool.channels.len() < self.most {
+                // As many dials as those who wait need; where none succeeds, one at a time.
+                let needed = if pool.failed > 0 { 1 } else { pool.waiting / self.per_channel + 1 };
+                if pool.dialing < needed && pool.channels.len() + pool.dialing < self.most {
                     if pool.next_dial >= until {
-                        return Err(DialError::Failed(
-                            self.address,
-                            format!("{}; next dial later", pool.error),
-                        ));
+                        let text = format!("{}; next dial later", pool.error);
+                        return Err(DialError::Failed(self.address, text));
                     }
-                    pool.dialing = true;
+                    pool.dialing += 1;
                     let link = self.clone();
                     let at = pool.next_dial;
                     self.world.run(async move { link.dial(at).await });
                 }
             }
-            if before(&self.world, until, listener).await.is_none() {
+            let told = {
+                let _waiting = Waiting::new(self);
+                before(&self.world, until, listener).await
+            };
+            if told.is_none() {
                 return Err(DialError::Late(self.address));
             }
         }
@@ -143,7 +165,7 @@
         let result = before(&self.world, self.world.now() + self.dial_timeout, dial).await;
         let result = result.unwrap_or_else(|| Err("no answer in time".into()));
         let mut pool = self.pool();
-        pool.dialing = false;
+        pool.dialing -= 1;
         pool.dials += 1;
         pool.last_failed = result.is_err();
         match result {
--- a/crates/ivyward/src/metrics.rs
+++ b/crates/ivyward/src/metrics.rs
@@ -48,6 +48,10 @@
     pub releases_dropped: Counter,
     /// Engines in the list.
     pub engines: Counter,
+    /// Microseconds that the driver was at work, the module's among them.
+    pub driver_us: Counter,
+    /// Microseconds that the module took of that.
+    pub module_us: Counter,
     /// Client connections turned away at the door's bound.
     pub clients_turned_away: Counter,
 }
@@ -88,6 +92,8 @@
             ("ivyward_releases_total", self.releases.get()),
             ("ivyward_releases_dropped_total", self.releases_dropped.get()),
             ("ivyward_clients_turned_away_total", self.clients_turned_away.get()),
+            ("ivyward_driver_busy_us_total", self.driver_us.get()),
+            ("ivyward_module_us_total", self.module_us.get()),
             ("ivyward_engines", self.engines.get()),
             ("ivyward_open_requests", open as u64),
         ];
