Tests of places held ahead, load reports, the full node and closed connections

These paths of the node had no test of their own: a place held during a read is taken or let go at once, reports reach the module, a full node refuses and says so, and an engine that closes every connection costs a bounded number of dials.

--- /dev/null
+++ b/crates/ivyward-lab/tests/held.rs
@@ -0,0 +1,130 @@
+//! Places held ahead, load reports, and the node's bounds.
+
+mod common;
+use common::*;
+use futures_lite::future::block_on;
+use ivyward::core::interface::{Event, ReportField};
+use ivyward::record::Reader;
+use ivyward_lab::scene::{Make, Memory};
+use ivyward_standins::sight::{Gone, Heard, Kind, Sight};
+use ivyward_world::WorldExt;
+
+#[test]
+fn places_are_held_ahead_taken_and_let_go() {
+    let mut specs = pools(1, 2);
+    // Reads take 50 ms, so that a place is held meanwhile.
+    specs[0].read_rate = 1_000.0;
+    let mut make = Make::new(31, specs);
+    make.settings.rules.hold_ahead = true;
+    let scene = build(make);
+    block_on(async {
+        for i in 0..6 {
+            let end = scene.send(&scene.ask(0, QUICK, prompt(i, 50), 5)).await.unwrap();
+            assert_eq!(end.how, Heard::Served, "{end:?}");
+        }
+        let taken = |s: &Sight| matches!(s, Sight::LetGo { place: true, how: Gone::Taken, .. });
+        seen(&scene, taken).await;
+        // A client that leaves during the read: its place is let go at once, long before the engine's own limit.
+        let mut ask = scene.ask(0, QUICK, prompt(50, 50), 5);
+        ask.habit.leave_after = Some(25_000);
+        assert_eq!(scene.send(&ask).await.unwrap().how, Heard::Left);
+        seen(&scene, |s| matches!(s, Sight::LetGo { place: true, how: Gone::Released, .. })).await;
+        // An engine that cannot be asked holds up nothing.
+        for e in [1, 2] {
+            scene.engine(e).fault(|f| f.hang = true);
+        }
+        let (one, ask) = (scene.clone(), scene.ask(0, QUICK, prompt(60, 50), 5));
+        let (tell, wait) = async_channel::bounded(1);
+        let call = ask.request.call_id;
+        scene.world.run(async move {
+            let _ = tell.send(one.send(&ask).await.unwrap()).await;
+        });
+        let came = |s: &Sight| matches!(s, Sight::Arrived { call: c, kind: Kind::Read, .. } if *c == call);
+        seen(&scene, came).await;
+        for e in [1, 2] {
+            scene.engine(e).fault(|f| f.hang = false);
+        }
+        assert_eq!(wait.recv().await.unwrap().how, Heard::Served);
+        clean(&scene).await;
+    });
+}
+
+#[test]
+fn load_reports_ride_on_answers() {
+    let memory = Memory::default();
+    let mut make = Make::new(32, pools(1, 1));
+    make.settings.rules.report_fields = vec![ReportField::Utilization, ReportField::Outstanding];
+    make.record = Some(memory.clone());
+    let scene = build(make);
+    block_on(async {
+        let end = scene.send(&scene.ask(0, QUICK, prompt(1, 50), 5)).await.unwrap();
+        assert_eq!(end.how, Heard::Served);
+        scene.node(0).unwrap().flush_recording().await;
+        clean(&scene).await;
+    });
+    let bytes = memory.bytes();
+    let mut reader = Reader::begin(&bytes[..]).unwrap();
+    let mut reports = Vec::new();
+    while let Some(step) = reader.step().unwrap() {
+        if let Event::AttemptEnded { report, .. } = step.event {
+            reports.push((report.len, report.values[1]));
+        }
+    }
+    // One request was inside each engine when it answered.
+    assert_eq!(reports, [(2, 1.0), (2, 1.0)]);
+}
+
+#[test]
+fn a_full_node_refuses_and_says_so() {
+    let mut specs = pools(1, 1);
+    specs[1].token_gap = 30_000;
+    let mut make = Make::new(33, specs);
+    make.settings.most_open = 2;
+    let scene = build(make);
+    block_on(async {
+        let node = scene.node(0).unwrap();
+        let long = |i| scene.ask(0, QUICK, prompt(i, 50), 60).request;
+        let held: Vec<_> = (0..2).map(|i| node.generate(long(i), None)).collect();
+        let end = scene.send(&scene.ask(0, QUICK, prompt(9, 50), 5)).await.unwrap();
+        assert_eq!((end.how, end.code), (Heard::Refused, 8), "{end:?}");
+        assert!(end.message.contains("this node is full"), "{end:?}");
+        drop(held);
+        scene.settle(5_000_000).await;
+        let end = scene.send(&scene.ask(0, QUICK, prompt(10, 50), 2)).await.unwrap();
+        assert_eq!(end.how, Heard::Served, "{end:?}");
+        clean(&scene).await;
+    });
+}
+
+/// Guards against dials without end: an engine that closes each connection at once costs a bounded number of them, and
+/// requests end in time.
+#[test]
+fn an_engine_that_closes_each_connection_is_not_dialled_without_end() {
+    let scene = build(Make::new(34, pools(1, 1)));
+    block_on(async {
+        let world = scene.world.clone();
+        let address = {
+            let mut engine = scene.engine(1);
+            engine.die();
+            engine.address()
+        };
+        let as_ref: ivyward_world::WorldRef = world.clone();
+        let mut listener = as_ref.listen(address).unwrap();
+        let dials = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+        let count = dials.clone();
+        world.run(async move {
+            while let Ok((conn, _)) = listener.accept().await {
+                count.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+                drop(conn);
+            }
+        });
+        for i in 0..5 {
+            let end = scene.send(&scene.ask(0, ORDER, prompt(i, 50), 5)).await.unwrap();
+            assert!(matches!(end.how, Heard::Refused | Heard::Failed), "{end:?}");
+        }
+        let dials = dials.load(std::sync::atomic::Ordering::SeqCst);
+        assert!(dials < 200, "{dials} dials for five requests");
+        scene.settle(5_000_000).await;
+        assert_eq!(scene.node(0).unwrap().open(), 0);
+    });
+}
