--- a/crates/ivyward-core/src/lib.rs
+++ b/crates/ivyward-core/src/lib.rs
@@ -1,7 +1,8 @@
 //! Decisions of a front for a model service whose prompts are read on some servers (prefill) and answered on
 //! others (decode).
 //!
-//! [`rules::Router`] holds the decisions, [`interface`] the types it speaks. It does no I/O and has no clock:
+//! [`rules::Router`] holds the decisions on requests, [`interface`] the types it speaks; [`membership`] decides what lists
+//! and notices of engines mean. It does no I/O and has no clock:
 //! give it events, carry out the actions it returns.
 //!
 //! ```
@@ -36,6 +37,7 @@
 //! ```
 
 pub mod interface;
+pub mod membership;
 pub mod rules;
 mod state;
 
--- a/crates/ivyward-core/src/membership.rs
+++ b/crates/ivyward-core/src/membership.rs
@@ -152,7 +152,11 @@
     }
 
     fn on_list(
-        &mut self, now: Micros, (cluster, revision): (u64, i64), members: Vec<Member>, unread: &[ServerId],
+        &mut self,
+        now: Micros,
+        (cluster, revision): (u64, i64),
+        members: Vec<Member>,
+        unread: &[ServerId],
         out: &mut Vec<Told>,
     ) {
         let same_store = self.cluster == Some(cluster);
--- /dev/null
+++ b/crates/ivyward-core/tests/membership.rs
@@ -0,0 +1,241 @@
+//! The membership decider, by synthetic events and against a simple model.
+
+use ivyward_core::interface::*;
+use ivyward_core::membership::*;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const GRACE: Micros = 5_000_000;
+
+fn member(id: u64, revision: i64, condition: Condition) -> Member {
+    let entry =
+        ServerEntry { id: ServerId(id), condition, weight: 1.0, started: 1, ..ServerEntry::default() };
+    Member { entry, revision }
+}
+
+fn ready(id: u64, revision: i64) -> Member {
+    member(id, revision, Condition::Ready)
+}
+
+fn list(revision: i64, members: Vec<Member>) -> Heard {
+    Heard::List { cluster: 1, revision, members, unread: vec![] }
+}
+
+struct Rig {
+    of: Membership,
+    now: Micros,
+    /// What a module that is told everything holds.
+    view: BTreeMap<ServerId, ServerEntry>,
+}
+
+impl Rig {
+    fn new() -> Rig {
+        let settings = MembershipSettings { empty_grace: GRACE };
+        Rig { of: Membership::new(settings), now: 1, view: BTreeMap::new() }
+    }
+    fn hear(&mut self, heard: Heard) -> Vec<Told> {
+        let mut out = Vec::new();
+        self.of.hear(self.now, heard, &mut out);
+        for told in &out {
+            if let Told::Fleet { kind, entries } = told {
+                if matches!(kind, ListKind::Full | ListKind::Cached) {
+                    self.view.clear();
+                }
+                for entry in entries {
+                    match entry.condition {
+                        Condition::Gone => drop(self.view.remove(&entry.id)),
+                        _ => drop(self.view.insert(entry.id, *entry)),
+                    }
+                }
+            }
+        }
+        out
+    }
+    fn ids(&self) -> Vec<u64> {
+        self.view.keys().map(|id| id.0).collect()
+    }
+    fn condition(&self, id: u64) -> Option<Condition> {
+        self.view.get(&ServerId(id)).map(|e| e.condition)
+    }
+}
+
+#[test]
+fn a_drain_and_a_departure_are_told_in_the_step_in_which_they_are_heard() {
+    let mut rig = Rig::new();
+    rig.hear(list(10, vec![ready(1, 5), ready(2, 6)]));
+    let told = rig.hear(Heard::Put(member(1, 11, Condition::Draining)));
+    let entries = vec![member(1, 11, Condition::Draining).entry];
+    assert_eq!(told, [Told::Fleet { kind: ListKind::Changes, entries }, Told::Keep]);
+    rig.hear(Heard::Deleted { id: ServerId(2), revision: 12 });
+    assert_eq!((rig.ids(), rig.condition(1), rig.of.revision()), (vec![1], Some(Condition::Draining), 12));
+}
+
+/// Guards against a watch that was compacted away: deletions that nobody told are found by the next list.
+#[test]
+fn after_a_gap_the_list_shows_who_is_gone() {
+    let mut rig = Rig::new();
+    rig.hear(list(10, vec![ready(1, 5), ready(2, 6), ready(3, 7)]));
+    assert_eq!(rig.hear(Heard::Gap), [Told::Relist]);
+    assert_eq!(rig.ids(), [1, 2, 3], "a gap alone empties nothing");
+    rig.hear(list(40, vec![ready(1, 5), member(3, 30, Condition::Draining)]));
+    assert_eq!((rig.ids(), rig.condition(3)), (vec![1, 3], Some(Condition::Draining)));
+}
+
+/// Guards against a drain that is forgotten while the store restarts: what was heard stands until the store says
+/// otherwise, and notices heard during the gap are told.
+#[test]
+fn a_drain_outlives_a_restart_of_the_store() {
+    let mut rig = Rig::new();
+    rig.hear(list(10, vec![ready(1, 5), ready(2, 6)]));
+    rig.hear(Heard::Put(member(1, 11, Condition::Draining)));
+    rig.hear(Heard::Gap);
+    assert_eq!(rig.condition(1), Some(Condition::Draining));
+    // A member that lags behind answers from before the drain: not believed.
+    assert_eq!(rig.hear(list(10, vec![ready(1, 5), ready(2, 6)])), [Told::Relist]);
+    assert_eq!(rig.condition(1), Some(Condition::Draining));
+    // A notice during the gap is told, but the watch must not go on from its revision.
+    rig.hear(Heard::Put(member(2, 14, Condition::Draining)));
+    assert_eq!((rig.condition(2), rig.of.revision()), (Some(Condition::Draining), 11));
+    rig.hear(list(15, vec![member(1, 11, Condition::Draining), member(2, 14, Condition::Draining)]));
+    assert_eq!((rig.of.revision(), rig.of.gap()), (15, false));
+}
+
+/// Guards against a store that comes back empty, and against a wrong prefix.
+#[test]
+fn an_empty_list_is_doubted_and_in_the_end_believed() {
+    let mut rig = Rig::new();
+    rig.hear(list(10, vec![ready(1, 5)]));
+    let again = rig.now + GRACE;
+    assert_eq!(rig.hear(list(11, vec![])), [Told::RelistAt(again)]);
+    assert_eq!(rig.ids(), [1]);
+    // Somebody is there after all: the doubt begins anew next time.
+    rig.now += GRACE / 2;
+    rig.hear(list(12, vec![ready(1, 5)]));
+    rig.now += GRACE;
+    assert!(matches!(rig.hear(list(13, vec![]))[..], [Told::RelistAt(_)]));
+    rig.now += GRACE;
+    rig.hear(list(14, vec![]));
+    assert_eq!(rig.ids(), Vec::<u64>::new());
+    // The last one's deletion is told as such and believed at once.
+    let mut rig = Rig::new();
+    rig.hear(list(10, vec![ready(1, 5)]));
+    rig.hear(Heard::Deleted { id: ServerId(1), revision: 11 });
+    assert!(rig.view.is_empty());
+    // With nobody known, an empty list is just that.
+    let mut rig = Rig::new();
+    assert!(matches!(rig.hear(list(3, vec![]))[..], [Told::Fleet { kind: ListKind::Full, .. }, Told::Keep]));
+}
+
+#[test]
+fn an_engine_that_came_back_is_a_new_one_and_an_echo_is_none() {
+    let mut rig = Rig::new();
+    rig.hear(list(10, vec![ready(1, 5)]));
+    // Deleted and put again between two responses: its new start time tells.
+    let mut again = ready(1, 12);
+    again.entry.started = 9;
+    rig.hear(Heard::Deleted { id: ServerId(1), revision: 11 });
+    rig.hear(Heard::Put(again));
+    assert_eq!(rig.view[&ServerId(1)].started, 9);
+    // The old one's record or deletion, heard late, changes nothing.
+    assert_eq!(rig.hear(Heard::Put(member(1, 13, Condition::Draining))), []);
+    assert_eq!(rig.hear(Heard::Deleted { id: ServerId(1), revision: 11 }), []);
+    assert_eq!(rig.condition(1), Some(Condition::Ready));
+    // A drain and its cancellation.
+    let draining =
+        Member { entry: ServerEntry { condition: Condition::Draining, ..again.entry }, revision: 14 };
+    rig.hear(Heard::Put(draining));
+    rig.hear(Heard::Put(Member { revision: 15, ..again }));
+    assert_eq!(rig.condition(1), Some(Condition::Ready));
+}
+
+#[test]
+fn a_record_that_cannot_be_read_hurts_neither_its_engine_nor_others() {
+    let mut rig = Rig::new();
+    rig.hear(list(10, vec![ready(1, 5), ready(2, 6)]));
+    let unread = vec![ServerId(2), ServerId(9)];
+    rig.hear(Heard::List { cluster: 1, revision: 12, members: vec![ready(1, 5), ready(3, 11)], unread });
+    assert_eq!(rig.ids(), [1, 2, 3]);
+}
+
+#[test]
+fn a_kept_file_serves_until_the_store_speaks() {
+    let mut rig = Rig::new();
+    let told = rig.hear(Heard::Snapshot(vec![ready(1, 5)]));
+    assert!(matches!(told[..], [Told::Fleet { kind: ListKind::Cached, .. }]));
+    rig.hear(list(3, vec![ready(1, 2), ready(2, 3)]));
+    assert_eq!(rig.ids(), [1, 2]);
+    assert_eq!(rig.hear(Heard::Snapshot(vec![])), []);
+    // Another store, whose revisions begin anew.
+    let heard = Heard::List { cluster: 2, revision: 1, members: vec![ready(2, 1)], unread: vec![] };
+    rig.hear(heard);
+    assert_eq!((rig.ids(), rig.of.revision()), (vec![2], 1));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Put(u64, bool),
+    Delete(u64),
+    /// The watch breaks; changes go unheard until a list.
+    Break,
+    List,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1u64..6, any::<bool>()).prop_map(|(id, drains)| Step::Put(id, drains)),
+        2 => (1u64..6).prop_map(Step::Delete),
+        1 => Just(Step::Break),
+        1 => Just(Step::List),
+    ]
+}
+
+proptest! {
+    /// Against a plain map with revisions: whenever the watch is whole, the module's view is the store's; while it is
+    /// broken, the view is what it was when it broke.
+    #[test]
+    fn the_view_is_the_stores_whenever_the_watch_is_whole(steps in prop::collection::vec(step(), 1..120)) {
+        let mut rig = Rig::new();
+        // The grace is not the matter here.
+        rig.of = Membership::new(MembershipSettings { empty_grace: 0 });
+        let (mut store, mut revision, mut whole) = (BTreeMap::<u64, Member>::new(), 1i64, true);
+        rig.hear(list(revision, vec![]));
+        for step in steps {
+            rig.now += 1;
+            let before = rig.view.clone();
+            match step {
+                Step::Put(id, drains) => {
+                    revision += 1;
+                    let condition = if drains { Condition::Draining } else { Condition::Ready };
+                    store.insert(id, member(id, revision, condition));
+                    if whole {
+                        rig.hear(Heard::Put(store[&id]));
+                    }
+                }
+                Step::Delete(id) => {
+                    if store.remove(&id).is_some() {
+                        revision += 1;
+                        if whole {
+                            rig.hear(Heard::Deleted { id: ServerId(id), revision });
+                        }
+                    }
+                }
+                Step::Break => {
+                    whole = false;
+                    rig.hear(Heard::Gap);
+                }
+                Step::List => {
+                    whole = true;
+                    rig.hear(list(revision, store.values().copied().collect()));
+                }
+            }
+            if whole {
+                let wanted: BTreeMap<ServerId, ServerEntry> =
+                    store.values().map(|m| (m.entry.id, m.entry)).collect();
+                prop_assert_eq!(&rig.view, &wanted);
+                prop_assert_eq!(rig.of.revision(), revision);
+            } else {
+                prop_assert_eq!(&rig.view, &before);
+            }
+        }
+    }
+}
--- a/crates/ivyward-proto/src/lib.rs
+++ b/crates/ivyward-proto/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`front`]: what clients call.
 //! - [`engine`]: what engines serve.
+//! - [`etcd`]: etcd's public v3 API, as far as it is needed.
 //! - [`record`]: what a node was told and did, as kept in a recording.
 #![allow(clippy::all, missing_docs)]
 
@@ -19,3 +20,15 @@
 pub mod record {
     tonic::include_proto!("ivyward.record.v1");
 }
+
+/// etcd's own packages: they name each other, so they stand side by side.
+pub mod etcd {
+    /// `mvccpb`.
+    pub mod mvccpb {
+        tonic::include_proto!("mvccpb");
+    }
+    /// `etcdserverpb`.
+    pub mod etcdserverpb {
+        tonic::include_proto!("etcdserverpb");
+    }
+}
--- a/crates/ivyward-wire/src/channel.rs
+++ b/crates/ivyward-wire/src/channel.rs
@@ -210,6 +210,24 @@
     /// # Errors
     /// When the call could not even begin; it never ran then.
     pub async fn call(&self, path: &'static str, body: Bytes, headers: HeaderMap) -> Result<Call, CallError> {
+        self.begin_call(path, body, headers, false).await
+    }
+
+    /// Makes a call whose request goes on: more messages follow by [`Call::send`].
+    ///
+    /// # Errors
+    /// When the call could not even begin; it never ran then.
+    pub async fn open(&self, path: &'static str, body: Bytes, headers: HeaderMap) -> Result<Call, CallError> {
+        self.begin_call(path, body, headers, true).await
+    }
+
+    async fn begin_call(
+        &self,
+        path: &'static str,
+        body: Bytes,
+        headers: HeaderMap,
+        more: bool,
+    ) -> Result<Call, CallError> {
         let never = |cause| CallError { cause, never_ran: true };
         let broken = |e: h2::Error| never(Cause::Broken(e.to_string()));
         let mut send = self.send.clone().ready().await.map_err(broken)?;
@@ -233,6 +251,7 @@
             stream: u32::from(upload.stream_id()),
             upload,
             body: Some(body),
+            more,
             answer: Answer::Awaited(response),
             decoder: Decoder::new(self.options.most_message),
             channel: self.clone(),
@@ -271,6 +290,8 @@
     stream: u32,
     upload: SendStream<Bytes>,
     body: Option<Bytes>,
+    /// More messages may follow.
+    more: bool,
     answer: Answer,
     decoder: Decoder,
     channel: Channel,
@@ -295,8 +316,8 @@
                 }
             }
             let part = body.split_to(self.upload.capacity().min(body.len()));
-            let last = body.is_empty();
-            if self.upload.send_data(part, last).is_err() || last {
+            let all = body.is_empty();
+            if self.upload.send_data(part, all && !self.more).is_err() || all {
                 self.body = None;
             }
         }
@@ -391,6 +412,14 @@
         poll_fn(|cx| self.poll_next(cx)).await
     }
 
+    /// Adds a message to the request of a call that was opened for more. It leaves in [`Call::next`].
+    pub fn send(&mut self, body: Bytes) {
+        self.body = Some(match self.body.take() {
+            Some(before) => [before, body].concat().into(),
+            None => body,
+        });
+    }
+
     /// The next message if it is there already.
     pub async fn ready<M: Message + Default>(&mut self) -> Option<Result<Option<M>, CallError>> {
         poll_fn(|cx| match self.poll_next(cx) {
