A stand-in store for etcd's API, and the client's tests against it

The client needs a peer that breaks in the ways a store does. Six tests: pages at one revision, watches with fragments and progress, compaction, failover without writing twice, leases, login.

--- /dev/null
+++ b/crates/ivyward-etcd/tests/client.rs
@@ -0,0 +1,175 @@
+//! The client against the stand-in store, on loopback.
+
+use futures_lite::future::block_on;
+use ivyward_etcd::{rpc, Client, EtcdError, EtcdOptions, Notice};
+use ivyward_standins::engine::Threads;
+use ivyward_standins::etcd::Store;
+use ivyward_standins::Host;
+use ivyward_world::{SmolWorld, WorldRef};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+fn store(cluster: u64) -> Store {
+    let host: Arc<dyn Host> = Arc::new(Threads);
+    Store::start(&host, cluster).unwrap()
+}
+
+fn options() -> EtcdOptions {
+    EtcdOptions { page: 7, call_timeout: 400_000, ..EtcdOptions::default() }
+}
+
+fn client(at: &[SocketAddr], options: EtcdOptions) -> (Arc<SmolWorld>, Client) {
+    let world = SmolWorld::start(1, 1);
+    let as_ref: WorldRef = world.clone();
+    (world, Client::new(&as_ref, at.to_vec(), options))
+}
+
+fn keys(notice: &Notice) -> Vec<String> {
+    let Notice::Events { events, .. } = notice else { panic!("{notice:?}") };
+    let key = |kv: &ivyward_etcd::mvccpb::KeyValue| String::from_utf8_lossy(&kv.key).into_owned();
+    events.iter().filter_map(|e| e.kv.as_ref().map(key)).collect()
+}
+
+#[test]
+fn lists_come_in_pages_at_one_revision() {
+    let store = store(1);
+    let (_world, client) = client(&[store.address()], options());
+    block_on(async {
+        for i in 0..40 {
+            client.put(format!("a/{i:02}").as_bytes(), b"x", 0).await.unwrap();
+        }
+        client.put(b"b", b"beside", 0).await.unwrap();
+        let list = client.list(b"a/").await.unwrap();
+        assert_eq!((list.kvs.len(), list.revision, list.cluster), (40, store.revision(), 1));
+        assert!(list.kvs.windows(2).all(|w| w[0].key < w[1].key));
+        // A page at the first one's revision does not see what came later.
+        let ask = rpc::RangeRequest {
+            key: b"a/".into(),
+            range_end: b"a0".into(),
+            revision: 20,
+            ..Default::default()
+        };
+        client.delete(b"a/05").await.unwrap();
+        assert_eq!(client.range(&ask).await.unwrap().count, 19);
+        store.compact();
+        let gone = client.range(&ask).await.unwrap_err();
+        assert!(gone.to_string().contains("required revision has been compacted"), "{gone}");
+        assert_eq!(client.list(b"a/").await.unwrap().kvs.len(), 39);
+        assert_eq!(client.list(b"none/").await.unwrap().kvs.len(), 0);
+    });
+}
+
+#[test]
+fn a_watch_tells_all_that_happened_after_a_revision() {
+    let store = store(1);
+    let (_world, client) = client(&[store.address()], options());
+    block_on(async {
+        let from = store.put("a/1", "x");
+        store.put("b/1", "beside");
+        store.delete("a/1");
+        let mut watch = client.watch(b"a/", from).await.unwrap();
+        // What was before the watch, in order, and then what comes.
+        assert_eq!(keys(&watch.next().await.unwrap()), ["a/1", "a/1"]);
+        store.put("a/2", "y");
+        assert_eq!(keys(&watch.next().await.unwrap()), ["a/2"]);
+        // More than a response holds: fragments come as one.
+        let many = rpc::TxnRequest {
+            success: (0..250)
+                .map(|i| rpc::RequestOp {
+                    request: Some(rpc::request_op::Request::RequestPut(rpc::PutRequest {
+                        key: format!("a/m{i:03}").into(),
+                        ..Default::default()
+                    })),
+                })
+                .collect(),
+            ..Default::default()
+        };
+        assert!(client.txn(&many).await.unwrap().succeeded);
+        assert_eq!(keys(&watch.next().await.unwrap()).len(), 250);
+        watch.ask_progress();
+        assert_eq!(watch.next().await.unwrap(), Notice::Progress(store.revision()));
+        // A revision that is gone.
+        store.compact();
+        let mut old = client.watch(b"a/", from).await.unwrap();
+        assert_eq!(old.next().await.unwrap(), Notice::Compacted(store.revision()));
+        // The store ends the watch.
+        store.cancel_watches();
+        assert!(matches!(watch.next().await.unwrap(), Notice::Cancelled(_)));
+    });
+}
+
+#[test]
+fn a_watch_breaks_with_its_store() {
+    let mut store = store(1);
+    let (_world, client) = client(&[store.address()], options());
+    block_on(async {
+        let mut watch = client.watch(b"a/", 1).await.unwrap();
+        store.put("a/1", "x");
+        assert_eq!(keys(&watch.next().await.unwrap()), ["a/1"]);
+        store.die();
+        assert!(matches!(watch.next().await, Err(EtcdError::Broken(_))));
+        assert!(matches!(client.list(b"a/").await, Err(EtcdError::Unreachable(..) | EtcdError::Broken(_))));
+        store.come_up().unwrap();
+        assert_eq!(client.list(b"a/").await.unwrap().kvs.len(), 1);
+    });
+}
+
+#[test]
+fn reads_go_on_at_the_next_endpoint_and_writes_are_not_done_twice() {
+    let (mut first, second) = (store(1), store(1));
+    let (_world, client) = client(&[first.address(), second.address()], options());
+    block_on(async {
+        client.put(b"a", b"1", 0).await.unwrap();
+        first.fault(|f| f.hang = true);
+        // A read is tried again elsewhere.
+        assert_eq!(client.list(b"a").await.unwrap().kvs.len(), 0);
+        client.leave_endpoint();
+        // A write without an answer may have been done, and is the caller's to judge.
+        assert_eq!(client.put(b"a", b"2", 0).await, Err(EtcdError::Late));
+        assert_eq!(second.keys(), Vec::<String>::new());
+        first.die();
+        client.leave_endpoint();
+        // Nothing was sent to the dead one: the next is taken at once.
+        client.put(b"a", b"3", 0).await.unwrap();
+        assert_eq!(second.keys(), ["a"]);
+    });
+}
+
+#[test]
+fn leases_end_and_take_their_keys_along() {
+    let store = store(1);
+    let (_world, client) = client(&[store.address()], options());
+    block_on(async {
+        let lease = client.grant(1).await.unwrap();
+        client.put(b"a/1", b"x", lease).await.unwrap();
+        assert_eq!(client.renew(lease).await.unwrap(), 1);
+        let mut watch = client.watch(b"a/", store.revision() + 1).await.unwrap();
+        let Notice::Events { events, .. } = watch.next().await.unwrap() else { panic!() };
+        assert_eq!(events[0].r#type(), ivyward_etcd::mvccpb::event::EventType::Delete);
+        assert_eq!(client.renew(lease).await.unwrap(), 0, "it is over");
+        let missing = client.put(b"a/2", b"x", lease).await.unwrap_err();
+        assert!(missing.to_string().contains("requested lease not found"), "{missing}");
+        let other = client.grant(60).await.unwrap();
+        client.put(b"a/3", b"x", other).await.unwrap();
+        client.revoke(other).await.unwrap();
+        assert_eq!(store.keys(), Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_name_and_password_are_shown_when_asked_for() {
+    let store = store(1);
+    store.fault(|f| f.login = Some(("ivy".into(), "secret".into())));
+    let login = |password: &str| Some(("ivy".to_string(), password.to_string()));
+    let with = |login| client(&[store.address()], EtcdOptions { login, ..options() });
+    block_on(async {
+        let (_world, nobody) = with(None);
+        assert!(matches!(nobody.list(b"a").await, Err(EtcdError::Status { code: 16, .. })));
+        let (_world, wrong) = with(login("guess"));
+        let told = wrong.list(b"a").await.unwrap_err();
+        assert!(told.to_string().contains("invalid user ID or password"), "{told}");
+        let (_world, right) = with(login("secret"));
+        right.put(b"a", b"x", 0).await.unwrap();
+        assert_eq!(right.list(b"a").await.unwrap().kvs.len(), 1);
+    });
+}
--- a/crates/ivyward-standins/src/lib.rs
+++ b/crates/ivyward-standins/src/lib.rs
@@ -3,12 +3,14 @@
 //! - [`text`]: answers as a function of the prompt.
 //! - [`sight`]: what engines, clients and the script saw, in one log.
 //! - [`engine`]: an engine on a loopback socket; [`faults`]: what may be wrong with it.
+//! - [`etcd`]: a small store that speaks etcd's API.
 //! - [`client`]: a scripted client of a node's door.
 //! - [`audit`]: the five rules, checked from the log.
 
 pub mod audit;
 pub mod client;
 pub mod engine;
+pub mod etcd;
 pub mod faults;
 pub mod sight;
 pub mod text;
