Nodes follow engines through etcd's watch API

An engine that drains must get nothing new 250 ms after its notice. The follower lists and watches, hands everything to the membership decider and passes on what that says; registration records are JSON with a schema, checked by garde; a bad one is counted once and hurts nobody. A store replaced between list and watch left a node waiting for revisions that never came: the watch's cluster is now compared with the list's. Six tests under faults of the store, one a planted defect (a muted watch).

--- a/crates/ivyward-core/src/membership.rs
+++ b/crates/ivyward-core/src/membership.rs
@@ -18,12 +18,15 @@
 
 use crate::interface::{Condition, ListKind, Micros, ServerEntry, ServerId};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// What a list or notice says of one engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Member {
     /// As the module is told. `started` is on the store's clock and only compared.
     pub entry: ServerEntry,
+    /// Where it listens.
+    pub address: SocketAddr,
     /// The revision at which its record was written.
     pub revision: i64,
 }
@@ -67,7 +70,7 @@
         /// How it relates to the one before.
         kind: ListKind,
         /// Its entries.
-        entries: Vec<ServerEntry>,
+        entries: Vec<Member>,
     },
     /// Read the complete list again.
     Relist,
@@ -113,6 +116,10 @@
             gap: true,
         }
     }
+    /// The store whose list was last believed.
+    pub fn cluster(&self) -> Option<u64> {
+        self.cluster
+    }
     /// The revision up to which all was heard; a watch goes on from the next.
     pub fn revision(&self) -> i64 {
         self.revision
@@ -144,7 +151,7 @@
             Heard::Snapshot(members) if self.cluster.is_none() => {
                 self.members = members.into_iter().map(|m| (m.entry.id, m)).collect();
                 self.from_file = true;
-                let entries = self.members.values().map(|m| m.entry).collect();
+                let entries = self.members.values().copied().collect();
                 out.push(Told::Fleet { kind: ListKind::Cached, entries });
             }
             Heard::Snapshot(_) => {}
@@ -187,7 +194,7 @@
         let changed = before != self.members || self.from_file || self.cluster != Some(cluster);
         (self.cluster, self.revision, self.gap, self.from_file) = (Some(cluster), revision, false, false);
         if changed {
-            let entries = self.members.values().map(|m| m.entry).collect();
+            let entries = self.members.values().copied().collect();
             out.push(Told::Fleet { kind: ListKind::Full, entries });
             out.push(Told::Keep);
         }
@@ -200,12 +207,14 @@
             self.revision = self.revision.max(member.revision);
         }
         let old = self.members.get(&member.entry.id);
-        if old.is_some_and(|old| older(&member, old) || old.entry == member.entry) {
+        if old.is_some_and(|old| {
+            older(&member, old) || (old.entry, old.address) == (member.entry, member.address)
+        }) {
             return;
         }
         self.members.insert(member.entry.id, member);
         self.empty_since = None;
-        out.push(Told::Fleet { kind: ListKind::Changes, entries: vec![member.entry] });
+        out.push(Told::Fleet { kind: ListKind::Changes, entries: vec![member] });
         out.push(Told::Keep);
     }
 
@@ -218,7 +227,7 @@
         let Some(member) = known else { return };
         self.members.remove(&id);
         let entry = ServerEntry { condition: Condition::Gone, ..member.entry };
-        out.push(Told::Fleet { kind: ListKind::Changes, entries: vec![entry] });
+        out.push(Told::Fleet { kind: ListKind::Changes, entries: vec![Member { entry, ..member }] });
         out.push(Told::Keep);
     }
 }
--- a/crates/ivyward-core/tests/membership.rs
+++ b/crates/ivyward-core/tests/membership.rs
@@ -4,13 +4,14 @@
 use ivyward_core::membership::*;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 const GRACE: Micros = 5_000_000;
 
 fn member(id: u64, revision: i64, condition: Condition) -> Member {
     let entry =
         ServerEntry { id: ServerId(id), condition, weight: 1.0, started: 1, ..ServerEntry::default() };
-    Member { entry, revision }
+    Member { entry, address: SocketAddr::from(([127, 0, 0, 1], id as u16)), revision }
 }
 
 fn ready(id: u64, revision: i64) -> Member {
@@ -41,7 +42,7 @@
                 if matches!(kind, ListKind::Full | ListKind::Cached) {
                     self.view.clear();
                 }
-                for entry in entries {
+                for Member { entry, .. } in entries {
                     match entry.condition {
                         Condition::Gone => drop(self.view.remove(&entry.id)),
                         _ => drop(self.view.insert(entry.id, *entry)),
@@ -64,7 +65,7 @@
     let mut rig = Rig::new();
     rig.hear(list(10, vec![ready(1, 5), ready(2, 6)]));
     let told = rig.hear(Heard::Put(member(1, 11, Condition::Draining)));
-    let entries = vec![member(1, 11, Condition::Draining).entry];
+    let entries = vec![member(1, 11, Condition::Draining)];
     assert_eq!(told, [Told::Fleet { kind: ListKind::Changes, entries }, Told::Keep]);
     rig.hear(Heard::Deleted { id: ServerId(2), revision: 12 });
     assert_eq!((rig.ids(), rig.condition(1), rig.of.revision()), (vec![1], Some(Condition::Draining), 12));
@@ -141,8 +142,11 @@
     assert_eq!(rig.hear(Heard::Deleted { id: ServerId(1), revision: 11 }), []);
     assert_eq!(rig.condition(1), Some(Condition::Ready));
     // A drain and its cancellation.
-    let draining =
-        Member { entry: ServerEntry { condition: Condition::Draining, ..again.entry }, revision: 14 };
+    let draining = Member {
+        entry: ServerEntry { condition: Condition::Draining, ..again.entry },
+        revision: 14,
+        ..again
+    };
     rig.hear(Heard::Put(draining));
     rig.hear(Heard::Put(Member { revision: 15, ..again }));
     assert_eq!(rig.condition(1), Some(Condition::Ready));
--- a/crates/ivyward-lab/src/badday.rs
+++ b/crates/ivyward-lab/src/badday.rs
@@ -95,6 +95,7 @@
         nodes: day.nodes,
         runs: day.runs.clone(),
         flight: day.flight,
+        follow: None,
         record: Some(memory.clone()),
     };
     let scene = Arc::new(make.build()?);
--- a/crates/ivyward-lab/src/scene.rs
+++ b/crates/ivyward-lab/src/scene.rs
@@ -5,6 +5,7 @@
     Action, ClassSettings, Condition, Effect, ListKind, Micros, RepeatGroup, ServerEntry, ServerId, Settings,
 };
 use ivyward::record::{Reader, RecordError};
+use ivyward::registration::{Record, Role as RecordRole, State};
 use ivyward::{Class, Engine as Listed, Node, NodeSettings};
 use ivyward_proto::front::GenerateRequest;
 use ivyward_standins::engine::Threads;
@@ -119,6 +120,8 @@
     pub runs: Runs,
     /// What may be in flight on this machine, for the auditor.
     pub flight: Micros,
+    /// Nodes in this process follow engines through a store instead of being told.
+    pub follow: Option<ivyward::follow::Follow>,
     /// Records the first node's run.
     pub record: Option<Memory>,
 }
@@ -213,7 +216,16 @@
     /// A scene of some engines and one node.
     pub fn new(seed: u64, engines: Vec<Spec>) -> Make {
         let settings = NodeSettings { seed, ..settings() };
-        Make { seed, engines, settings, nodes: 1, runs: Runs::Inside, flight: 250_000, record: None }
+        Make {
+            seed,
+            engines,
+            settings,
+            nodes: 1,
+            runs: Runs::Inside,
+            flight: 250_000,
+            follow: None,
+            record: None,
+        }
     }
     /// Builds it.
     ///
@@ -293,6 +305,26 @@
         Listed { entry, address: engine.address() }
     }
 
+    /// The key and the registration record of an engine, as it would write them.
+    pub fn registration(&self, i: usize, state: State, started_ms: u64) -> (String, String) {
+        let listed = self.entry(i, Condition::Ready, 0);
+        let record = Record {
+            version: ivyward::registration::VERSION,
+            id: listed.entry.id.0,
+            role: [RecordRole::Prefill, RecordRole::Decode, RecordRole::Mixed]
+                [usize::from(listed.entry.kind)],
+            address: listed.address.to_string(),
+            zone: 0,
+            cell: listed.entry.cell,
+            weight: 1.0,
+            started_ms,
+            state,
+        };
+        // A record of these fields is always JSON.
+        let text = serde_json::to_string(&record).unwrap_or_default();
+        (format!("ivyward/engines/{}", record.id), text)
+    }
+
     /// Starts a node, again at its old door if it had one, and tells it all engines that are up.
     ///
     /// # Errors
@@ -310,6 +342,7 @@
             Runs::Inside => {
                 let world = SmolWorld::start(1, seed);
                 let as_ref: WorldRef = world.clone();
+                let follow = self.make.follow.clone();
                 let record = self.make.record.clone().filter(|_| i == 0 && starts == 1);
                 let record = record.map(|m| Box::new(m) as Box<dyn Write + Send>);
                 let node = Node::start(as_ref.clone(), settings, record)?;
@@ -320,7 +353,13 @@
                     |at: Option<Micros>| at.map_or(0, |at| now.saturating_sub(self.log.now() - at).max(1));
                 let entries =
                     listed.into_iter().map(|(e, condition, at)| self.entry(e, condition, since(at)));
-                block_on(node.fleet(ListKind::Full, entries.collect()));
+                match follow {
+                    None => block_on(node.fleet(ListKind::Full, entries.collect())),
+                    Some(follow) => {
+                        let following = node.clone();
+                        world.run(async move { following.follow(follow).await });
+                    }
+                }
                 let serving = node.clone();
                 world.run(async move { serving.serve(listener).await });
                 (address, Process::Inside(world, node))
--- /dev/null
+++ b/crates/ivyward-lab/tests/drains.rs
@@ -0,0 +1,251 @@
+//! Membership from a store's watch: nothing new goes to an engine later than the grace after its notice, whatever happens
+//! to the store.
+
+mod common;
+use common::*;
+use futures_lite::future::block_on;
+use ivyward::follow::Follow;
+use ivyward::registration::State;
+use ivyward_lab::scene::{Make, Scene};
+use ivyward_standins::engine::Threads;
+use ivyward_standins::etcd::Store;
+use ivyward_standins::sight::{Heard, Sight};
+use ivyward_standins::Host;
+use ivyward_world::WorldExt;
+use std::sync::Arc;
+
+struct Rig {
+    scene: Arc<Scene>,
+    store: Store,
+}
+
+fn rig(silence: u64) -> Rig {
+    let host: Arc<dyn Host> = Arc::new(Threads);
+    let store = Store::start(&host, 1).unwrap();
+    let mut make = Make::new(41, pools(4, 8));
+    let follow = Follow {
+        endpoints: vec![store.address()],
+        silence,
+        empty_grace: 600_000,
+        pauses: (5_000, 100_000),
+        ..Follow::default()
+    };
+    (make.nodes, make.follow) = (2, Some(follow));
+    Rig { scene: build(make), store }
+}
+
+impl Rig {
+    fn put(&self, engine: usize, state: State) {
+        let (key, record) = self.scene.registration(engine, state, 0);
+        self.store.put(&key, &record);
+    }
+    fn delete(&self, engine: usize) {
+        self.store.delete(&self.scene.registration(engine, State::Ready, 0).0);
+    }
+    fn put_all(&self) {
+        (0..self.scene.engines()).for_each(|e| self.put(e, State::Ready));
+    }
+    /// Notes that all nodes are told of an engine now, which is before they can know.
+    fn told(&self, engine: usize, ready: bool) {
+        let id = self.scene.engine(engine).spec().id;
+        for node in 0..self.scene.nodes() {
+            let node = self.scene.node(node).unwrap().incarnation();
+            self.scene.log.add(Sight::Told { node, engine: id, ready });
+        }
+    }
+    fn engines_known(&self) -> Vec<u64> {
+        (0..self.scene.nodes()).map(|n| self.scene.node(n).unwrap().metrics().engines.get()).collect()
+    }
+    async fn until(&self, what: impl Fn(&Rig) -> bool) {
+        for _ in 0..10_000 {
+            if what(self) {
+                return;
+            }
+            self.scene.world.sleep(1_000).await;
+        }
+        panic!("it did not come about within ten seconds: {:?}", self.engines_known());
+    }
+    async fn all_known(&self, count: u64) {
+        self.until(|rig| rig.engines_known().iter().all(|n| *n == count)).await;
+    }
+    /// A request every two milliseconds until the sender is dropped.
+    fn load(&self) -> (async_channel::Sender<()>, async_channel::Receiver<()>) {
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let (done, wait) = async_channel::bounded::<()>(1);
+        let scene = self.scene.clone();
+        self.scene.world.run(async move {
+            let mut i = 0;
+            while !stopped.is_closed() {
+                let (one, done) = (scene.clone(), done.clone());
+                let ask = scene.ask(i as usize % 2, QUICK, prompt(i, 40), 4);
+                scene.world.run(async move {
+                    one.send(&ask).await;
+                    drop(done);
+                });
+                i += 1;
+                scene.world.sleep(2_000).await;
+            }
+        });
+        (stop, wait)
+    }
+    async fn served(&self, i: u32) {
+        for node in 0..2 {
+            let end = self.scene.send(&self.scene.ask(node, QUICK, prompt(i, 40), 4)).await.unwrap();
+            assert_eq!(end.how, Heard::Served, "{end:?}");
+        }
+    }
+}
+
+#[test]
+fn drains_and_departures_are_kept_under_load() {
+    let rig = rig(500_000);
+    rig.put_all();
+    block_on(async {
+        rig.all_known(12).await;
+        let (stop, done) = rig.load();
+        for round in 0..20 {
+            let engine = [0, 4, 5, 1, 6][round % 5];
+            match round % 2 {
+                0 => rig.put(engine, State::Draining),
+                _ => rig.delete(engine),
+            }
+            rig.told(engine, false);
+            rig.scene.world.sleep(300_000).await;
+            rig.told(engine, true);
+            rig.put(engine, State::Ready);
+            rig.scene.world.sleep(30_000).await;
+        }
+        drop(stop);
+        let _ = done.recv().await;
+        clean(&rig.scene).await;
+        let checked = rig.scene.audit().rules[2].checked;
+        assert!(checked >= 40, "{checked} checks");
+    });
+}
+
+/// The check can fail: a node that does not hear a notice goes on sending, and the auditor says so.
+#[test]
+fn a_notice_that_is_ignored_is_caught() {
+    let rig = rig(60_000_000);
+    rig.put_all();
+    block_on(async {
+        rig.all_known(12).await;
+        rig.store.fault(|f| f.mute_watches = true);
+        let (stop, done) = rig.load();
+        for engine in 4..8 {
+            rig.put(engine, State::Draining);
+            rig.told(engine, false);
+        }
+        rig.scene.world.sleep(1_200_000).await;
+        drop(stop);
+        let _ = done.recv().await;
+        rig.scene.settle(5_000_000).await;
+        assert!(rig.scene.audit().rules[2].count > 0);
+    });
+}
+
+/// A watch that fell silent and was compacted away: deletions are found by the next list's difference.
+#[test]
+fn a_watch_that_is_compacted_away_is_made_up_for() {
+    let rig = rig(150_000);
+    rig.put_all();
+    block_on(async {
+        rig.all_known(12).await;
+        // Nothing comes while changes pass, and the history of them is dropped.
+        rig.store.fault(|f| f.mute_watches = true);
+        rig.delete(4);
+        rig.put(5, State::Draining);
+        rig.delete(6);
+        rig.put(6, State::Ready);
+        rig.store.compact();
+        rig.store.fault(|f| f.mute_watches = false);
+        rig.all_known(11).await;
+        let gaps = rig.scene.node(0).unwrap().metrics().list_gaps.get();
+        assert!(gaps >= 1);
+        rig.told(5, false);
+        rig.served(1).await;
+        clean(&rig.scene).await;
+    });
+}
+
+/// The store restarts in the middle of a drain: the drain is not forgotten, the engine is not taken as gone for good,
+/// and while the store is down the old list stands.
+#[test]
+fn the_store_restarts_in_the_middle_of_a_drain() {
+    let mut rig = rig(300_000);
+    rig.put_all();
+    block_on(async {
+        rig.all_known(12).await;
+        rig.put(4, State::Draining);
+        rig.scene.world.sleep(100_000).await;
+        rig.told(4, false);
+        rig.store.die();
+        rig.until(|rig| rig.scene.node(0).unwrap().metrics().list_stale.get() == 1).await;
+        assert_eq!(rig.engines_known(), [12, 12]);
+        rig.served(1).await;
+        rig.store.come_up().unwrap();
+        rig.until(|rig| (0..2).all(|n| rig.scene.node(n).unwrap().metrics().list_stale.get() == 0)).await;
+        rig.served(2).await;
+        rig.told(4, true);
+        rig.put(4, State::Ready);
+        rig.scene.world.sleep(50_000).await;
+        rig.served(3).await;
+        clean(&rig.scene).await;
+    });
+}
+
+/// A store that comes back empty does not empty the pools at once; engines that register again are there.
+#[test]
+fn a_store_that_restarts_empty_is_doubted() {
+    let rig = rig(200_000);
+    rig.put_all();
+    block_on(async {
+        rig.all_known(12).await;
+        rig.store.forget();
+        rig.scene.world.sleep(200_000).await;
+        assert_eq!(rig.engines_known(), [12, 12]);
+        rig.served(1).await;
+        (0..6).for_each(|e| rig.put(e, State::Ready));
+        rig.all_known(6).await;
+        rig.served(2).await;
+        // Empty for good: believed in the end, and refused honestly.
+        rig.store.forget();
+        rig.all_known(0).await;
+        let end = rig.scene.send(&rig.scene.ask(0, QUICK, prompt(3, 40), 4)).await.unwrap();
+        assert_eq!(end.how, Heard::Refused, "{end:?}");
+        clean(&rig.scene).await;
+    });
+}
+
+/// Bad records are counted once and hurt no other; an engine that moves under a running stream ends that stream in peace.
+#[test]
+fn bad_records_hurt_nobody_and_moves_break_no_stream() {
+    let rig = rig(500_000);
+    rig.put_all();
+    block_on(async {
+        rig.all_known(12).await;
+        rig.store.put("ivyward/engines/4", "{");
+        rig.store.put("ivyward/engines/x", "{}");
+        rig.store.put("ivyward/engines/77", &rig.scene.registration(4, State::Ready, 0).1);
+        rig.until(|rig| rig.scene.node(0).unwrap().metrics().records_unread.get() == 3).await;
+        assert_eq!(rig.engines_known(), [12, 12]);
+        // A long answer runs while all writers are told to be elsewhere, and come back.
+        let ask = rig.scene.ask(0, QUICK, prompt(1, 40), 400);
+        let (one, call) = (rig.scene.clone(), ask.request.call_id);
+        let (tell, wait) = async_channel::bounded(1);
+        rig.scene.world.run(async move {
+            let _ = tell.send(one.send(&ask).await.unwrap()).await;
+        });
+        seen(&rig.scene, |s| matches!(s, Sight::Began { call: c } if *c == call)).await;
+        for engine in 4..12 {
+            let (key, record) = rig.scene.registration(engine, State::Ready, 0);
+            let own = rig.scene.engine(engine).address().to_string();
+            rig.store.put(&key, &record.replace(&own, "127.0.0.1:9"));
+        }
+        rig.put_all();
+        let end = wait.recv().await.unwrap();
+        assert_eq!(end.how, Heard::Served, "{end:?}");
+        rig.served(2).await;
+        clean(&rig.scene).await;
+    });
+}
--- /dev/null
+++ b/crates/ivyward/src/follow.rs
@@ -0,0 +1,308 @@
+//! Follows engines through etcd's watch API: lists, watches, and passes on what the membership decider makes of it.
+
+use crate::driver::Engine;
+use crate::node::Node;
+use crate::registration::{key_id, read};
+use crate::settings::SettingsError;
+use futures_lite::future::or;
+use ivyward_core::interface::{Condition, ListKind, Micros, ServerEntry, ServerId};
+use ivyward_core::membership::{Heard, Member, Membership, MembershipSettings, Told};
+use ivyward_etcd::{mvccpb, Client, EtcdOptions, Notice};
+use ivyward_world::{before, WorldExt, WorldRef};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use tracing::{info, warn};
+
+/// Most engines whose bad records are remembered as logged.
+const MOST_NAMED: usize = 10_000;
+
+/// Where and how to follow. Times are microseconds.
+#[derive(Clone, Debug)]
+pub struct Follow {
+    /// The store's endpoints; one is used at a time.
+    pub endpoints: Vec<SocketAddr>,
+    /// Engines' records stand below it, each under the engine's id.
+    pub prefix: String,
+    /// The client's ways.
+    pub etcd: EtcdOptions,
+    /// An empty list beside a known fleet is believed when it was heard for so long.
+    pub empty_grace: Micros,
+    /// A watch that told nothing for this span is asked whether it is whole; silent for as long again, it counts as
+    /// broken.
+    pub silence: Micros,
+    /// First pause after a failure; it doubles, with jitter, up to the second.
+    pub pauses: (Micros, Micros),
+}
+
+impl Default for Follow {
+    fn default() -> Follow {
+        Follow {
+            endpoints: Vec::new(),
+            prefix: "ivyward/engines/".into(),
+            etcd: EtcdOptions::default(),
+            empty_grace: 10_000_000,
+            silence: 2_000_000,
+            pauses: (20_000, 2_000_000),
+        }
+    }
+}
+
+impl Follow {
+    /// Looks for settings that cannot hold.
+    ///
+    /// # Errors
+    /// The first one found.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        if self.prefix.is_empty() {
+            return Err(SettingsError::new(
+                "--etcd-prefix",
+                "(empty)",
+                "would take every key for an engine's record",
+            ));
+        }
+        for (flag, span) in [("--etcd-silence", self.silence), ("--etcd-empty-grace", self.empty_grace)] {
+            if !(1_000..=3_600_000_000).contains(&span) {
+                return Err(SettingsError::new(flag, format!("{span}us"), "must be from 1ms to an hour"));
+            }
+        }
+        let mut seen = BTreeSet::new();
+        match self.endpoints.iter().find(|e| !seen.insert(**e)) {
+            Some(twice) => Err(SettingsError::new("--etcd-endpoint", twice, "is given twice")),
+            None => Ok(()),
+        }
+    }
+}
+
+/// What the follower carries along beside the decider.
+struct Follower<'a> {
+    node: &'a Node,
+    world: WorldRef,
+    follow: Follow,
+    client: Client,
+    decider: Membership,
+    /// Start times as the store tells them and as the node's clock shows them: converted once, so that a list that is
+    /// read again does not look like a restart.
+    starts: BTreeMap<ServerId, (Micros, Micros)>,
+    /// Engines whose bad record was logged, with its revision.
+    named: BTreeMap<ServerId, i64>,
+    pause: Micros,
+}
+
+/// Why a watch was left.
+enum Left {
+    /// Something was missed, or may have been.
+    Gap(String),
+    /// The decider wants another list, at a time.
+    Relist(Micros),
+}
+
+impl Node {
+    /// Follows engines until the node stops. While the store cannot be reached the last list stands.
+    pub async fn follow(&self, follow: Follow) {
+        let world = self.shared.world.clone();
+        let mut follower = Follower {
+            client: Client::new(&world, follow.endpoints.clone(), follow.etcd.clone()),
+            decider: Membership::new(MembershipSettings { empty_grace: follow.empty_grace }),
+            starts: BTreeMap::new(),
+            named: BTreeMap::new(),
+            pause: follow.pauses.0,
+            node: self,
+            world,
+            follow,
+        };
+        or(follower.run(), self.closed()).await;
+    }
+}
+
+impl Follower<'_> {
+    async fn run(&mut self) {
+        loop {
+            self.node.metrics().list_stale.set(1);
+            let listed = self.client.list(self.follow.prefix.as_bytes()).await;
+            let again = match listed {
+                Ok(list) => {
+                    let (members, unread) = self.members(&list.kvs);
+                    let (cluster, revision) = (list.cluster, list.revision);
+                    self.hear(Heard::List { cluster, revision, members, unread }).await
+                }
+                Err(e) => {
+                    warn!(error = %e, "the list of engines cannot be read; the last one stands");
+                    self.client.leave_endpoint();
+                    Some(0)
+                }
+            };
+            if let Some(at) = again {
+                // An old answer or no answer: elsewhere, after a pause. An empty one: at its time.
+                if at == 0 {
+                    self.client.leave_endpoint();
+                    self.rest().await;
+                } else {
+                    self.world
+                        .sleep_until(at.min(self.world.now().saturating_add(self.follow.silence)))
+                        .await;
+                }
+                continue;
+            }
+            self.node.metrics().list_stale.set(0);
+            match self.watch().await {
+                Left::Gap(why) => {
+                    info!(why, "the watch of engines has a gap; the list is read again");
+                    self.node.metrics().list_gaps.add(1);
+                    self.hear(Heard::Gap).await;
+                    self.rest().await;
+                }
+                Left::Relist(at) => self.world.sleep_until(at).await,
+            }
+        }
+    }
+
+    /// A pause that grows from failure to failure, half of it by chance.
+    async fn rest(&mut self) {
+        let pause = (self.pause as f64 * (0.5 + 0.5 * self.world.unit())) as Micros;
+        self.pause = (self.pause * 2).min(self.follow.pauses.1);
+        self.world.sleep(pause).await;
+    }
+
+    async fn watch(&mut self) -> Left {
+        let prefix = self.follow.prefix.clone().into_bytes();
+        let mut watch = match self.client.watch(&prefix, self.decider.revision() + 1).await {
+            Ok(watch) => watch,
+            Err(e) => return Left::Gap(e.to_string()),
+        };
+        let mut asked = false;
+        loop {
+            let until = self.world.now().saturating_add(self.follow.silence);
+            let notice = match before(&self.world, until, watch.next()).await {
+                Some(Ok(notice)) => notice,
+                Some(Err(e)) => {
+                    self.client.leave_endpoint();
+                    return Left::Gap(e.to_string());
+                }
+                None if asked => {
+                    self.client.leave_endpoint();
+                    return Left::Gap("the watch is silent".into());
+                }
+                None => {
+                    asked = true;
+                    watch.ask_progress();
+                    continue;
+                }
+            };
+            (asked, self.pause) = (false, self.follow.pauses.0);
+            // Guards against a store that was replaced between list and watch: its revisions are others, and a watch from
+            // one that it has not reached would wait without end.
+            if watch.cluster().is_some() && watch.cluster() != self.decider.cluster() {
+                return Left::Gap("another store answers than the one that was listed".into());
+            }
+            match notice {
+                Notice::Progress(revision) => {
+                    self.hear(Heard::Progress(revision)).await;
+                }
+                Notice::Compacted(revision) => return Left::Gap(format!("compacted up to {revision}")),
+                Notice::Cancelled(reason) => return Left::Gap(format!("cancelled: {reason}")),
+                Notice::Events { events, .. } => {
+                    // Not the response's own revision: a watch that catches up is sent in parts, each with the store's
+                    // newest, and what is still to come would be passed over after a break.
+                    let last = events.iter().filter_map(|e| e.kv.as_ref()).map(|kv| kv.mod_revision).max();
+                    for event in events {
+                        let Some(heard) = self.event(event) else { continue };
+                        if let Some(at) = self.hear(heard).await {
+                            return Left::Relist(at);
+                        }
+                    }
+                    // What was left out moves the watch on as well.
+                    self.hear(Heard::Progress(last.unwrap_or(0))).await;
+                }
+            }
+            self.node.metrics().list_revision.set(self.decider.revision().max(0) as u64);
+        }
+    }
+
+    /// Tells the decider and passes on what it says. A time to list again, 0 for at once and elsewhere.
+    async fn hear(&mut self, heard: Heard) -> Option<Micros> {
+        let gap = heard == Heard::Gap;
+        let (mut out, mut again) = (Vec::new(), None);
+        self.decider.hear(self.world.now(), heard, &mut out);
+        for told in out {
+            match told {
+                Told::Fleet { kind, entries } => self.pass_on(kind, entries).await,
+                Told::Relist => again = (!gap).then_some(0),
+                Told::RelistAt(at) => again = Some(at),
+                Told::Keep => {}
+            }
+        }
+        again
+    }
+
+    async fn pass_on(&mut self, kind: ListKind, members: Vec<Member>) {
+        if kind != ListKind::Changes {
+            let named: BTreeSet<ServerId> = members.iter().map(|m| m.entry.id).collect();
+            self.starts.retain(|id, _| named.contains(id));
+        }
+        let (now, unix) = (self.world.now(), self.world.unix_micros());
+        let mut engines = Vec::with_capacity(members.len());
+        for Member { entry, address, .. } in members {
+            if entry.condition == Condition::Gone {
+                self.starts.remove(&entry.id);
+                engines.push(Engine { entry, address });
+                continue;
+            }
+            let known = self.starts.get(&entry.id).filter(|s| s.0 == entry.started).map(|s| s.1);
+            // A start in the future by our clock is just now; one long ago is 0.
+            let age = unix.saturating_sub(entry.started);
+            let warm = age >= self.node.settings().rules.warm_after;
+            let own = if entry.started == 0 || warm { 0 } else { now.saturating_sub(age).max(1) };
+            let started = known.unwrap_or(own);
+            self.starts.insert(entry.id, (entry.started, started));
+            engines.push(Engine { entry: ServerEntry { started, ..entry }, address });
+        }
+        self.node.fleet(kind, engines).await;
+    }
+
+    fn members(&mut self, kvs: &[mvccpb::KeyValue]) -> (Vec<Member>, Vec<ServerId>) {
+        let (mut members, mut unread) = (Vec::new(), Vec::new());
+        for kv in kvs {
+            match self.member(kv) {
+                Ok(member) => members.push(member),
+                Err(id) => unread.extend(id),
+            }
+        }
+        (members, unread)
+    }
+
+    /// The member that a record names; else the engine whose record cannot be read, if the key names one.
+    fn member(&mut self, kv: &mvccpb::KeyValue) -> Result<Member, Option<ServerId>> {
+        let Some(id) = key_id(self.follow.prefix.as_bytes(), &kv.key) else {
+            self.complain(ServerId(u64::MAX), kv, "the key does not end in an engine's id");
+            return Err(None);
+        };
+        read(id, &kv.value, kv.mod_revision).map_err(|problem| {
+            self.complain(id, kv, &problem.to_string());
+            Some(id)
+        })
+    }
+
+    /// Logs a bad record once, and counts it.
+    fn complain(&mut self, id: ServerId, kv: &mvccpb::KeyValue, problem: &str) {
+        if self.named.get(&id) == Some(&kv.mod_revision) {
+            return;
+        }
+        if self.named.len() >= MOST_NAMED {
+            self.named.clear();
+        }
+        self.named.insert(id, kv.mod_revision);
+        self.node.metrics().records_unread.add(1);
+        warn!(key = %String::from_utf8_lossy(&kv.key), problem, "a registration record is left out");
+    }
+
+    fn event(&mut self, event: mvccpb::Event) -> Option<Heard> {
+        let deleted = event.r#type() == mvccpb::event::EventType::Delete;
+        let kv = event.kv?;
+        if deleted {
+            let id = key_id(self.follow.prefix.as_bytes(), &kv.key)?;
+            return Some(Heard::Deleted { id, revision: kv.mod_revision });
+        }
+        // An engine whose new record cannot be read stays as it was known.
+        self.member(&kv).ok().map(Heard::Put)
+    }
+}
--- a/crates/ivyward/src/lib.rs
+++ b/crates/ivyward/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`answer`]: the final answers and the bounded buffer.
 //! - [`door`]: gRPC, and the final answers in its terms.
 //! - [`record`]: recordings of what the module was told and did, and their replay.
+//! - [`follow`]: engines by etcd's watch API; [`registration`]: the records there.
 //! - [`metrics`]: counters; [`admin`]: health and metrics over HTTP.
 //! - `driver`, `attempt`, `link`: the request path.
 
@@ -17,10 +18,12 @@
 mod attempt;
 pub mod door;
 mod driver;
+pub mod follow;
 mod link;
 pub mod metrics;
 mod node;
 pub mod record;
+pub mod registration;
 pub mod settings;
 
 pub use answer::{Failure, Final, Part, Refusal, Run};
--- a/crates/ivyward/src/metrics.rs
+++ b/crates/ivyward/src/metrics.rs
@@ -48,6 +48,14 @@
     pub releases_dropped: Counter,
     /// Engines in the list.
     pub engines: Counter,
+    /// 1 while the list of engines may be out of date: the store does not answer, or something was missed.
+    pub list_stale: Counter,
+    /// The store's revision up to which the list is known.
+    pub list_revision: Counter,
+    /// Registration records that could not be read.
+    pub records_unread: Counter,
+    /// Gaps: watches that broke, were compacted away or fell silent.
+    pub list_gaps: Counter,
     /// Microseconds that the driver was at work, the module's among them.
     pub driver_us: Counter,
     /// Microseconds that the module took of that.
@@ -92,6 +100,10 @@
             ("ivyward_releases_total", self.releases.get()),
             ("ivyward_releases_dropped_total", self.releases_dropped.get()),
             ("ivyward_clients_turned_away_total", self.clients_turned_away.get()),
+            ("ivyward_list_stale", self.list_stale.get()),
+            ("ivyward_list_revision", self.list_revision.get()),
+            ("ivyward_list_gaps_total", self.list_gaps.get()),
+            ("ivyward_records_unread_total", self.records_unread.get()),
             ("ivyward_driver_busy_us_total", self.driver_us.get()),
             ("ivyward_module_us_total", self.module_us.get()),
             ("ivyward_engines", self.engines.get()),
--- /dev/null
+++ b/crates/ivyward/src/registration.rs
@@ -0,0 +1,189 @@
+//! Registration records: what engines write below a prefix of the store, one key an engine, named by its id.
+
+use garde::Validate;
+use ivyward_core::interface::{Condition, ServerEntry, ServerId};
+use ivyward_core::membership::Member;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Version of the records that this program writes and reads.
+pub const VERSION: u32 = 1;
+/// Longest record, in bytes.
+pub const MOST_RECORD: usize = 4 << 10;
+
+/// What an engine does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Reads prompts.
+    Prefill,
+    /// Writes answers.
+    Decode,
+    /// Both.
+    Mixed,
+}
+
+/// Whether an engine takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// It takes work.
+    Ready,
+    /// It ends its work and takes nothing new.
+    Draining,
+}
+
+/// A registration record, as JSON. Fields that are not known are passed over, so that later ones may be added.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
+pub struct Record {
+    /// 1.
+    #[garde(range(min = 1, max = 1))]
+    pub version: u32,
+    /// The engine's id; the same number that names its key.
+    #[garde(skip)]
+    pub id: u64,
+    /// What it does.
+    #[garde(skip)]
+    pub role: Role,
+    /// IP:PORT.
+    #[garde(length(min = 3, max = 64))]
+    pub address: String,
+    /// Its zone.
+    #[garde(skip)]
+    #[serde(default)]
+    pub zone: u8,
+    /// Its rack.
+    #[garde(skip)]
+    #[serde(default)]
+    pub cell: u16,
+    /// Its size against others of its kind.
+    #[garde(range(min = 0.001, max = 1_000_000.0))]
+    #[serde(default = "one")]
+    pub weight: f64,
+    /// When its process started, in milliseconds since the Unix epoch by its own clock; 0 for long ago.
+    #[garde(skip)]
+    #[serde(default)]
+    pub started_ms: u64,
+    /// Whether it takes work.
+    #[garde(skip)]
+    pub state: State,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Why a record is not taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RecordProblem {
+    /// The key does not end in an id.
+    #[error("the key does not end in an engine's id")]
+    Key,
+    /// Too long.
+    #[error("the record has {0} bytes; {MOST_RECORD} at most")]
+    Long(usize),
+    /// Not JSON of a record.
+    #[error("the record is malformed: {0}")]
+    Malformed(String),
+    /// It contradicts itself or its key.
+    #[error("the record contradicts itself: {0}")]
+    Contradiction(String),
+}
+
+/// The engine's id that a key names.
+pub fn key_id(prefix: &[u8], key: &[u8]) -> Option<ServerId> {
+    let name = std::str::from_utf8(key.strip_prefix(prefix)?).ok()?;
+    // Only one way of writing a number, so that two keys never name one engine.
+    name.parse().ok().filter(|id: &u64| id.to_string() == name).map(ServerId)
+}
+
+/// Reads the record of an engine.
+///
+/// # Errors
+/// [`RecordProblem`].
+pub fn read(id: ServerId, value: &[u8], revision: i64) -> Result<Member, RecordProblem> {
+    if value.len() > MOST_RECORD {
+        return Err(RecordProblem::Long(value.len()));
+    }
+    let record: Record =
+        serde_json::from_slice(value).map_err(|e| RecordProblem::Malformed(e.to_string()))?;
+    record.validate().map_err(|e| RecordProblem::Malformed(e.to_string().trim().replace('\n', "; ")))?;
+    if record.id != id.0 {
+        return Err(RecordProblem::Contradiction(format!("id {} below the key of {}", record.id, id.0)));
+    }
+    let address: SocketAddr = record
+        .address
+        .parse()
+        .map_err(|_| RecordProblem::Malformed(format!("{:?} is not IP:PORT", record.address)))?;
+    if address.port() == 0 || address.ip().is_unspecified() {
+        return Err(RecordProblem::Contradiction(format!("nobody can be reached at {address}")));
+    }
+    let kind = match record.role {
+        Role::Prefill => 0,
+        Role::Decode => 1,
+        Role::Mixed => 2,
+    };
+    let condition = match record.state {
+        State::Ready => Condition::Ready,
+        State::Draining => Condition::Draining,
+    };
+    let entry = ServerEntry {
+        id,
+        zone: record.zone,
+        kind,
+        cell: record.cell,
+        condition,
+        weight: record.weight,
+        started: record.started_ms.saturating_mul(1_000),
+    };
+    Ok(Member { entry, address, revision })
+}
+
+/// The JSON schema of records.
+pub fn schema() -> String {
+    serde_json::to_string_pretty(&schemars::schema_for!(Record)).unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn text(more: &str) -> String {
+        format!(r#"{{"version":1,"id":7,"role":"decode","address":"127.0.0.1:9000","state":"ready"{more}}}"#)
+    }
+
+    #[test]
+    fn a_record_is_read_and_unknown_fields_are_passed_over() {
+        let member =
+            read(ServerId(7), text(r#","cell":3,"colour":"red","started_ms":5"#).as_bytes(), 9).unwrap();
+        assert_eq!(
+            (member.entry.kind, member.entry.cell, member.entry.started, member.revision),
+            (1, 3, 5_000, 9)
+        );
+        assert!(schema().contains("started_ms"));
+    }
+
+    #[test]
+    fn bad_records_say_what_is_wrong() {
+        let bad = [
+            (text(r#","weight":0"#), "weight"),
+            (text(r#","weight":"heavy""#), "malformed"),
+            (text("").replace(":1,", ":2,"), "version"),
+            (text("").replace(":7", ":8"), "id 8 below the key of 7"),
+            (text("").replace("127.0.0.1:9000", "somewhere"), "not IP:PORT"),
+            (text("").replace("127.0.0.1:9000", "0.0.0.0:9000"), "nobody can be reached"),
+            (text("").replace("ready", "asleep"), "malformed"),
+            ("{".into(), "malformed"),
+            (format!("{}{}", text(""), " ".repeat(MOST_RECORD)), "bytes"),
+        ];
+        for (text, what) in bad {
+            let problem = read(ServerId(7), text.as_bytes(), 1).unwrap_err().to_string();
+            assert!(problem.contains(what), "{text}: {problem}");
+        }
+        assert_eq!(key_id(b"e/", b"e/7"), Some(ServerId(7)));
+        for key in ["e/07", "e/+7", "e/x", "e/", "f/7", "e/7/8"] {
+            assert_eq!(key_id(b"e/", key.as_bytes()), None, "{key}");
+        }
+    }
+}
