--- a/crates/ivyward-lab/tests/drains.rs
+++ b/crates/ivyward-lab/tests/drains.rs
@@ -249,3 +249,36 @@
         clean(&rig.scene).await;
     });
 }
+
+/// A node that starts while the store is down serves by the list that the last one kept; without one it refuses.
+#[test]
+fn a_kept_list_serves_while_the_store_is_down() {
+    let mut rig = rig(200_000);
+    let path = std::env::temp_dir().join(format!("ivyward-kept-{}", std::process::id()));
+    let follow = rig.scene.make().follow.clone().unwrap();
+    rig.put_all();
+    block_on(async {
+        let keeping = Follow { snapshot: Some(path.clone()), ..follow.clone() };
+        let start = |seed: u64, follow: Follow| {
+            let world = ivyward_world::SmolWorld::start(1, seed);
+            let as_ref: ivyward_world::WorldRef = world.clone();
+            let node = ivyward::Node::start(as_ref, rig.scene.make().settings.clone(), None).unwrap();
+            let following = node.clone();
+            world.run(async move { following.follow(follow).await });
+            (world, node)
+        };
+        let (first, node) = start(1, keeping.clone());
+        rig.until(|_| node.metrics().engines.get() == 12 && path.exists()).await;
+        first.stop();
+        rig.store.die();
+        let (_second, node) = start(2, keeping);
+        rig.until(|_| node.metrics().engines.get() == 12).await;
+        let ask = rig.scene.ask(0, QUICK, prompt(1, 40), 4).request;
+        assert_eq!(node.generate(ask.clone(), Some(2_000_000)).collect().await.1, ivyward::Final::Served);
+        assert_eq!(node.metrics().list_stale.get(), 1);
+        let (_third, node) = start(3, follow);
+        let end = node.generate(ask, Some(2_000_000)).collect().await.1;
+        assert!(matches!(end, ivyward::Final::Refused { .. }), "{end:?}");
+    });
+    std::fs::remove_file(&path).unwrap();
+}
--- a/crates/ivyward/src/follow.rs
+++ b/crates/ivyward/src/follow.rs
@@ -4,13 +4,16 @@
 use crate::node::Node;
 use crate::registration::{key_id, read};
 use crate::settings::SettingsError;
+use crate::snapshot;
 use futures_lite::future::or;
 use ivyward_core::interface::{Condition, ListKind, Micros, ServerEntry, ServerId};
 use ivyward_core::membership::{Heard, Member, Membership, MembershipSettings, Told};
-use ivyward_etcd::{mvccpb, Client, EtcdOptions, Notice};
+pub use ivyward_etcd::EtcdOptions;
+use ivyward_etcd::{mvccpb, Client, Notice};
 use ivyward_world::{before, WorldExt, WorldRef};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use tracing::{info, warn};
 
 /// Most engines whose bad records are remembered as logged.
@@ -30,6 +33,8 @@
     /// A watch that told nothing for this span is asked whether it is whole; silent for as long again, it counts as
     /// broken.
     pub silence: Micros,
+    /// Keeps the last list here, for starts while the store is down.
+    pub snapshot: Option<PathBuf>,
     /// First pause after a failure; it doubles, with jitter, up to the second.
     pub pauses: (Micros, Micros),
 }
@@ -42,6 +47,7 @@
             etcd: EtcdOptions::default(),
             empty_grace: 10_000_000,
             silence: 2_000_000,
+            snapshot: None,
             pauses: (20_000, 2_000_000),
         }
     }
@@ -116,6 +122,16 @@
 
 impl Follower<'_> {
     async fn run(&mut self) {
+        if let Some(path) = self.follow.snapshot.clone() {
+            match snapshot::read(&path) {
+                Ok(Some(members)) => {
+                    info!(engines = members.len(), file = %path.display(), "engines as last listed, until the store speaks");
+                    self.hear(Heard::Snapshot(members)).await;
+                }
+                Ok(None) => {}
+                Err(e) => warn!(file = %path.display(), error = %e, "the kept list is not used"),
+            }
+        }
         loop {
             self.node.metrics().list_stale.set(1);
             let listed = self.client.list(self.follow.prefix.as_bytes()).await;
@@ -228,12 +244,20 @@
                 Told::Fleet { kind, entries } => self.pass_on(kind, entries).await,
                 Told::Relist => again = (!gap).then_some(0),
                 Told::RelistAt(at) => again = Some(at),
-                Told::Keep => {}
+                Told::Keep => self.keep(),
             }
         }
         again
     }
 
+    fn keep(&self) {
+        let Some(path) = &self.follow.snapshot else { return };
+        let members: Vec<Member> = self.decider.members().copied().collect();
+        if let Err(e) = snapshot::write(path, &members) {
+            warn!(file = %path.display(), error = %e, "the list cannot be kept");
+        }
+    }
+
     async fn pass_on(&mut self, kind: ListKind, members: Vec<Member>) {
         if kind != ListKind::Changes {
             let named: BTreeSet<ServerId> = members.iter().map(|m| m.entry.id).collect();
--- a/crates/ivyward/src/lib.rs
+++ b/crates/ivyward/src/lib.rs
@@ -9,7 +9,8 @@
 //! - [`answer`]: the final answers and the bounded buffer.
 //! - [`door`]: gRPC, and the final answers in its terms.
 //! - [`record`]: recordings of what the module was told and did, and their replay.
-//! - [`follow`]: engines by etcd's watch API; [`registration`]: the records there.
+//! - [`follow`]: engines by etcd's watch API; [`registration`]: the records there; [`snapshot`]: the last list
+//!   in a file.
 //! - [`metrics`]: counters; [`admin`]: health and metrics over HTTP.
 //! - `driver`, `attempt`, `link`: the request path.
 
@@ -25,6 +26,7 @@
 pub mod record;
 pub mod registration;
 pub mod settings;
+pub mod snapshot;
 
 pub use answer::{Failure, Final, Part, Refusal, Run};
 pub use driver::Engine;
--- /dev/null
+++ b/crates/ivyward/src/snapshot.rs
@@ -0,0 +1,127 @@
+//! The last list of engines in a file, for starts while the store is down.
+//!
+//! One line that says what it is, which version, how many bytes follow and their checksum; then the records as JSON.
+//! Written beside and moved into place, so that a reader sees the old file or the new one.
+
+use crate::registration::{self, Record, Role, State};
+use ivyward_core::interface::{Condition, ServerId};
+use ivyward_core::membership::Member;
+use std::fs::File;
+use std::io::{self, Read, Write};
+use std::path::Path;
+
+const TITLE: &str = "ivyward-engines";
+const VERSION: u32 = 1;
+/// Longest file taken, in bytes: some 100,000 engines.
+const MOST: u64 = 64 << 20;
+
+/// Why a file is not taken.
+#[derive(Debug, thiserror::Error)]
+pub enum SnapshotError {
+    /// It cannot be read or written.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// Something else, or of another version.
+    #[error("it is no list of engines of version {VERSION}")]
+    Foreign,
+    /// Cut short or changed.
+    #[error("it is torn: {0}")]
+    Torn(&'static str),
+}
+
+fn record(member: &Member) -> Record {
+    let e = &member.entry;
+    Record {
+        version: registration::VERSION,
+        id: e.id.0,
+        role: [Role::Prefill, Role::Decode, Role::Mixed][usize::from(e.kind).min(2)],
+        address: member.address.to_string(),
+        zone: e.zone,
+        cell: e.cell,
+        weight: e.weight,
+        started_ms: e.started / 1_000,
+        state: if e.condition == Condition::Ready { State::Ready } else { State::Draining },
+    }
+}
+
+/// Writes a list in place of the one before.
+///
+/// # Errors
+/// When the system says no; the file before stands then.
+pub fn write(path: &Path, members: &[Member]) -> Result<(), SnapshotError> {
+    let records: Vec<Record> = members.iter().map(record).collect();
+    let body = serde_json::to_vec(&records).map_err(io::Error::other)?;
+    let beside = path.with_extension("new");
+    let mut file = File::create(&beside)?;
+    writeln!(file, "{TITLE} {VERSION} {} {:08x}", body.len(), crc32fast::hash(&body))?;
+    file.write_all(&body)?;
+    file.sync_all()?;
+    std::fs::rename(&beside, path)?;
+    Ok(())
+}
+
+/// Reads a list; `None` where there is no file. Conditions and starts are as they were when it was written.
+///
+/// # Errors
+/// [`SnapshotError`] when the file is torn, foreign or cannot be read.
+pub fn read(path: &Path) -> Result<Option<Vec<Member>>, SnapshotError> {
+    let file = match File::open(path) {
+        Ok(file) => file,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e.into()),
+    };
+    let mut bytes = Vec::new();
+    file.take(MOST).read_to_end(&mut bytes)?;
+    let end = bytes.iter().take(200).position(|b| *b == b'\n').ok_or(SnapshotError::Foreign)?;
+    let head = std::str::from_utf8(&bytes[..end]).map_err(|_| SnapshotError::Foreign)?;
+    let parts: Vec<&str> = head.split(' ').collect();
+    let [title, version, length, sum] = parts[..] else { return Err(SnapshotError::Foreign) };
+    if title != TITLE || version != VERSION.to_string() {
+        return Err(SnapshotError::Foreign);
+    }
+    let body = &bytes[end + 1..];
+    if length.parse() != Ok(body.len()) {
+        return Err(SnapshotError::Torn("its length is another"));
+    }
+    if u32::from_str_radix(sum, 16) != Ok(crc32fast::hash(body)) {
+        return Err(SnapshotError::Torn("its checksum is another"));
+    }
+    let records: Vec<Record> =
+        serde_json::from_slice(body).map_err(|_| SnapshotError::Torn("its records"))?;
+    let member = |r: Record| {
+        let text = serde_json::to_vec(&r).map_err(io::Error::other)?;
+        registration::read(ServerId(r.id), &text, 0).map_err(|_| SnapshotError::Torn("a record"))
+    };
+    records.into_iter().map(member).collect::<Result<_, _>>().map(Some)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_list_comes_back_and_a_torn_or_foreign_file_does_not() {
+        let path = std::env::temp_dir().join(format!("ivyward-snapshot-{}", std::process::id()));
+        assert!(read(&path).unwrap().is_none());
+        let text =
+            br#"{"version":1,"id":7,"role":"mixed","address":"127.0.0.1:9000","state":"draining","cell":4}"#;
+        let member = registration::read(ServerId(7), text, 0).unwrap();
+        write(&path, &[member]).unwrap();
+        assert_eq!(read(&path).unwrap(), Some(vec![member]));
+        let whole = std::fs::read(&path).unwrap();
+        for cut in [whole.len() - 1, whole.len() / 2, 40] {
+            std::fs::write(&path, &whole[..cut]).unwrap();
+            assert!(matches!(read(&path), Err(SnapshotError::Torn(_))), "cut at {cut}");
+        }
+        let mut changed = whole.clone();
+        let last = changed.len() - 5;
+        changed[last] ^= 1;
+        std::fs::write(&path, &changed).unwrap();
+        assert!(matches!(read(&path), Err(SnapshotError::Torn(_))));
+        for foreign in [&b""[..], b"ivyward-engines 2 0 0\n", b"#!/bin/sh\n", &[0xff; 300]] {
+            std::fs::write(&path, foreign).unwrap();
+            assert!(matches!(read(&path), Err(SnapshotError::Foreign)), "{foreign:?}");
+        }
+        std::fs::remove_file(&path).unwrap();
+    }
+}
--- a/crates/ivywardd/src/flags.rs
+++ b/crates/ivywardd/src/flags.rs
@@ -7,6 +7,7 @@
     ClassSettings, Condition, Effect, Micros, RepeatGroup, ReportField, ServerEntry, ServerId, Settings,
     TenantSettings,
 };
+use ivyward::follow::{EtcdOptions, Follow};
 use ivyward::{Class, Engine, NodeSettings, SettingsError, Tenant};
 use std::collections::BTreeMap;
 use std::ffi::OsString;
@@ -35,6 +36,32 @@
     /// An engine: id=N,address=HOST:PORT,role=prefill|decode|mixed and, if wanted, zone=N,cell=N,weight=X.
     #[arg(long = "server", env = "IVYWARD_SERVERS", value_name = "ENGINE", value_delimiter = ';', value_parser = server)]
     pub servers: Vec<Engine>,
+    /// An endpoint of the etcd store that lists the engines, instead of --server; may be given several times.
+    #[arg(
+        long = "etcd-endpoint",
+        env = "IVYWARD_ETCD_ENDPOINTS",
+        value_name = "IP:PORT",
+        value_delimiter = ';'
+    )]
+    pub etcd_endpoints: Vec<SocketAddr>,
+    /// Engines' records stand below this prefix, each under the engine's id.
+    #[arg(long, env = "IVYWARD_ETCD_PREFIX", default_value = "ivyward/engines/")]
+    pub etcd_prefix: String,
+    /// User name at the store.
+    #[arg(long, env = "IVYWARD_ETCD_USER", requires = "etcd_password")]
+    pub etcd_user: Option<String>,
+    /// Password at the store; better given by the environment.
+    #[arg(long, env = "IVYWARD_ETCD_PASSWORD", hide_env_values = true, requires = "etcd_user")]
+    pub etcd_password: Option<String>,
+    /// A watch without a word for this span is asked whether it is whole, and after as long again counts as broken.
+    #[arg(long, env = "IVYWARD_ETCD_SILENCE", value_name = "SPAN", default_value = "2s", value_parser = span)]
+    pub etcd_silence: Micros,
+    /// An empty list beside a known fleet is believed after this.
+    #[arg(long, env = "IVYWARD_ETCD_EMPTY_GRACE", value_name = "SPAN", default_value = "10s", value_parser = span)]
+    pub etcd_empty_grace: Micros,
+    /// Keeps the last list of engines in this file, for starts while the store is down.
+    #[arg(long, env = "IVYWARD_SNAPSHOT", value_name = "FILE", requires = "etcd_endpoints")]
+    pub snapshot: Option<PathBuf>,
     /// A request class: name=..,ttft-aim=SPAN,deadline=SPAN and, if wanted, ttft-aim-per-1000=SPAN,tpot-aim=SPAN,
     /// worth=X,late-share=X,effect=safe|keyed|unsafe,group=all|zone|cell,repeat-window=SPAN. The first is the usual one.
     #[arg(long = "class", env = "IVYWARD_CLASSES", value_name = "CLASS", value_delimiter = ';', value_parser = class)]
@@ -365,6 +392,20 @@
 }
 
 impl Flags {
+    /// Where and how to follow the engines; without endpoints nobody is followed.
+    pub fn follow(&self) -> Follow {
+        let login = self.etcd_user.clone().zip(self.etcd_password.clone());
+        Follow {
+            endpoints: self.etcd_endpoints.clone(),
+            prefix: self.etcd_prefix.clone(),
+            etcd: EtcdOptions { login, ..EtcdOptions::default() },
+            empty_grace: self.etcd_empty_grace,
+            silence: self.etcd_silence,
+            snapshot: self.snapshot.clone(),
+            ..Follow::default()
+        }
+    }
+
     fn settings(&self) -> Result<NodeSettings, SettingsError> {
         let settings = NodeSettings {
             seed: self.seed.unwrap_or(0),
@@ -411,9 +452,23 @@
             most_releases: self.most_releases,
         };
         settings.check()?;
-        if self.servers.is_empty() {
-            return Err(SettingsError::new("--server", "(none)", "at least one engine is needed"));
+        if self.servers.is_empty() && self.etcd_endpoints.is_empty() {
+            return Err(SettingsError::new(
+                "--server",
+                "(none)",
+                "at least one engine or --etcd-endpoint is needed",
+            ));
+        }
+        // Two sources would each take the other's engines for gone.
+        if !self.servers.is_empty() && !self.etcd_endpoints.is_empty() {
+            let first = self.etcd_endpoints[0];
+            return Err(SettingsError::new(
+                "--etcd-endpoint",
+                first,
+                "goes with no --server: the store lists them all",
+            ));
         }
+        self.follow().check()?;
         for (i, engine) in self.servers.iter().enumerate() {
             let before = &self.servers[..i];
             if before.iter().any(|e| e.entry.id == engine.entry.id) {
--- a/crates/ivywardd/src/main.rs
+++ b/crates/ivywardd/src/main.rs
@@ -74,7 +74,13 @@
     let recording = record.is_some();
     let node = Node::start(world.clone(), start.settings.clone(), record).map_err(|e| e.to_string())?;
     let flags = &start.flags;
-    smol.block_on(node.fleet(ListKind::Full, flags.servers.clone()));
+    match flags.etcd_endpoints.is_empty() {
+        true => smol.block_on(node.fleet(ListKind::Full, flags.servers.clone())),
+        false => {
+            let (node, follow) = (node.clone(), flags.follow());
+            world.run(async move { node.follow(follow).await });
+        }
+    }
     let door = world.listen(flags.listen).map_err(|e| format!("--listen {}: {e}", flags.listen))?;
     let address = door.address();
     if let Some(at) = flags.admin {
@@ -98,7 +104,10 @@
                 // What was recorded is in the file a second later, also when the process is killed.
                 None if recording => node.flush_recording().await,
                 None => {}
-                Some(Some(Ok(Signal::Hup))) => reload(&node).await,
+                Some(Some(Ok(Signal::Hup))) if flags.etcd_endpoints.is_empty() => reload(&node).await,
+                Some(Some(Ok(Signal::Hup))) => {
+                    info!("engines come from the store; there is nothing to read again")
+                }
                 Some(_) => break,
             }
         }
--- a/crates/ivywardd/tests/flags.rs
+++ b/crates/ivywardd/tests/flags.rs
@@ -99,6 +99,13 @@
         ("--class=name=b,ttft-aim=1s,deadline=4s,worth=-1", "worth=-1"),
         ("--class=name=b,ttft-aim=1s,deadline=4s,late-share=2", "late-share=2"),
         ("--class=name=b,ttft-aim=1s,deadline=4s,deadline=5s", "deadline is given twice"),
+        ("--etcd-endpoint=127.0.0.1:2379", "--etcd-endpoint 127.0.0.1:2379: goes with no --server"),
+        ("--etcd-endpoint=store", "store"),
+        ("--etcd-prefix=", "--etcd-prefix"),
+        ("--etcd-silence=0s", "--etcd-silence"),
+        ("--etcd-empty-grace=2h", "2h"),
+        ("--etcd-user=ivy", "--etcd-password"),
+        ("--snapshot=/tmp/list", "--etcd-endpoint"),
         ("--tenant=name=t,quota=0", "quota must be over 0"),
         ("--tenant=quota=1", "name is missing"),
     ];
