--- a/crates/ivyward-lab/src/badday.rs
+++ b/crates/ivyward-lab/src/badday.rs
@@ -5,11 +5,15 @@
 use crate::scene::{settings, Make, Memory, Runs, Scene, SceneError};
 use hdrhistogram::Histogram;
 use ivyward::core::interface::{Condition, Micros};
+use ivyward::follow::Follow;
+use ivyward::registration::State;
 use ivyward::NodeSettings;
 use ivyward_standins::audit::RULES;
+use ivyward_standins::engine::Threads;
+use ivyward_standins::etcd::Store;
 use ivyward_standins::sight::Heard;
-use ivyward_standins::{Audit, Role, Spec, Twist};
-use ivyward_world::WorldExt;
+use ivyward_standins::{Audit, Host, Role, Spec, Twist};
+use ivyward_world::{World, WorldExt};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -37,6 +41,8 @@
     pub runs: Runs,
     /// What the auditor takes for in flight on this machine.
     pub flight: Micros,
+    /// Nodes follow engines through a store that is among the faulty, instead of being told by the script.
+    pub etcd: bool,
 }
 
 impl Day {
@@ -45,7 +51,7 @@
         let load = Load { requests, rate: 200.0, output: 24 };
         let length = (requests as f64 / load.rate * 1e6) as Micros;
         let plan = Plan::draw(seed, length.max(2_000_000), kinds);
-        Day { plan, load, nodes: 3, racks: 4, runs: Runs::Inside, flight: 250_000 }
+        Day { plan, load, nodes: 3, racks: 4, runs: Runs::Inside, flight: 250_000, etcd: false }
     }
 }
 
@@ -85,6 +91,22 @@
 /// When the scene cannot be set up.
 pub fn run(day: Day) -> Result<Report, SceneError> {
     let memory = Memory::default();
+    let store = match day.etcd {
+        false => None,
+        true => {
+            let host: Arc<dyn Host> = Arc::new(Threads);
+            let open =
+                Store::start(&host, 1).and_then(|mut store| store.open_doors(day.nodes).map(|()| store));
+            Some(open.map_err(|error| SceneError::Io { what: "starting a store".into(), error })?)
+        }
+    };
+    let follow = store.as_ref().map(|store| Follow {
+        endpoints: store.doors().to_vec(),
+        silence: 400_000,
+        empty_grace: 2_000_000,
+        pauses: (10_000, 200_000),
+        ..Follow::default()
+    });
     let make = Make {
         seed: day.plan.seed,
         engines: engines(day.racks),
@@ -95,10 +117,23 @@
         nodes: day.nodes,
         runs: day.runs.clone(),
         flight: day.flight,
-        follow: None,
+        follow,
         record: Some(memory.clone()),
     };
     let scene = Arc::new(make.build()?);
+    if let Some(store) = store {
+        scene.watch_store(store);
+        for engine in 0..scene.engines() {
+            write_record(&scene, engine, Condition::Ready, None);
+        }
+        scene.world.clone().block_on(async {
+            let all = scene.engines() as u64;
+            let knows = |n: usize| scene.node(n).is_none_or(|n| n.metrics().engines.get() == all);
+            while !(0..scene.nodes()).all(knows) {
+                scene.world.sleep(5_000).await;
+            }
+        });
+    }
     let plan = Arc::new(day.plan.clone());
     let tries = scene.world.clone().block_on(async {
         let (done, wait) = async_channel::bounded::<()>(1);
@@ -134,6 +169,44 @@
     all
 }
 
+/// Writes what the list says of an engine into the store, as the engine would.
+fn write_record(scene: &Scene, engine: usize, condition: Condition, since: Option<Micros>) -> bool {
+    let unix = scene.world.unix_micros();
+    let started_ms = since.map_or(0, |at| unix.saturating_sub(scene.log.now().saturating_sub(at)) / 1_000);
+    let state = if condition == Condition::Ready { State::Ready } else { State::Draining };
+    let (key, record) = scene.registration(engine, state, started_ms);
+    let written = scene.with_store(|store| match condition {
+        Condition::Gone => store.delete(&key),
+        _ => store.put(&key, &record),
+    });
+    written.is_some()
+}
+
+/// A store in trouble: it dies and comes back, loses its history while its watches are mute, ends its watches.
+async fn store_trouble(scene: &Arc<Scene>, spell: &Spell) {
+    let part = spell.len / 6;
+    scene.with_store(|s| s.fault(|f| f.mute_watches = true));
+    scene.world.sleep(part).await;
+    scene.with_store(|s| {
+        s.compact();
+        s.fault(|f| f.mute_watches = false);
+    });
+    scene.world.sleep(part).await;
+    scene.with_store(Store::die);
+    scene.world.sleep(part).await;
+    for _ in 0..50 {
+        if scene.with_store(Store::come_up).is_none_or(|up| up.is_ok()) {
+            break;
+        }
+        scene.world.sleep(20_000).await;
+    }
+    scene.world.sleep(part).await;
+    scene.with_store(|s| s.cancel_watches());
+    scene.with_store(|s| s.fault(|f| f.hang = true));
+    scene.world.sleep(part).await;
+    scene.with_store(|s| s.fault(|f| f.hang = false));
+}
+
 async fn list(
     scene: &Arc<Scene>,
     plan: &Plan,
@@ -143,6 +216,9 @@
     at: Micros,
 ) {
     scene.list(engine, condition, since);
+    if write_record(scene, engine, condition, since) {
+        return;
+    }
     let late = plan.on(Trouble::DiscoveryStale, at).map_or(0, |s| (LIST_LATE as f64 * s.size) as Micros);
     for node in 0..scene.nodes() {
         // Nodes hear of it one after the other.
@@ -278,13 +354,14 @@
                 });
             }
         }
-        // These are the load's, or the list's.
-        Trouble::Burst
-        | Trouble::HotKey
-        | Trouble::HeavyTail
-        | Trouble::DiscoveryStale
-        | Trouble::GiveUp
-        | Trouble::RetryAbuse => world.sleep(spell.len).await,
+        Trouble::DiscoveryStale => {
+            store_trouble(scene, spell).await;
+            world.sleep(spell.len / 6).await;
+        }
+        // These are the load's.
+        Trouble::Burst | Trouble::HotKey | Trouble::HeavyTail | Trouble::GiveUp | Trouble::RetryAbuse => {
+            world.sleep(spell.len).await
+        }
     }
 }
 
--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -40,6 +40,9 @@
         /// Plays the kinds of trouble of a day file, scaled to this machine.
         #[arg(long, value_name = "FILE", conflicts_with = "trouble")]
         day: Option<PathBuf>,
+        /// How nodes learn of engines: told by the script, or through a store that is among the faulty.
+        #[arg(long, default_value = "told", value_parser = ["told", "etcd"])]
+        discovery: String,
         /// Prints JSON instead of tables.
         #[arg(long)]
         json: bool,
@@ -72,9 +75,28 @@
 
 fn main() -> ExitCode {
     let result = match Flags::parse().what {
-        What::BadDay { seed, requests, rate, nodes, racks, trouble, day, json, daemon, record } => {
+        What::BadDay {
+            seed,
+            requests,
+            rate,
+            nodes,
+            racks,
+            trouble,
+            day,
+            discovery,
+            json,
+            daemon,
+            record,
+        } => {
             let mut play = Day::drawn(seed, requests as usize, &trouble);
             play.load.rate = rate as f64;
+            play.etcd = discovery == "etcd";
+            if play.etcd && daemon.is_some() {
+                eprintln!(
+                    "ivyward-lab: --discovery etcd: goes with nodes in this process, not with --daemon"
+                );
+                return ExitCode::FAILURE;
+            }
             (play.nodes, play.racks) = (nodes as usize, racks);
             let length = ((requests as f64 / rate as f64 * 1e6) as u64).max(2_000_000);
             play.plan = Plan::draw(seed, length, &trouble);
--- a/crates/ivyward-lab/src/scene.rs
+++ b/crates/ivyward-lab/src/scene.rs
@@ -9,9 +9,11 @@
 use ivyward::{Class, Engine as Listed, Node, NodeSettings};
 use ivyward_proto::front::GenerateRequest;
 use ivyward_standins::engine::Threads;
+use ivyward_standins::etcd::{Shown, Store};
 use ivyward_standins::sight::{Effect as Seen, Group};
 use ivyward_standins::{audit, Ask, Audit, Client, End, Engine, Habit, Host, Limits, Log, Role, Sight, Spec};
 use ivyward_world::{SmolWorld, WorldExt, WorldRef};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -136,6 +138,8 @@
     engines: Vec<Mutex<Engine>>,
     places: Vec<Mutex<Place>>,
     calls: AtomicU64,
+    /// Where nodes follow the engines, if they do.
+    pub store: Mutex<Option<Store>>,
     /// What the list says of each engine: its condition, and since when it runs where that is not long ago.
     list: Mutex<Vec<(Condition, Option<Micros>)>>,
 }
@@ -248,7 +252,16 @@
         };
         let places = (0..self.nodes).map(place).collect();
         let list = Mutex::new(vec![(Condition::Ready, None); engines.len()]);
-        let scene = Scene { world, log, make: self, engines, places, calls: AtomicU64::new(1), list };
+        let scene = Scene {
+            world,
+            log,
+            make: self,
+            engines,
+            places,
+            calls: AtomicU64::new(1),
+            store: Mutex::default(),
+            list,
+        };
         for node in 0..scene.nodes() {
             scene.start_node(node)?;
         }
@@ -342,7 +355,11 @@
             Runs::Inside => {
                 let world = SmolWorld::start(1, seed);
                 let as_ref: WorldRef = world.clone();
-                let follow = self.make.follow.clone();
+                let mut follow = self.make.follow.clone();
+                if let Some(follow) = follow.as_mut().filter(|f| f.endpoints.len() > 1) {
+                    // A door of the store for each node, so that what was shown to whom is told apart.
+                    follow.endpoints = vec![follow.endpoints[i % follow.endpoints.len()]];
+                }
                 let record = self.make.record.clone().filter(|_| i == 0 && starts == 1);
                 let record = record.map(|m| Box::new(m) as Box<dyn Write + Send>);
                 let node = Node::start(as_ref.clone(), settings, record)?;
@@ -449,6 +466,45 @@
         }
     }
 
+    /// Takes a store's sight of what it showed to each node as the time at which the node was told.
+    pub fn watch_store(self: &Arc<Self>, store: Store) {
+        let scene = Arc::downgrade(self);
+        let known: Mutex<Vec<BTreeSet<u64>>> = Mutex::new(vec![BTreeSet::new(); self.nodes()]);
+        store.witness(Arc::new(move |door, shown| {
+            let Some((scene, mut known)) = scene.upgrade().zip(known.lock().ok()) else { return };
+            let (Some(node), Some(known)) = (scene.node(door), known.get_mut(door)) else { return };
+            let id = |key: &[u8]| ivyward::registration::key_id(b"ivyward/engines/", key).map(|id| id.0);
+            let ready =
+                |value: &[u8]| serde_json::from_slice::<Record>(value).is_ok_and(|r| r.state == State::Ready);
+            let told = |engine: u64, ready: bool| {
+                scene.log.add(Sight::Told { node: node.incarnation(), engine, ready });
+            };
+            match shown {
+                Shown::List(kvs) => {
+                    let listed: BTreeMap<u64, bool> =
+                        kvs.iter().filter_map(|kv| Some((id(&kv.key)?, ready(&kv.value)))).collect();
+                    known.iter().filter(|e| !listed.contains_key(e)).for_each(|e| told(*e, false));
+                    listed.iter().for_each(|(e, ready)| told(*e, *ready));
+                    *known = listed.into_keys().collect();
+                }
+                Shown::Events(events) => {
+                    for kv in events.iter().filter_map(|e| e.kv.as_ref()) {
+                        let Some(engine) = id(&kv.key) else { continue };
+                        // A deletion's record is empty, and so not ready.
+                        told(engine, ready(&kv.value));
+                        known.insert(engine);
+                    }
+                }
+            }
+        }));
+        *self.store.lock().unwrap_or_else(PoisonError::into_inner) = Some(store);
+    }
+
+    /// The store, where there is one.
+    pub fn with_store<T>(&self, act: impl FnOnce(&mut Store) -> T) -> Option<T> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner).as_mut().map(act)
+    }
+
     /// A name for a call that no other has.
     pub fn call_id(&self) -> u64 {
         self.calls.fetch_add(1, Ordering::Relaxed)
--- a/crates/ivyward-standins/src/etcd.rs
+++ b/crates/ivyward-standins/src/etcd.rs
@@ -232,6 +232,7 @@
 struct Inner {
     data: Mutex<Data>,
     changed: Changed,
+    witness: Mutex<Option<Witness>>,
 }
 
 impl Inner {
@@ -245,11 +246,22 @@
     }
 }
 
+/// What a store showed through one of its doors.
+pub enum Shown<'a> {
+    /// A whole list, or a page of one.
+    List(&'a [KeyValue]),
+    /// Changes, by a watch.
+    Events(&'a [Event]),
+}
+
+/// Told of all that a store shows, as it is handed to the socket: evidence that is not a node's own word.
+pub type Witness = Arc<dyn Fn(usize, Shown<'_>) + Send + Sync>;
+
 /// A store that a script holds: it can die, and come back with what it held or empty.
 pub struct Store {
     inner: Arc<Inner>,
     host: Arc<dyn Host>,
-    address: SocketAddr,
+    doors: Vec<SocketAddr>,
     kill: Option<Kill>,
     starts: u64,
 }
@@ -260,15 +272,35 @@
     /// # Errors
     /// When no port can be taken.
     pub fn start(host: &Arc<dyn Host>, cluster: u64) -> std::io::Result<Store> {
-        let inner = Arc::new(Inner { data: Mutex::new(Data::new(cluster)), changed: Changed::new() });
+        let inner = Arc::new(Inner {
+            data: Mutex::new(Data::new(cluster)),
+            changed: Changed::new(),
+            witness: Mutex::default(),
+        });
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut store = Store { inner, host: host.clone(), address, kill: None, starts: 0 };
+        let mut store = Store { inner, host: host.clone(), doors: vec![address], kill: None, starts: 0 };
         store.come_up()?;
         Ok(store)
     }
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.doors[0]
+    }
+    /// Where it listens, a door for each client whose sight is told apart.
+    pub fn doors(&self) -> &[SocketAddr] {
+        &self.doors
+    }
+    /// Opens further doors, so that there are so many, at its next start.
+    ///
+    /// # Errors
+    /// When a port cannot be taken.
+    pub fn open_doors(&mut self, count: usize) -> std::io::Result<()> {
+        self.doors.resize(count.max(1), SocketAddr::from(([127, 0, 0, 1], 0)));
+        self.come_up()
+    }
+    /// Who is told of all that it shows.
+    pub fn witness(&self, witness: Witness) {
+        *self.inner.witness.lock().unwrap_or_else(PoisonError::into_inner) = Some(witness);
     }
     /// Kills its process. What it holds stays.
     pub fn die(&mut self) {
@@ -284,24 +316,26 @@
         self.die();
         self.starts += 1;
         let (world, kill) = self.host.process(self.starts);
-        let mut listener = world.listen(self.address)?;
-        self.address = listener.address();
-        let (inner, serving) = (self.inner.clone(), world.clone());
-        world.run(async move {
-            loop {
-                let Ok((conn, _)) = listener.accept().await else { continue };
-                let node = Serving { inner: inner.clone(), world: serving.clone() };
-                let tasks = Tasks(serving.clone());
-                serving.run(async move {
-                    let service = TowerToHyperService::new(node);
-                    // Errors concern this client alone.
-                    let _ = hyper::server::conn::http2::Builder::new(tasks)
-                        .auto_date_header(false)
-                        .serve_connection(Io(conn), service)
-                        .await;
-                });
-            }
-        });
+        for (no, door) in self.doors.iter_mut().enumerate() {
+            let mut listener = world.listen(*door)?;
+            *door = listener.address();
+            let (inner, serving) = (self.inner.clone(), world.clone());
+            world.run(async move {
+                loop {
+                    let Ok((conn, _)) = listener.accept().await else { continue };
+                    let node = Serving { inner: inner.clone(), world: serving.clone(), door: no };
+                    let tasks = Tasks(serving.clone());
+                    serving.run(async move {
+                        let service = TowerToHyperService::new(node);
+                        // Errors concern this client alone.
+                        let _ = hyper::server::conn::http2::Builder::new(tasks)
+                            .auto_date_header(false)
+                            .serve_connection(Io(conn), service)
+                            .await;
+                    });
+                }
+            });
+        }
         let (inner, clock) = (self.inner.clone(), world.clone());
         // A restart gives every lease its whole time again, as etcd does.
         let now = world.now();
@@ -377,6 +411,7 @@
 struct Serving {
     inner: Arc<Inner>,
     world: WorldRef,
+    door: usize,
 }
 
 type Reply = http::Response<tonic::body::Body>;
@@ -415,6 +450,12 @@
 const TOKEN: &str = "token.1";
 
 impl Serving {
+    fn show(&self, shown: Shown<'_>) {
+        let witness = self.inner.witness.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if let Some(witness) = witness {
+            witness(self.door, shown);
+        }
+    }
     fn login(&self, service: &str, headers: &http::HeaderMap) -> Result<(), Status> {
         let wanted = self.inner.lock().faults.login.is_some();
         let given = headers.get("token").and_then(|t| t.to_str().ok());
@@ -442,7 +483,9 @@
 #[tonic::async_trait]
 impl Kv for Serving {
     async fn range(&self, ask: Request<pb::RangeRequest>) -> Result<Response<pb::RangeResponse>, Status> {
-        self.inner.lock().range(ask.get_ref()).map(Response::new)
+        let reply = self.inner.lock().range(ask.get_ref())?;
+        self.show(Shown::List(&reply.kvs));
+        Ok(Response::new(reply))
     }
     async fn put(&self, ask: Request<pb::PutRequest>) -> Result<Response<pb::PutResponse>, Status> {
         let (done, header) = self.write(|data, at| data.put(ask.get_ref(), at))?;
