--- /dev/null
+++ b/crates/ivyward-lab/src/enlist.rs
@@ -0,0 +1,98 @@
+//! Writes engines' records into etcd: registers under a lease that is kept alive, and drains.
+
+use ivyward::core::interface::ServerId;
+use ivyward::registration::read;
+use ivyward_etcd::{rpc, Client, EtcdOptions};
+use ivyward_world::{SmolWorld, World, WorldExt, WorldRef};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+fn client(endpoints: &[SocketAddr]) -> (Arc<SmolWorld>, Client) {
+    let world = SmolWorld::start(1, 1);
+    let as_ref: WorldRef = world.clone();
+    (world, Client::new(&as_ref, endpoints.to_vec(), EtcdOptions::default()))
+}
+
+/// Writes a record, under a lease of so many seconds that is kept alive for as long as this runs, or without one.
+///
+/// # Errors
+/// A line that says what is wrong with the record or the store.
+pub fn register(
+    endpoints: &[SocketAddr],
+    prefix: &str,
+    mut record: serde_json::Value,
+    lease: Option<i64>,
+) -> Result<ExitCode, String> {
+    let (world, client) = client(endpoints);
+    record["started_ms"] = (world.unix_micros() / 1_000).into();
+    let id = record["id"].as_u64().unwrap_or_default();
+    let text = record.to_string();
+    // What nodes would leave out is not written.
+    read(ServerId(id), text.as_bytes(), 0).map_err(|e| e.to_string())?;
+    let key = format!("{prefix}{id}");
+    world.clone().block_on(async {
+        let Some(seconds) = lease else {
+            client.put(key.as_bytes(), text.as_bytes(), 0).await.map_err(|e| e.to_string())?;
+            return Ok(ExitCode::SUCCESS);
+        };
+        let mut held = 0;
+        loop {
+            // A lease that ended, or was lost with its store, is taken out anew, and the record with it.
+            let left = if held == 0 { Ok(0) } else { client.renew(held).await };
+            let kept = match left {
+                Ok(left) if left > 0 => Ok(()),
+                Ok(_) => enlist(&client, &key, &text, seconds).await.map(|lease| held = lease),
+                Err(e) => Err(e.to_string()),
+            };
+            if let Err(line) = kept {
+                eprintln!("ivyward-lab: {line}; tried again");
+            }
+            world.sleep(seconds as u64 * 1_000_000 / 3).await;
+        }
+    })
+}
+
+async fn enlist(client: &Client, key: &str, text: &str, seconds: i64) -> Result<i64, String> {
+    let lease = client.grant(seconds).await.map_err(|e| e.to_string())?;
+    client.put(key.as_bytes(), text.as_bytes(), lease).await.map_err(|e| e.to_string())?;
+    println!("registered {key} under lease {lease:x}");
+    Ok(lease)
+}
+
+/// Puts an engine's record as draining, under the lease that it has, unless it changed meanwhile.
+///
+/// # Errors
+/// A line that says why not.
+pub fn drain(endpoints: &[SocketAddr], prefix: &str, id: u64) -> Result<ExitCode, String> {
+    let (world, client) = client(endpoints);
+    let key = format!("{prefix}{id}").into_bytes();
+    world.block_on(async {
+        let ask = rpc::RangeRequest { key: key.clone(), ..rpc::RangeRequest::default() };
+        let found = client.range(&ask).await.map_err(|e| e.to_string())?;
+        let kv = found.kvs.first().ok_or_else(|| format!("engine {id} is not registered below {prefix}"))?;
+        let mut record: serde_json::Value =
+            serde_json::from_slice(&kv.value).map_err(|e| format!("its record is malformed: {e}"))?;
+        record["state"] = "draining".into();
+        let same = rpc::Compare {
+            result: rpc::compare::CompareResult::Equal.into(),
+            target: rpc::compare::CompareTarget::Mod.into(),
+            key: key.clone(),
+            target_union: Some(rpc::compare::TargetUnion::ModRevision(kv.mod_revision)),
+            ..rpc::Compare::default()
+        };
+        let put = rpc::PutRequest {
+            key: key.clone(),
+            value: record.to_string().into_bytes(),
+            ignore_lease: true,
+            ..rpc::PutRequest::default()
+        };
+        let put = rpc::RequestOp { request: Some(rpc::request_op::Request::RequestPut(put)) };
+        let ask = rpc::TxnRequest { compare: vec![same], success: vec![put], failure: vec![] };
+        match client.txn(&ask).await.map_err(|e| e.to_string())?.succeeded {
+            true => println!("engine {id} drains"),
+            false => return Err("its record changed meanwhile; try again".into()),
+        }
+        Ok(ExitCode::SUCCESS)
+    })
+}
--- a/crates/ivyward-lab/src/lib.rs
+++ b/crates/ivyward-lab/src/lib.rs
@@ -4,9 +4,11 @@
 //! - [`plan`]: a day: when which trouble begins, drawn from a seed or read from a day file.
 //! - [`load`]: sessions and their turns.
 //! - [`badday`]: plays a plan under a load and reports.
+//! - [`enlist`]: writes engines' records into etcd.
 //! - [`relay`]: what a node adds to a stream.
 
 pub mod badday;
+pub mod enlist;
 pub mod load;
 pub mod plan;
 pub mod relay;
--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -2,9 +2,11 @@
 
 use clap::{Parser, Subcommand};
 use ivyward_lab::badday::{self, Day};
+use ivyward_lab::enlist;
 use ivyward_lab::plan::{Plan, Trouble};
 use ivyward_lab::relay;
 use ivyward_lab::scene::Runs;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -53,6 +55,44 @@
         #[arg(long, value_name = "FILE")]
         record: Option<PathBuf>,
     },
+    /// Registers an engine in etcd under a lease and keeps it alive until interrupted, or once with --once.
+    Register {
+        #[command(flatten)]
+        store: StoreFlags,
+        /// The engine's id.
+        #[arg(long)]
+        id: u64,
+        /// Where it listens.
+        #[arg(long)]
+        address: SocketAddr,
+        /// prefill, decode or mixed.
+        #[arg(long, value_parser = ["prefill", "decode", "mixed"])]
+        role: String,
+        /// Its zone.
+        #[arg(long, default_value_t = 0)]
+        zone: u8,
+        /// Its rack.
+        #[arg(long, default_value_t = 0)]
+        cell: u16,
+        /// Its size against others of its kind.
+        #[arg(long, default_value_t = 1.0)]
+        weight: f64,
+        /// Seconds that the record outlives whoever keeps it.
+        #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(i64).range(1..=3_600))]
+        lease: i64,
+        /// Writes the record without a lease and returns.
+        #[arg(long)]
+        once: bool,
+    },
+    /// Says in etcd that an engine drains.
+    Drain {
+        /// The engine's id.
+        id: u64,
+        #[command(flatten)]
+        store: StoreFlags,
+    },
+    /// Prints the JSON schema of registration records.
+    Schema,
     /// Measures what a node adds: streams straight from an engine against the same through a node, and what a decision
     /// costs by the size of the fleet.
     Relay {
@@ -73,6 +113,17 @@
     },
 }
 
+/// Where the store is.
+#[derive(clap::Args)]
+struct StoreFlags {
+    /// An endpoint of the store; may be given several times.
+    #[arg(long = "etcd-endpoint", env = "IVYWARD_ETCD_ENDPOINTS", value_delimiter = ';', required = true)]
+    endpoints: Vec<SocketAddr>,
+    /// Engines' records stand below it.
+    #[arg(long = "etcd-prefix", env = "IVYWARD_ETCD_PREFIX", default_value = "ivyward/engines/")]
+    prefix: String,
+}
+
 fn main() -> ExitCode {
     let result = match Flags::parse().what {
         What::BadDay {
@@ -105,6 +156,18 @@
             }
             bad_day(play, day, json, record)
         }
+        What::Register { store, id, address, role, zone, cell, weight, lease, once } => {
+            let record = serde_json::json!({
+                "version": ivyward::registration::VERSION, "id": id, "role": role, "address": address.to_string(),
+                "zone": zone, "cell": cell, "weight": weight, "state": "ready",
+            });
+            enlist::register(&store.endpoints, &store.prefix, record, (!once).then_some(lease))
+        }
+        What::Drain { id, store } => enlist::drain(&store.endpoints, &store.prefix, id),
+        What::Schema => {
+            println!("{}", ivyward::registration::schema());
+            Ok(ExitCode::SUCCESS)
+        }
         What::Relay { streams, fleet, rounds } => measure(&streams, &fleet, rounds as usize),
         What::ReplayRecord { file } => replay(&file),
     };
--- /dev/null
+++ b/crates/ivyward-lab/tests/enlist.rs
@@ -0,0 +1,51 @@
+//! Registering and draining by the command line, and the engine's end with its lease.
+
+use ivyward_standins::engine::Threads;
+use ivyward_standins::etcd::Store;
+use ivyward_standins::Host;
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+
+fn lab(store: &Store, args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ivyward-lab"));
+    command.env_clear().args(args).arg(format!("--etcd-endpoint={}", store.address()));
+    command
+}
+
+#[test]
+fn an_engine_registers_drains_and_ends_with_its_lease() {
+    let host: Arc<dyn Host> = Arc::new(Threads);
+    let store = Store::start(&host, 1).unwrap();
+    let of = ["register", "--id=7", "--address=127.0.0.1:9000", "--role=decode", "--lease=1"];
+    let mut child = lab(&store, &of).stdout(Stdio::piped()).spawn().unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    assert!(line.starts_with("registered ivyward/engines/7 under lease"), "{line}");
+    assert!(lab(&store, &["drain", "7"]).output().unwrap().status.success());
+    let record = store.value("ivyward/engines/7").unwrap();
+    let member =
+        ivyward::registration::read(ivyward::core::interface::ServerId(7), record.as_bytes(), 1).unwrap();
+    assert_eq!(member.entry.condition, ivyward::core::interface::Condition::Draining);
+    // Its keeper dies: the lease ends, and the record with it.
+    child.kill().unwrap();
+    child.wait().unwrap();
+    let mut left = 0;
+    while !store.keys().is_empty() {
+        left += 1;
+        assert!(left < 10_000, "the lease did not end");
+        futures_lite::future::block_on(pause(&host));
+    }
+    let output = lab(&store, &["drain", "7"]).output().unwrap();
+    assert!(!output.status.success());
+    assert!(String::from_utf8_lossy(&output.stderr).contains("engine 7 is not registered"));
+    let bad = ["register", "--once", "--id=7", "--address=0.0.0.0:0", "--role=decode"];
+    let output = lab(&store, &bad).output().unwrap();
+    assert!(String::from_utf8_lossy(&output.stderr).contains("nobody can be reached"), "{output:?}");
+}
+
+async fn pause(host: &Arc<dyn Host>) {
+    let (world, kill) = host.process(1);
+    ivyward_world::WorldExt::sleep(&*world, 10_000).await;
+    kill();
+}
--- a/crates/ivyward-standins/src/etcd.rs
+++ b/crates/ivyward-standins/src/etcd.rs
@@ -389,6 +389,11 @@
     pub fn revision(&self) -> i64 {
         self.inner.lock().revision
     }
+    /// A key's value.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let data = self.inner.lock();
+        data.keys.get(key.as_bytes()).map(|kv| String::from_utf8_lossy(&kv.value).into_owned())
+    }
     /// Keys that it holds.
     pub fn keys(&self) -> Vec<String> {
         self.inner.lock().keys.keys().map(|k| String::from_utf8_lossy(k).into_owned()).collect()
