--- /dev/null
+++ b/crates/ivyward-lab/src/drains.rs
@@ -0,0 +1,219 @@
+//! How soon a node follows a notice: the last send after a drain, the first to a new engine, and what a change costs by the
+//! size of the fleet.
+
+use crate::load::{play, Load};
+use crate::plan::Plan;
+use crate::scene::{fleet, settings, Make, Scene, SceneError};
+use ivyward::core::interface::Micros;
+use ivyward::follow::Follow;
+use ivyward::registration::State;
+use ivyward::{Node, NodeSettings};
+use ivyward_standins::engine::Threads;
+use ivyward_standins::etcd::Store;
+use ivyward_standins::sight::Sight;
+use ivyward_standins::Host;
+use ivyward_world::{SmolWorld, WorldExt, WorldRef};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Arc;
+
+/// What was measured under load.
+#[derive(Clone, Debug, Default)]
+pub struct Followed {
+    /// For each notice to a node: how long after it the node's last attempt came to the engine; 0 where none came.
+    pub last_sends: Vec<Micros>,
+    /// From an engine's return to the list to its first attempt.
+    pub first_sends: Vec<Micros>,
+}
+
+/// What a change costs at one size of the fleet, in microseconds of the node.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// Engines.
+    pub fleet: usize,
+    /// From the start to all of them known.
+    pub load: Micros,
+    /// The module's time a change.
+    pub module: f64,
+    /// The rest of the driver's.
+    pub driver: f64,
+    /// Memory that the node and the store's list of this many took in the process, in KiB; 0 where not told.
+    pub memory: u64,
+}
+
+fn io(what: &str) -> impl FnOnce(std::io::Error) -> SceneError + '_ {
+    move |error| SceneError::Io { what: what.into(), error }
+}
+
+fn store() -> Result<Store, SceneError> {
+    let host: Arc<dyn Host> = Arc::new(Threads);
+    Store::start(&host, 1).map_err(io("starting a store"))
+}
+
+/// Drains engines one after the other under load, half of them by a put and half by a deletion, and brings them back.
+///
+/// # Errors
+/// When the scene cannot be set up.
+pub fn followed(drains: usize, nodes: usize) -> Result<Followed, SceneError> {
+    let mut store = store()?;
+    store.open_doors(nodes).map_err(io("opening doors of a store"))?;
+    let follow = Follow { endpoints: store.doors().to_vec(), ..Follow::default() };
+    let mut make = Make::new(51, fleet(4));
+    (make.nodes, make.follow) = (nodes, Some(follow));
+    let scene = Arc::new(make.build()?);
+    scene.watch_store(store);
+    let put = |scene: &Scene, engine: usize, state| {
+        let (key, record) = scene.registration(engine, state, 0);
+        scene.with_store(|s| s.put(&key, &record));
+    };
+    (0..scene.engines()).for_each(|e| put(&scene, e, State::Ready));
+    let span = 150_000;
+    scene.world.clone().block_on(async {
+        scene.world.sleep(300_000).await;
+        let load = Load { requests: drains * 2 * span as usize / 5_000, rate: 200.0, output: 12 };
+        let plan = Arc::new(Plan { seed: 51, length: drains as u64 * 2 * span, spells: vec![] });
+        let (done, wait) = async_channel::bounded::<()>(1);
+        let one = scene.clone();
+        scene.world.run(async move {
+            for drain in 0..drains {
+                let engine = drain * 5 % one.engines();
+                match drain % 2 {
+                    0 => put(&one, engine, State::Draining),
+                    _ => {
+                        let key = one.registration(engine, State::Ready, 0).0;
+                        one.with_store(|s| s.delete(&key));
+                    }
+                }
+                one.world.sleep(span).await;
+                put(&one, engine, State::Ready);
+                one.world.sleep(span).await;
+            }
+            drop(done);
+        });
+        play(&scene, &plan, &load).await;
+        let _ = wait.recv().await;
+        scene.settle(5_000_000).await;
+    });
+    let (mut told, mut back) = (BTreeMap::new(), BTreeMap::new());
+    let mut out = Followed::default();
+    for seen in scene.log.all() {
+        match seen.what {
+            Sight::Told { node, engine, ready: false } => {
+                told.insert((node, engine), (seen.at, seen.at));
+                back.remove(&engine);
+            }
+            Sight::Told { node, engine, ready: true } => {
+                if let Some((from, last)) = told.remove(&(node, engine)) {
+                    out.last_sends.push(last - from);
+                    back.entry(engine).or_insert(seen.at);
+                }
+            }
+            Sight::Arrived { engine, key, .. } => {
+                if let Some((_, last)) = told.get_mut(&(key.node, engine)) {
+                    *last = seen.at;
+                }
+                if let Some(from) = back.remove(&engine) {
+                    out.first_sends.push(seen.at - from);
+                }
+            }
+            _ => {}
+        }
+    }
+    Ok(out)
+}
+
+fn memory() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    line.and_then(|l| l.split_whitespace().next()).and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+/// Measures a change's cost at these sizes of the fleet; the engines are records alone.
+///
+/// # Errors
+/// When a node or a store does not start.
+pub fn changes(fleets: &[usize], count: usize) -> Result<Vec<Change>, SceneError> {
+    let mut out = Vec::new();
+    for &fleet in fleets {
+        let before = memory();
+        let store = store()?;
+        let record = |i: usize, state: &str| {
+            let role = ["prefill", "mixed", "decode", "decode"][i % 4];
+            let (a, b, c) = (i >> 16 & 255, i >> 8 & 255, i & 255);
+            format!(
+                r#"{{"version":1,"id":{i},"role":"{role}","address":"127.{a}.{b}.{c}:9000","cell":{},"state":"{state}"}}"#,
+                i / 16
+            )
+        };
+        let key = |i: usize| format!("ivyward/engines/{i}");
+        for i in 1..=fleet {
+            store.put(&key(i), &record(i, "ready"));
+        }
+        let world = SmolWorld::start(1, 1);
+        let as_ref: WorldRef = world.clone();
+        let node = Node::start(as_ref.clone(), NodeSettings { ..settings() }, None)?;
+        let follow = Follow { endpoints: vec![store.address()], ..Follow::default() };
+        let (following, began) = (node.clone(), as_ref.now());
+        world.run(async move { following.follow(follow).await });
+        let known = |at_least: i64| {
+            let (node, world) = (node.clone(), as_ref.clone());
+            async move {
+                let m = node.metrics();
+                while m.engines.get() < fleet as u64 || (m.list_revision.get() as i64) < at_least {
+                    world.sleep(500).await;
+                }
+            }
+        };
+        let load = world.block_on(async {
+            known(0).await;
+            as_ref.now() - began
+        });
+        // A first change, so that the watch stands before the others are timed.
+        let first = store.put(&key(1), &record(1, "draining"));
+        world.block_on(known(first));
+        let m = node.metrics();
+        let (module, driver) = (m.module_us.get(), m.driver_us.get());
+        for i in 0..count {
+            let state = if i / fleet % 2 == 0 { "draining" } else { "ready" };
+            let last = store.put(&key(i % fleet + 1), &record(i % fleet + 1, state));
+            world.block_on(known(last));
+        }
+        let (module, driver) = (m.module_us.get() - module, m.driver_us.get() - driver);
+        out.push(Change {
+            fleet,
+            load,
+            module: module as f64 / count as f64,
+            driver: driver.saturating_sub(module) as f64 / count as f64,
+            memory: memory().saturating_sub(before),
+        });
+        world.stop();
+    }
+    Ok(out)
+}
+
+/// The tables, as they are kept in docs.
+pub fn text(followed: &Followed, changes: &[Change]) -> String {
+    let mut out = String::new();
+    let row = |name: &str, values: &[Micros]| {
+        let mut sorted = values.to_vec();
+        sorted.sort_unstable();
+        let at =
+            |p: f64| sorted.get(((sorted.len() as f64 * p) as usize).min(sorted.len().saturating_sub(1)));
+        let ms = |p: f64| at(p).map_or(0.0, |us| *us as f64 / 1e3);
+        format!("| {name} | {} | {:.1} | {:.1} | {:.1} |", sorted.len(), ms(0.5), ms(0.99), ms(1.0))
+    };
+    // Writing to a String cannot fail.
+    let _ = writeln!(out, "| ms | times | p50 | p99 | max |\n| --- | --- | --- | --- | --- |");
+    let _ = writeln!(out, "{}", row("last send after a notice, a node", &followed.last_sends));
+    let _ = writeln!(out, "{}", row("first request after an engine's return", &followed.first_sends));
+    let _ = writeln!(
+        out,
+        "\n| engines | all known after ms | module, us a change | rest of the driver, us | memory, KiB |\n| --- | --- | --- | --- | --- |"
+    );
+    for c in changes {
+        let load = c.load as f64 / 1e3;
+        let _ =
+            writeln!(out, "| {} | {load:.0} | {:.1} | {:.1} | {} |", c.fleet, c.module, c.driver, c.memory);
+    }
+    out
+}
--- a/crates/ivyward-lab/src/lib.rs
+++ b/crates/ivyward-lab/src/lib.rs
@@ -4,10 +4,12 @@
 //! - [`plan`]: a day: when which trouble begins, drawn from a seed or read from a day file.
 //! - [`load`]: sessions and their turns.
 //! - [`badday`]: plays a plan under a load and reports.
+//! - [`drains`]: how soon a node follows a notice, and what a change costs.
 //! - [`enlist`]: writes engines' records into etcd.
 //! - [`relay`]: what a node adds to a stream.
 
 pub mod badday;
+pub mod drains;
 pub mod enlist;
 pub mod load;
 pub mod plan;
--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use ivyward_lab::badday::{self, Day};
+use ivyward_lab::drains;
 use ivyward_lab::enlist;
 use ivyward_lab::plan::{Plan, Trouble};
 use ivyward_lab::relay;
@@ -91,6 +92,15 @@
         #[command(flatten)]
         store: StoreFlags,
     },
+    /// Measures how soon nodes follow a store's notices under load, and what a change costs by the size of the fleet.
+    Drains {
+        /// Drains and departures.
+        #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+        drains: u64,
+        /// Engines in the fleet, for the cost of a change; may be given several times.
+        #[arg(long, default_values_t = [100, 1_000, 10_000], value_parser = clap::value_parser!(u64).range(1..=50_000))]
+        fleet: Vec<u64>,
+    },
     /// Prints the JSON schema of registration records.
     Schema,
     /// Measures what a node adds: streams straight from an engine against the same through a node, and what a decision
@@ -164,6 +174,15 @@
             enlist::register(&store.endpoints, &store.prefix, record, (!once).then_some(lease))
         }
         What::Drain { id, store } => enlist::drain(&store.endpoints, &store.prefix, id),
+        What::Drains { drains: count, fleet } => {
+            let sizes: Vec<usize> = fleet.iter().map(|n| *n as usize).collect();
+            let measured = drains::followed(count as usize, 2)
+                .and_then(|followed| Ok((followed, drains::changes(&sizes, 200)?)));
+            measured.map_err(|e| e.to_string()).map(|(followed, changes)| {
+                print!("{}", drains::text(&followed, &changes));
+                ExitCode::SUCCESS
+            })
+        }
         What::Schema => {
             println!("{}", ivyward::registration::schema());
             Ok(ExitCode::SUCCESS)
--- a/crates/ivyward-standins/src/etcd.rs
+++ b/crates/ivyward-standins/src/etcd.rs
@@ -626,6 +626,8 @@
             let count = events.len();
             for (i, part) in events.chunks(parts).enumerate() {
                 let fragment = (i + 1).saturating_mul(parts) < count;
+                // Before it leaves: nobody is told later than this says.
+                self.show(Shown::Events(part));
                 let part =
                     pb::WatchResponse { header, fragment, events: part.to_vec(), ..Default::default() };
                 if say(part).await.is_err() {
