--- a/crates/ivywardd/src/flags.rs
+++ b/crates/ivywardd/src/flags.rs
@@ -380,11 +380,12 @@
     let args = expand(args).map_err(Stop::Bad)?;
     let flags = Flags::try_parse_from(args).map_err(|e| match e.kind() {
         ErrorKind::DisplayHelp | ErrorKind::DisplayVersion => Stop::Page(e.to_string()),
-        // The first line names flag, value and reason; the rest is advice.
+        // What stands before the first blank line names flag, value and reason; the rest is advice.
         _ => {
             let text = e.to_string();
-            let line = text.lines().next().unwrap_or_default();
-            Stop::Bad(line.strip_prefix("error: ").unwrap_or(line).to_owned())
+            let lines = text.lines().map(str::trim).take_while(|line| !line.is_empty());
+            let line = lines.collect::<Vec<_>>().join(" ");
+            Stop::Bad(line.strip_prefix("error: ").unwrap_or(&line).to_owned())
         }
     })?;
     let settings = flags.settings().map_err(|e| Stop::Bad(e.to_string()))?;
