All changes of a watch response reach the module as one list

The follower now gives the decider all events of a response and passes on what stands together as one list, and keeps the file once for them.

--- a/crates/ivyward/src/follow.rs
+++ b/crates/ivyward/src/follow.rs
@@ -220,14 +220,12 @@
                     // Not the response's own revision: a watch that catches up is sent in parts, each with the store's
                     // newest, and what is still to come would be passed over after a break.
                     let last = events.iter().filter_map(|e| e.kv.as_ref()).map(|kv| kv.mod_revision).max();
-                    for event in events {
-                        let Some(heard) = self.event(event) else { continue };
-                        if let Some(at) = self.hear(heard).await {
-                            return Left::Relist(at);
-                        }
-                    }
+                    let mut heard: Vec<Heard> = events.into_iter().filter_map(|e| self.event(e)).collect();
                     // What was left out moves the watch on as well.
-                    self.hear(Heard::Progress(last.unwrap_or(0))).await;
+                    heard.push(Heard::Progress(last.unwrap_or(0)));
+                    if let Some(at) = self.hear_all(heard).await {
+                        return Left::Relist(at);
+                    }
                 }
             }
             self.node.metrics().list_revision.set(self.decider.revision().max(0) as u64);
@@ -236,9 +234,34 @@
 
     /// Tells the decider and passes on what it says. A time to list again, 0 for at once and elsewhere.
     async fn hear(&mut self, heard: Heard) -> Option<Micros> {
-        let gap = heard == Heard::Gap;
-        let (mut out, mut again) = (Vec::new(), None);
-        self.decider.hear(self.world.now(), heard, &mut out);
+        self.hear_all(vec![heard]).await
+    }
+
+    /// The same for all of a response. Changes that stand together reach the module as one list, for it goes over all it
+    /// knows at each.
+    async fn hear_all(&mut self, heard: Vec<Heard>) -> Option<Micros> {
+        let gap = heard.contains(&Heard::Gap);
+        let (mut all, mut again) = (Vec::new(), None);
+        for heard in heard {
+            self.decider.hear(self.world.now(), heard, &mut all);
+        }
+        let mut out: Vec<Told> = Vec::new();
+        for told in all {
+            match (out.last_mut(), told) {
+                (
+                    Some(Told::Fleet { kind: ListKind::Changes, entries }),
+                    Told::Fleet { kind: ListKind::Changes, entries: more },
+                ) => {
+                    entries.extend(more);
+                }
+                // One writing of the file for all of it, at the end.
+                (_, Told::Keep) => {}
+                (_, told) => out.push(told),
+            }
+        }
+        if out.iter().any(|t| matches!(t, Told::Fleet { kind, .. } if *kind != ListKind::Cached)) {
+            out.push(Told::Keep);
+        }
         for told in out {
             match told {
                 Told::Fleet { kind, entries } => self.pass_on(kind, entries).await,
