--- a/crates/ivyward-lab/tests/drains.rs
+++ b/crates/ivyward-lab/tests/drains.rs
@@ -282,3 +282,33 @@
     });
     std::fs::remove_file(&path).unwrap();
 }
+
+/// A large fleet of records and a burst of changes while requests run: all of it is taken in, in few lists, and nobody
+/// is harmed by it.
+#[test]
+fn a_burst_of_changes_in_a_large_fleet_is_taken_in() {
+    let rig = rig(2_000_000);
+    let (fleet, burst) = (2_000, 1_000);
+    let record = |id: u64, state: &str| {
+        let address = format!("127.9.{}.{}:9", id >> 8 & 255, id & 255);
+        format!(r#"{{"version":1,"id":{id},"role":"decode","address":"{address}","state":"{state}"}}"#)
+    };
+    // Records of engines that drain: known, and never sent anything.
+    for id in 1_000..1_000 + fleet {
+        rig.store.put(&format!("ivyward/engines/{id}"), &record(id, "draining"));
+    }
+    rig.put_all();
+    block_on(async {
+        rig.all_known(12 + fleet).await;
+        let (stop, done) = rig.load();
+        rig.served(1).await;
+        for id in 1_000..1_000 + burst {
+            rig.store.delete(&format!("ivyward/engines/{id}"));
+        }
+        rig.all_known(12 + fleet - burst).await;
+        rig.served(2).await;
+        drop(stop);
+        let _ = done.recv().await;
+        clean(&rig.scene).await;
+    });
+}
