--- a/crates/ivyward-lab/src/drains.rs
+++ b/crates/ivyward-lab/src/drains.rs
@@ -3,7 +3,7 @@
 
 use crate::load::{play, Load};
 use crate::plan::Plan;
-use crate::scene::{fleet, settings, Make, Scene, SceneError};
+use crate::scene::{fleet, io, settings, Make, Scene, SceneError};
 use ivyward::core::interface::Micros;
 use ivyward::follow::Follow;
 use ivyward::registration::State;
@@ -41,10 +41,6 @@
     pub memory: u64,
 }
 
-fn io(what: &str) -> impl FnOnce(std::io::Error) -> SceneError + '_ {
-    move |error| SceneError::Io { what: what.into(), error }
-}
-
 fn store() -> Result<Store, SceneError> {
     let host: Arc<dyn Host> = Arc::new(Threads);
     Store::start(&host, 1).map_err(io("starting a store"))
--- a/crates/ivyward-lab/src/load.rs
+++ b/crates/ivyward-lab/src/load.rs
@@ -75,7 +75,7 @@
     let (done, wait) = async_channel::bounded::<()>(1);
     let classes = scene.make().settings.classes.len();
     for session in draw(plan, load, scene.nodes(), classes) {
-        scene.world.sleep_until_log(begun + session.begins, scene).await;
+        scene.world.sleep((begun + session.begins).saturating_sub(scene.log.now())).await;
         let (scene, plan, tries, done) = (scene.clone(), plan.clone(), tries.clone(), done.clone());
         let world = scene.world.clone();
         let load = *load;
@@ -91,17 +91,6 @@
     tries
 }
 
-trait LogClock {
-    /// Waits until the log's clock, which is the scene's world's, shows a time.
-    fn sleep_until_log(&self, at: Micros, scene: &Scene) -> ivyward_world::BoxFuture<()>;
-}
-
-impl LogClock for Arc<ivyward_world::SmolWorld> {
-    fn sleep_until_log(&self, at: Micros, scene: &Scene) -> ivyward_world::BoxFuture<()> {
-        self.sleep(at.saturating_sub(scene.log.now()))
-    }
-}
-
 async fn follow(
     scene: &Arc<Scene>,
     plan: &Plan,
--- a/crates/ivyward-lab/src/relay.rs
+++ b/crates/ivyward-lab/src/relay.rs
@@ -1,7 +1,7 @@
 //! What a node adds: streams straight from an engine against the same through a node, in one run; and what a decision
 //! costs by the size of the fleet.
 
-use crate::scene::{settings, SceneError};
+use crate::scene::{io, settings, SceneError};
 use hdrhistogram::Histogram;
 use ivyward::core::interface::{Condition, ListKind, ServerEntry, ServerId};
 use ivyward::{Engine as Listed, Node, NodeSettings};
@@ -42,10 +42,6 @@
     pub driver: f64,
 }
 
-fn io(what: &str) -> impl FnOnce(std::io::Error) -> SceneError + '_ {
-    move |error| SceneError::Io { what: what.into(), error }
-}
-
 fn relay_settings() -> NodeSettings {
     let mut settings = settings();
     for class in &mut settings.classes {
--- a/crates/ivyward-lab/src/scene.rs
+++ b/crates/ivyward-lab/src/scene.rs
@@ -37,7 +37,7 @@
     Node(#[from] ivyward::StartError),
 }
 
-fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> SceneError {
+pub(crate) fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> SceneError {
     let what = what.into();
     move |error| SceneError::Io { what, error }
 }
--- a/crates/ivyward/src/driver.rs
+++ b/crates/ivyward/src/driver.rs
@@ -90,6 +90,10 @@
         // Fails only when the driver is gone, and the node with it.
         let _ = self.notices.try_send(notice);
     }
+    /// An attempt as engines know it.
+    fn key(&self, request: u64, attempt: u16) -> Option<pb::AttemptKey> {
+        Some(pb::AttemptKey { node: self.incarnation, request, attempt: u32::from(attempt) })
+    }
     pub(crate) fn most_tokens(&self, ask: &Ask) -> u32 {
         match ask {
             Ask::Write(write) => write.max_output_tokens,
@@ -559,11 +563,7 @@
 
     fn header(&self, id: u64, attempt: u16, server: ServerId, open: &Open) -> pb::Header {
         pb::Header {
-            key: Some(pb::AttemptKey {
-                node: self.shared.incarnation,
-                request: id,
-                attempt: u32::from(attempt),
-            }),
+            key: self.shared.key(id, attempt),
             engine: server.0,
             call_id: open.taken.call_id,
             class: open.taken.class.clone(),
@@ -592,11 +592,7 @@
                 Ask::Read(pb::ReadRequest { header, prompt, opening, opening_tokens, session })
             } else {
                 let state = open.state.as_ref().map(|(at, attempt)| pb::StateRef {
-                    key: Some(pb::AttemptKey {
-                        node: shared.incarnation,
-                        request: id,
-                        attempt: u32::from(*attempt),
-                    }),
+                    key: shared.key(id, *attempt),
                     engine: at.id.0,
                     address: at.address.to_string(),
                 });
@@ -655,23 +651,13 @@
             return;
         }
         shared.metrics.releases.add(1);
-        let key = pb::AttemptKey { node: shared.incarnation, request: id, attempt: u32::from(attempt) };
-        let body = encode(&pb::ReleaseRequest { key: Some(key), engine: link.id.0 });
+        let body = encode(&pb::ReleaseRequest { key: shared.key(id, attempt), engine: link.id.0 });
         let world = shared.world.clone();
         world.clone().run(async move {
             let give_up = world.now().saturating_add(shared.settings.release_tries);
             let mut pause = shared.settings.redial_first;
             loop {
-                if unary::<pb::ReleaseReply>(
-                    &world,
-                    &link,
-                    "/ivyward.engine.v1.Engine/Release",
-                    body.clone(),
-                    &shared,
-                )
-                .await
-                .is_some()
-                {
+                if unary::<pb::ReleaseReply>(&world, &link, RELEASE, body.clone(), &shared).await.is_some() {
                     break;
                 }
                 if world.now().saturating_add(pause) > give_up {
@@ -703,11 +689,8 @@
             let held = reply.as_ref().is_some_and(|r| r.held && r.engine == server.0);
             if reply.is_none() {
                 // It may hold a place all the same.
-                let key =
-                    pb::AttemptKey { node: shared.incarnation, request: id, attempt: u32::from(attempt) };
-                let body = encode(&pb::ReleaseRequest { key: Some(key), engine: server.0 });
-                unary::<pb::ReleaseReply>(&world, &link, "/ivyward.engine.v1.Engine/Release", body, &shared)
-                    .await;
+                let body = encode(&pb::ReleaseRequest { key: shared.key(id, attempt), engine: server.0 });
+                unary::<pb::ReleaseReply>(&world, &link, RELEASE, body, &shared).await;
             }
             shared.tell(Notice::Place { request: id, attempt, link, held });
         });
@@ -729,6 +712,8 @@
     }
 }
 
+const RELEASE: &str = "/ivyward.engine.v1.Engine/Release";
+
 /// A short call whose failure is nobody's outcome.
 async fn unary<M: prost::Message + Default>(
     world: &WorldRef,
--- a/crates/ivyward/src/follow.rs
+++ b/crates/ivyward/src/follow.rs
@@ -143,7 +143,6 @@
                 }
                 Err(e) => {
                     warn!(error = %e, "the list of engines cannot be read; the last one stands");
-                    self.client.leave_endpoint();
                     Some(0)
                 }
             };
@@ -241,7 +240,7 @@
     /// knows at each.
     async fn hear_all(&mut self, heard: Vec<Heard>) -> Option<Micros> {
         let gap = heard.contains(&Heard::Gap);
-        let (mut all, mut again) = (Vec::new(), None);
+        let (mut all, mut again, mut keep) = (Vec::new(), None, false);
         for heard in heard {
             self.decider.hear(self.world.now(), heard, &mut all);
         }
@@ -255,21 +254,21 @@
                     entries.extend(more);
                 }
                 // One writing of the file for all of it, at the end.
-                (_, Told::Keep) => {}
+                (_, Told::Keep) => keep = true,
                 (_, told) => out.push(told),
             }
         }
-        if out.iter().any(|t| matches!(t, Told::Fleet { kind, .. } if *kind != ListKind::Cached)) {
-            out.push(Told::Keep);
-        }
         for told in out {
             match told {
                 Told::Fleet { kind, entries } => self.pass_on(kind, entries).await,
                 Told::Relist => again = (!gap).then_some(0),
                 Told::RelistAt(at) => again = Some(at),
-                Told::Keep => self.keep(),
+                Told::Keep => {}
             }
         }
+        if keep {
+            self.keep();
+        }
         again
     }
 
