--- a/crates/ivyward-benchlink/src/main.rs
+++ b/crates/ivyward-benchlink/src/main.rs
@@ -1,7 +1,6 @@
 //! Lets the bench drive the decision module: batches on standard input, replies on standard output.
 
 mod codec;
-mod settings;
 
 use codec::{Input, Reply};
 use ivyward_core::interface::{Action, Event, Settings};
@@ -60,7 +59,7 @@
         let who = target.ok_or("an event comes before any TARGET_INSTANCE")?;
         match input {
             Input::Create { seed, env } => {
-                let settings = settings::parse(&env)?;
+                let settings = ivyward_settings::parse(&env)?;
                 let router = Router::new(settings.clone(), seed);
                 instances.insert(who, Instance { router, settings });
             }
--- /dev/null
+++ b/crates/ivyward-platform/src/config.rs
@@ -0,0 +1,210 @@
+//! The platform's configuration file, and the bounds that follow from its limits.
+
+use crate::discovery::List;
+use ivyward::core::interface::{Effect, Micros};
+use ivyward::{Class, NodeSettings, SettingsError, Tenant};
+use ivyward_http1::Limits;
+use ivyward_settings::Told;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Most bytes of a configuration file.
+const MOST_FILE: u64 = 4 << 20;
+/// Longest body, as the platform states it.
+pub(crate) const MOST_BODY: usize = 256 << 10;
+/// Without a byte of a stream for this span its client is let go: the platform's 5 s, less the time to do so.
+const STREAM_STALL: Micros = 4_500_000;
+/// The final answer is given so long before the client's time ends.
+const ANSWER_MARGIN: Micros = 20_000;
+/// Descriptors for what is neither client nor engine: logs, listener, poller, discovery old and new, and connections
+/// that were told to close and have not yet.
+const RESERVE: usize = 40;
+
+/// Why a configuration cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file is not there or cannot be read.
+    #[error("{0}: {1}")]
+    File(String, std::io::Error),
+    /// The file is longer than any configuration.
+    #[error("{0}: longer than {MOST_FILE} bytes")]
+    Long(String),
+    /// It is no JSON of this form.
+    #[error("{0}: {1}")]
+    Form(String, serde_json::Error),
+    /// The settings object cannot hold.
+    #[error("{0}")]
+    Settings(String),
+    /// A value cannot hold.
+    #[error("{field} {value}: {reason}")]
+    Value {
+        /// Which.
+        field: &'static str,
+        /// Its value.
+        value: String,
+        /// Why, and what would do.
+        reason: &'static str,
+    },
+    /// A bound of the node cannot hold.
+    #[error("settings: {0}")]
+    Node(#[from] SettingsError),
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: String,
+    discovery: String,
+    #[serde(default)]
+    seed: String,
+    limits: FileLimits,
+    #[serde(default)]
+    known: Option<List>,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct FileLimits {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+/// What bounds the node, derived from the platform's limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Client connections. Usual clients hold a third of all descriptors at most.
+    pub clients: usize,
+    /// Connections to engines.
+    pub engines: usize,
+    /// Bytes of prompts held in all.
+    pub prompts: usize,
+    /// Bytes of an answer that wait for one client.
+    pub outlet: usize,
+    /// Releases under way.
+    pub releases: usize,
+}
+
+/// A configuration that holds.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The node's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// The list as this node last held it.
+    pub known: Option<List>,
+    /// Settings, with names.
+    pub told: Told,
+    /// What follows from the limits.
+    pub bounds: Bounds,
+    /// The node's settings.
+    pub node: NodeSettings,
+}
+
+/// Bounds on clients' requests.
+pub(crate) const REQUESTS: Limits =
+    Limits { head: 16 << 10, headers: 64, body: MOST_BODY as u64, chunk: MOST_BODY as u64 };
+/// Bounds on engines' and discovery's answers.
+pub(crate) const ANSWERS: Limits =
+    Limits { head: 16 << 10, headers: 64, body: MOST_BODY as u64, chunk: MOST_BODY as u64 };
+
+fn address(field: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| ConfigError::Value { field, value: text.into(), reason: "must be IP:PORT" })
+}
+
+impl Bounds {
+    fn new(limits: &FileLimits) -> Result<Bounds, ConfigError> {
+        let (sockets, memory) = (limits.sockets, limits.memory_mb);
+        if sockets < 4 * RESERVE {
+            let value = sockets.to_string();
+            return Err(ConfigError::Value {
+                field: "limits.sockets",
+                value,
+                reason: "at least 160 are needed",
+            });
+        }
+        if !(16.0..=1e7).contains(&memory) {
+            let (field, value) = ("limits.memory_mb", memory.to_string());
+            return Err(ConfigError::Value { field, value, reason: "at least 16 are needed" });
+        }
+        let bytes = (memory * 1e6) as usize;
+        // Small kernels' figure of a third for clients is a bound on the usual ones; idle ones of others come on top.
+        let clients = (sockets - RESERVE) / 2;
+        Ok(Bounds {
+            clients,
+            engines: sockets - RESERVE - clients,
+            prompts: bytes / 4,
+            outlet: (bytes / 8 / clients).clamp(8 << 10, MOST_BODY),
+            releases: sockets,
+        })
+    }
+}
+
+impl Config {
+    /// Reads a file.
+    ///
+    /// # Errors
+    /// One line that names field, value and reason.
+    pub fn read(path: &Path) -> Result<Config, ConfigError> {
+        let name = path.display().to_string();
+        let length = std::fs::metadata(path).map_err(|e| ConfigError::File(name.clone(), e))?.len();
+        if length > MOST_FILE {
+            return Err(ConfigError::Long(name));
+        }
+        let text = std::fs::read(path).map_err(|e| ConfigError::File(name.clone(), e))?;
+        Config::parse(&name, &text)
+    }
+
+    /// The same from bytes; `name` is for the error's line.
+    ///
+    /// # Errors
+    /// As [`Config::read`].
+    pub fn parse(name: &str, text: &[u8]) -> Result<Config, ConfigError> {
+        let file: File = serde_json::from_slice(text).map_err(|e| ConfigError::Form(name.into(), e))?;
+        let told = ivyward_settings::from_json(&file.settings).map_err(ConfigError::Settings)?;
+        let bounds = Bounds::new(&file.limits)?;
+        let node = node_settings(&told, &bounds, &file.seed);
+        node.check()?;
+        Ok(Config {
+            name: file.name,
+            listen: address("listen", &file.listen)?,
+            discovery: address("discovery", &file.discovery)?,
+            known: file.known,
+            told,
+            bounds,
+            node,
+        })
+    }
+}
+
+fn node_settings(told: &Told, bounds: &Bounds, seed: &str) -> NodeSettings {
+    let mut rules = told.module.clone();
+    // This node has one attempt out at a time, wherever more would be allowed.
+    rules.second_copies = false;
+    // The object tells a window for every class; it means something for keyed ones alone.
+    let unkeyed = rules.classes.iter_mut().filter(|c| c.effect != Effect::Keyed);
+    unkeyed.for_each(|c| c.repeat_window = 0);
+    let names = told.classes.iter().zip(&rules.classes);
+    let classes = names.map(|(name, s)| Class { name: name.clone(), settings: s.clone() }).collect();
+    let names = told.tenants.iter().zip(&rules.tenants);
+    let tenants = names.map(|(name, s)| Tenant { name: name.clone(), settings: s.clone() }).collect();
+    let usual = NodeSettings::default();
+    NodeSettings {
+        seed: u64::from_str_radix(seed, 16).unwrap_or_else(|_| xxhash_rust::xxh3::xxh3_64(seed.as_bytes())),
+        classes,
+        tenants,
+        answer_margin: ANSWER_MARGIN,
+        dial_timeout: if told.dial_timeout > 0 { told.dial_timeout } else { usual.dial_timeout },
+        stream_stall: STREAM_STALL,
+        most_open: if told.most_open > 0 { bounds.clients.min(told.most_open) } else { bounds.clients },
+        most_clients: bounds.clients,
+        connections_per_engine: bounds.engines.min(1 << 12),
+        calls_per_connection: 1,
+        most_releases: bounds.releases,
+        rules,
+        ..usual
+    }
+}
--- /dev/null
+++ b/crates/ivyward-platform/src/engine.rs
@@ -0,0 +1,617 @@
+//! Engines over HTTP/1.1: connections, attempts, holds and releases.
+//!
+//! What proves that an attempt never ran is decided here, by the platform's table; what follows from it is the module's.
+//! Nothing is ever sent again at this level.
+
+use crate::call::{lock, Over, PlatformCall, Progress};
+use crate::config::{ANSWERS, MOST_BODY};
+use crate::wire::Wire;
+use futures_lite::future::{or, poll_fn};
+use ivyward::core::interface::{Micros, Outcome, Report, ServerId};
+use ivyward::engines::{End, Held, HoldJob, Job, Link, LinkRef, Protocol, ReleaseJob, Stop};
+use ivyward::world::{before, BoxFuture, WorldExt, WorldRef};
+use ivyward::{Engine, Shared};
+use ivyward_http1::{head, Answer, Body, Step};
+use std::any::Any;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, Weak};
+
+/// Part of the engines' idle time after which a connection is left: a request that crosses their close ends as a reset.
+const KEEP_PART: f64 = 0.6;
+/// Where no idle time is told.
+const KEEP: Micros = 5_000_000;
+/// Heads of interim answers that are passed over.
+const MOST_INTERIM: usize = 8;
+/// Time for the rest of an answer that is known already, so that its connection can serve on.
+const REST: Micros = 50_000;
+/// Time for an engine to answer a hold: it waits 0.3 s itself where no read is out.
+const HOLD_ANSWER: Micros = 800_000;
+/// Time for one engine to take a release, and tries until the engines' own limit lets go.
+const RELEASE_ANSWER: Micros = 120_000;
+const RELEASE_TRIES: usize = 12;
+
+/// What all links of a node share.
+pub(crate) struct Engines {
+    world: WorldRef,
+    keep: Micros,
+    dial_timeout: Micros,
+    /// Connections there are, and may be.
+    connections: AtomicUsize,
+    most: usize,
+    fields: Vec<String>,
+    links: Mutex<Vec<Weak<EngineLink>>>,
+}
+
+impl Engines {
+    pub(crate) fn new(
+        world: &WorldRef,
+        dial_timeout: Micros,
+        keepalive: Micros,
+        most: usize,
+        fields: &[String],
+    ) -> Arc<Engines> {
+        let keep = if keepalive > 0 { (keepalive as f64 * KEEP_PART) as Micros } else { KEEP };
+        Arc::new(Engines {
+            world: world.clone(),
+            keep,
+            dial_timeout,
+            connections: AtomicUsize::new(0),
+            most,
+            fields: fields.to_vec(),
+            links: Mutex::default(),
+        })
+    }
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+    fn living(&self) -> Vec<Arc<EngineLink>> {
+        lock(&self.links).iter().filter_map(Weak::upgrade).collect()
+    }
+    /// Closes what was idle too long, and forgets links that are gone.
+    pub(crate) fn sweep(&self) {
+        lock(&self.links).retain(|l| l.strong_count() > 0);
+        let oldest = self.world.now().saturating_sub(self.keep);
+        for link in self.living() {
+            lock(&link.idle).retain(|(_, since)| *since > oldest);
+        }
+    }
+    /// Takes a descriptor for a connection: at the bound the one idle longest anywhere goes.
+    fn place(self: &Arc<Self>) -> Option<Place> {
+        if self.connections.load(Ordering::Relaxed) >= self.most {
+            let oldest = |l: &Arc<EngineLink>| lock(&l.idle).front().map(|(_, since)| *since);
+            let links = self.living();
+            let link = links.iter().filter(|l| oldest(l).is_some()).min_by_key(|l| oldest(l));
+            drop(link.and_then(|l| lock(&l.idle).pop_front()));
+        }
+        if self.connections.load(Ordering::Relaxed) >= self.most {
+            return None;
+        }
+        self.connections.fetch_add(1, Ordering::Relaxed);
+        Some(Place(self.clone()))
+    }
+}
+
+/// A connection's place among all; given back when it is closed.
+struct Place(Arc<Engines>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A connection to an engine.
+struct EngineWire {
+    wire: Wire,
+    _place: Place,
+}
+
+impl Deref for EngineWire {
+    type Target = Wire;
+    fn deref(&self) -> &Wire {
+        &self.wire
+    }
+}
+
+impl DerefMut for EngineWire {
+    fn deref_mut(&mut self) -> &mut Wire {
+        &mut self.wire
+    }
+}
+
+/// The platform's engines, as the driver asks for them.
+pub(crate) struct Platform(pub(crate) Arc<Engines>);
+
+impl Protocol for Platform {
+    fn link(&self, _: &Arc<Shared>, engine: &Engine) -> LinkRef {
+        let link = Arc::new(EngineLink {
+            id: engine.entry.id,
+            address: engine.address,
+            engines: self.0.clone(),
+            idle: Mutex::default(),
+            closing: AtomicBool::new(false),
+        });
+        lock(&self.0.links).push(Arc::downgrade(&link));
+        link
+    }
+    fn one_by_one(&self) -> bool {
+        false
+    }
+    fn release(&self, shared: &Arc<Shared>, job: ReleaseJob) {
+        if !shared.begin_release() {
+            return;
+        }
+        let (shared, engines) = (shared.clone(), self.0.clone());
+        shared.world().clone().run(async move {
+            if !release(&engines, &job).await {
+                shared.metrics().releases_dropped.add(1);
+            }
+            shared.end_release();
+        });
+    }
+}
+
+/// Asks engines, one after the other, until one says that it let go. One that holds something is asked first; then
+/// those to which a connection stands.
+async fn release(engines: &Arc<Engines>, job: &ReleaseJob) -> bool {
+    let Some(call) = job.call.as_any().downcast_ref::<PlatformCall>() else { return false };
+    let mut order: Vec<Arc<EngineLink>> = Vec::new();
+    for link in job.kept.iter().map(|k| &k.link).chain(&job.others) {
+        let Ok(link) = link.clone().as_any_arc().downcast::<EngineLink>() else { continue };
+        if !order.iter().any(|l| Arc::ptr_eq(l, &link)) {
+            order.push(link);
+        }
+    }
+    let first = order.len().min(1);
+    order[first..].sort_by_key(|l| lock(&l.idle).is_empty());
+    let target = format!("/v1/holds/{}", call.id);
+    for link in order.iter().cycle().take(RELEASE_TRIES) {
+        let until = engines.world.now().saturating_add(RELEASE_ANSWER);
+        let asked = link.short("DELETE", &target, until);
+        if before(&engines.world, until, asked).await.flatten().is_some_and(|(status, _)| status / 100 == 2) {
+            return true;
+        }
+    }
+    false
+}
+
+pub(crate) struct EngineLink {
+    id: ServerId,
+    address: SocketAddr,
+    engines: Arc<Engines>,
+    /// Connections without a request, the one idle longest first.
+    idle: Mutex<VecDeque<(EngineWire, Micros)>>,
+    closing: AtomicBool,
+}
+
+impl EngineLink {
+    /// A connection that stands, or a new one.
+    async fn connect(&self, until: Micros) -> Result<EngineWire, String> {
+        let world = &self.engines.world;
+        let oldest = world.now().saturating_sub(self.engines.keep);
+        while let Some((mut wire, since)) = { lock(&self.idle).pop_back() } {
+            // One that the engine closed, or that brought more than its answer, serves no further.
+            if since > oldest && wire.quiet() {
+                return Ok(wire);
+            }
+        }
+        let place = self.engines.place().ok_or("no descriptor is left for a connection")?;
+        let until = until.min(world.now().saturating_add(self.engines.dial_timeout));
+        match before(world, until, world.connect(self.address)).await {
+            Some(Ok(conn)) => Ok(EngineWire { wire: Wire::new(conn), _place: place }),
+            Some(Err(e)) => Err(format!("cannot connect to {}: {e}", self.address)),
+            None => Err(format!("no connection to {} in time", self.address)),
+        }
+    }
+
+    /// Keeps a connection whose answer was whole.
+    fn keep(&self, mut wire: EngineWire, keeps: bool) {
+        if keeps && !self.closing.load(Ordering::Relaxed) && wire.quiet() {
+            lock(&self.idle).push_back((wire, self.engines.world.now()));
+        }
+    }
+
+    /// A call without a body: its status and the load report of its head or body.
+    async fn short(&self, method: &str, target: &str, until: Micros) -> Option<(u16, Report)> {
+        let mut wire = self.connect(until).await.ok()?;
+        self.ask(&mut wire, method, target).await.ok()?;
+        let answer = answer(&mut wire).await.ok()?;
+        let mut report = self.report(answer.head.text("x-server-load"));
+        let rest = rest(&mut wire, &answer).await;
+        if let Some(text) = rest.as_deref().filter(|_| report.len == 0) {
+            report = self.report(std::str::from_utf8(text).ok());
+        }
+        self.keep(wire, rest.is_some() && answer.head.keeps());
+        Some((answer.status, report))
+    }
+
+    async fn ask(&self, wire: &mut Wire, method: &str, target: &str) -> std::io::Result<()> {
+        let mut request = Vec::new();
+        let host = self.address.to_string();
+        let headers = [("Host", host.as_str()), ("Content-Length", "0")];
+        head::write(&mut request, &format!("{method} {target} HTTP/1.1"), &headers);
+        wire.write(&request, &[]).await
+    }
+
+    fn report(&self, text: Option<&str>) -> Report {
+        text.map_or(Report::default(), |text| report(text, &self.engines.fields))
+    }
+}
+
+/// The values of a load report such as `TEXT inflight=7, queue=2, util=0.61`, in the order of the settings' fields. A
+/// report that cannot be read whole is none.
+fn report(text: &str, fields: &[String]) -> Report {
+    // What the settings call a field, and what the wire calls it.
+    let spoken = |field: &str| match field {
+        "outstanding" => "inflight",
+        "backlog" => "queue",
+        "utilization" => "util",
+        "recent_ms" => "latency_ms",
+        "throughput" => "qps",
+        "errors_per_s" => "eps",
+        _ => "",
+    };
+    let text = text.trim();
+    let text = text.strip_prefix("TEXT").unwrap_or(text);
+    let pairs: Vec<(&str, &str)> = text.split(',').filter_map(|p| p.trim().split_once('=')).collect();
+    let mut report = Report { len: fields.len().min(4), ..Report::default() };
+    for (value, field) in report.values.iter_mut().zip(fields) {
+        let told = pairs.iter().find(|(k, _)| k.trim() == field || k.trim() == spoken(field));
+        match told.and_then(|(_, v)| v.trim().parse::<f32>().ok()).filter(|v| v.is_finite()) {
+            Some(told) => *value = told,
+            None => return Report::default(),
+        }
+    }
+    report
+}
+
+/// Why no answer's head came.
+enum NoHead {
+    /// The connection broke or ended.
+    Broken(String),
+    /// What came is no head.
+    Bad(String),
+}
+
+/// The head of an answer; interim ones are passed over.
+async fn answer(wire: &mut Wire) -> Result<Answer, NoHead> {
+    let mut interim = 0;
+    loop {
+        match Answer::read(wire.bytes(), &ANSWERS).map_err(|e| NoHead::Bad(e.to_string()))? {
+            Some((answer, used)) => {
+                wire.used(used);
+                match answer.status {
+                    100..=199 if interim < MOST_INTERIM => interim += 1,
+                    100..=199 => return Err(NoHead::Bad("interim answers without end".into())),
+                    _ => return Ok(answer),
+                }
+            }
+            None => match wire.fill().await {
+                Ok(0) => return Err(NoHead::Broken("the connection ended without an answer".into())),
+                Ok(_) => {}
+                Err(e) => return Err(NoHead::Broken(e.to_string())),
+            },
+        }
+    }
+}
+
+/// The whole body of a short answer, or `None` where it breaks or is longer than any body.
+async fn rest(wire: &mut Wire, answer: &Answer) -> Option<Vec<u8>> {
+    let (mut body, mut text) = (Body::new(answer.framing, &ANSWERS), Vec::new());
+    loop {
+        let (step, used) = body.step(wire.bytes()).ok()?;
+        if let Step::Data(range) = &step {
+            text.extend_from_slice(&wire.bytes()[range.clone()]);
+        }
+        wire.used(used);
+        match step {
+            Step::Done => return Some(text),
+            _ if text.len() > MOST_BODY => return None,
+            Step::More if wire.fill().await.ok()? == 0 => return None,
+            _ => {}
+        }
+    }
+}
+
+impl Link for EngineLink {
+    fn id(&self) -> ServerId {
+        self.id
+    }
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+    fn set_closing(&self, closing: bool) {
+        self.closing.store(closing, Ordering::Relaxed);
+        if closing {
+            self.shut();
+        }
+    }
+    fn shut(&self) {
+        lock(&self.idle).clear();
+    }
+    fn as_any_arc(self: Arc<Self>) -> Arc<dyn Any + Send + Sync> {
+        self
+    }
+    fn attempt(self: Arc<Self>, job: Job) -> BoxFuture<End> {
+        Box::pin(async move {
+            let Some(call) = job.call.as_any().downcast_ref::<PlatformCall>() else {
+                return End::new(Outcome::NotSent, "a request of another protocol");
+            };
+            // A connection that is not kept is closed when this returns, so that nothing follows beside the attempt.
+            let end = Attempt { link: &self, job: &job, call }.run().await;
+            call.mark(Progress::Ended(job.attempt));
+            end
+        })
+    }
+    fn hold(self: Arc<Self>, job: HoldJob) -> BoxFuture<Held> {
+        Box::pin(async move {
+            let Some(call) = job.call.as_any().downcast_ref::<PlatformCall>() else { return Held::No };
+            // A hold is known to an engine only beside its read, so it leaves behind the read's last byte.
+            let read = or(call.sent(job.attempt), async {
+                job.over().await;
+                false
+            });
+            if !read.await {
+                return Held::No;
+            }
+            let world = &self.engines.world;
+            let until = world.now().saturating_add(HOLD_ANSWER);
+            let mut left = false;
+            let asked = async {
+                let Ok(mut wire) = self.connect(until).await else { return Held::No };
+                // Told during the dial: nothing new goes to an engine that drains or is gone.
+                if self.closing.load(Ordering::Relaxed) || job.is_over() {
+                    return Held::No;
+                }
+                left = true;
+                let target = format!("/v1/holds/{}", call.id);
+                if self.ask(&mut wire, "POST", &target).await.is_err() {
+                    return Held::Unknown;
+                }
+                let Ok(answer) = answer(&mut wire).await else { return Held::Unknown };
+                let whole = rest(&mut wire, &answer).await.is_some();
+                self.keep(wire, whole && answer.head.keeps());
+                match answer.status {
+                    200 => Held::Yes,
+                    404 | 409 => Held::No,
+                    _ => Held::Unknown,
+                }
+            };
+            let ended = or(before(world, until, asked), async {
+                job.over().await;
+                None
+            });
+            let ended = ended.await;
+            ended.unwrap_or(if left { Held::Unknown } else { Held::No })
+        })
+    }
+    fn probe(self: Arc<Self>, shared: Arc<Shared>) -> BoxFuture<(bool, Report)> {
+        Box::pin(async move {
+            let until = shared.world().now().saturating_add(2 * self.engines.dial_timeout);
+            let path = if self.engines.fields.is_empty() { "/healthz" } else { "/load" };
+            let answer = before(shared.world(), until, self.short("GET", path, until)).await.flatten();
+            let alive = answer.is_some_and(|(status, _)| status == 200 || status == 503);
+            (alive, answer.map_or(Report::default(), |(_, report)| report))
+        })
+    }
+}
+
+/// What ends a wait.
+enum Woken<T> {
+    Next(T),
+    Stopped(Stop),
+    Late,
+}
+
+struct Attempt<'a> {
+    link: &'a Arc<EngineLink>,
+    job: &'a Job,
+    call: &'a PlatformCall,
+}
+
+impl Attempt<'_> {
+    /// Waits for something, a word from the driver, or a time.
+    async fn wait<T>(&self, until: Micros, future: impl std::future::Future<Output = T>) -> Woken<T> {
+        let world = &self.link.engines.world;
+        or(async { Woken::Next(future.await) }, async {
+            or(async { Woken::Stopped(self.job.stopped().await) }, async {
+                world.sleep_until(until).await;
+                Woken::Late
+            })
+            .await
+        })
+        .await
+    }
+
+    async fn run(&self) -> End {
+        let (link, job, world) = (self.link, self.job, &self.link.engines.world);
+        let gone = || End::new(Outcome::NotSent, "called off before it was sent");
+        if job.until <= world.now() {
+            return End::new(Outcome::NotSent, "no time left");
+        }
+        let mut wire = match self.wait(job.until, link.connect(job.until)).await {
+            Woken::Next(Ok(wire)) => wire,
+            Woken::Next(Err(text)) => return End::new(Outcome::ConnectFailed, text),
+            Woken::Late => return End::new(Outcome::ConnectFailed, "no connection in time"),
+            Woken::Stopped(_) => return gone(),
+        };
+        // Told during the dial: nothing new goes to an engine that drains or is gone.
+        if link.closing.load(Ordering::Relaxed) {
+            return End::new(Outcome::NotSent, "the engine drains or is gone");
+        }
+        let Some(prompt) = self.call.prompt() else { return gone() };
+        let left = (job.until.saturating_sub(world.now()) / 1_000).max(1).to_string();
+        let (host, length) = (link.address.to_string(), prompt.bytes.len().to_string());
+        let mut request = Vec::with_capacity(256);
+        let headers = [
+            ("Host", host.as_str()),
+            ("X-Request-ID", &self.call.id),
+            ("X-Timeout-Ms", &left),
+            ("Content-Type", "application/json"),
+            ("Content-Length", &length),
+        ];
+        head::write(&mut request, &format!("{} {} HTTP/1.1", self.call.method, self.call.target), &headers);
+        match self.wait(job.until, wire.write(&request, &prompt.bytes)).await {
+            Woken::Next(Ok(())) => {}
+            // Its last byte never left, so it never ran; the connection is closed with the rest of it.
+            Woken::Next(Err(e)) => return End::new(Outcome::ConnectFailed, e.to_string()),
+            Woken::Late => return End::new(Outcome::ConnectFailed, "the engine does not take the request"),
+            Woken::Stopped(_) => return gone(),
+        }
+        drop(prompt);
+        self.call.mark(Progress::Sent(job.attempt));
+        let answer = match self.wait(job.until, answer(&mut wire)).await {
+            Woken::Next(Ok(answer)) => answer,
+            Woken::Next(Err(NoHead::Broken(text))) => return End::new(Outcome::Reset, text),
+            Woken::Next(Err(NoHead::Bad(text))) => return End::new(Outcome::Error, text),
+            Woken::Late => return End::new(Outcome::TimedOut, "no answer in time"),
+            Woken::Stopped(_) => return End::new(Outcome::Cancelled, "called off"),
+        };
+        let report = link.report(answer.head.text("x-server-load"));
+        let never_ran = answer.head.text("x-not-processed") == Some("1");
+        let mut end = match (answer.status, job.reads) {
+            (200, false) => return self.stream(wire, answer, report).await,
+            (202, true) => return self.read(wire, answer, report).await,
+            (503 | 504, _) if never_ran => End::new(Outcome::Full, "turned away"),
+            (410, _) if never_ran => End::new(Outcome::StateLost, "no state to fetch"),
+            (status, _) => End::new(Outcome::Error, format!("status {status}")),
+        };
+        end.report = report;
+        let soon = world.now().saturating_add(REST);
+        if let Some(Some(_)) = before(world, soon, rest(&mut wire, &answer)).await {
+            link.keep(wire, answer.head.keeps());
+        }
+        end
+    }
+
+    async fn read(&self, mut wire: EngineWire, answer: Answer, report: Report) -> End {
+        let text = match self.wait(self.job.until, rest(&mut wire, &answer)).await {
+            Woken::Next(text) => text,
+            Woken::Late => return End::new(Outcome::TimedOut, "the end of a read did not come"),
+            Woken::Stopped(_) => return End::new(Outcome::Cancelled, "called off"),
+        };
+        let Some(text) = text else { return End::new(Outcome::Error, "the answer to a read is spoilt") };
+        self.link.keep(wire, answer.head.keeps());
+        let said: serde_json::Value = serde_json::from_slice(&text).unwrap_or_default();
+        let kept = said["cached_tokens"].as_u64().unwrap_or(0).min(u64::from(u32::MAX)) as u32;
+        End { kept, report, ..End::new(Outcome::Read, "read") }
+    }
+
+    /// Passes a stream's events on as they come whole.
+    async fn stream(&self, mut wire: EngineWire, answer: Answer, report: Report) -> End {
+        let world = &self.link.engines.world;
+        let stall = self.job.shared.settings().stream_stall;
+        let mut body = Body::new(answer.framing, &ANSWERS);
+        let mut events = Events { pending: Vec::new(), kept: 0, report: None, done: false };
+        let bad = |text: &str| End::new(Outcome::Error, text);
+        let (mut until, mut begun) = (self.job.until, false);
+        loop {
+            let (step, used) = match body.step(wire.bytes()) {
+                Ok(step) => step,
+                Err(e) => return bad(&e.to_string()),
+            };
+            if let Step::Data(range) = &step {
+                events.pending.extend_from_slice(&wire.bytes()[range.clone()]);
+            }
+            wire.used(used);
+            match step {
+                Step::Data(_) => {
+                    let whole = match events.whole() {
+                        Ok(whole) => whole,
+                        Err(text) => return bad(text),
+                    };
+                    if whole.is_empty() {
+                        continue;
+                    }
+                    if self.call.outlet.push(&whole).is_err() {
+                        return End::new(Outcome::Cancelled, "given up");
+                    }
+                    if !begun {
+                        begun = true;
+                        self.job.first();
+                        self.call.drop_prompt();
+                    }
+                    let room = poll_fn(|cx| self.call.outlet.poll_room(cx));
+                    let given_up = async {
+                        while self.job.stopped().await == Stop::CallOff {}
+                        Err(Over)
+                    };
+                    if or(room, given_up).await.is_err() {
+                        return End::new(Outcome::Cancelled, "given up");
+                    }
+                    until = world.now().saturating_add(stall);
+                }
+                Step::Done => {
+                    if !begun || !events.done || !events.pending.is_empty() {
+                        return bad("a stream that is not whole");
+                    }
+                    self.link.keep(wire, answer.head.keeps());
+                    let report = events.report.as_deref().map_or(report, |t| self.link.report(Some(t)));
+                    return End { kept: events.kept, report, ..End::new(Outcome::Served, "served") };
+                }
+                Step::More => match self.wait(until, wire.fill()).await {
+                    Woken::Next(Ok(0)) => return End::new(Outcome::Reset, "the stream ended early"),
+                    Woken::Next(Ok(_)) => {}
+                    Woken::Next(Err(e)) => return End::new(Outcome::Reset, e.to_string()),
+                    // A stream that has begun is not called off.
+                    Woken::Stopped(Stop::CallOff) if begun => {}
+                    Woken::Stopped(_) => return End::new(Outcome::Cancelled, "called off"),
+                    Woken::Late if begun => return End::new(Outcome::Reset, "no event for too long"),
+                    Woken::Late => return End::new(Outcome::TimedOut, "no event in time"),
+                },
+            }
+        }
+    }
+}
+
+/// The events of a stream, as far as they have come.
+struct Events {
+    pending: Vec<u8>,
+    kept: u32,
+    report: Option<String>,
+    /// The stream's own last word came.
+    done: bool,
+}
+
+impl Events {
+    /// Takes out what is whole. Noise is found here: a line that is no event's.
+    fn whole(&mut self) -> Result<Vec<u8>, &'static str> {
+        let end = self.pending.windows(2).rposition(|w| w == b"\n\n").map_or(0, |at| at + 2);
+        if end == 0 && self.pending.len() > MOST_BODY {
+            return Err("an event without end");
+        }
+        let rest = self.pending.split_off(end);
+        let whole = std::mem::replace(&mut self.pending, rest);
+        for line in whole.split(|b| *b == b'\n').map(|l| l.strip_suffix(b"\r").unwrap_or(l)) {
+            if let Some(data) = line.strip_prefix(b"data:") {
+                self.data(data.trim_ascii())?;
+            } else if let Some(comment) = line.strip_prefix(b":") {
+                let text = String::from_utf8_lossy(comment);
+                if let Some((name, value)) = text.split_once(':') {
+                    if name.trim().eq_ignore_ascii_case("x-server-load") {
+                        self.report = Some(value.trim().to_owned());
+                    }
+                }
+            } else if !line.is_empty() {
+                return Err("noise in a stream");
+            }
+        }
+        Ok(whole)
+    }
+
+    fn data(&mut self, data: &[u8]) -> Result<(), &'static str> {
+        if data == b"[DONE]" {
+            self.done = true;
+        } else if !data.starts_with(b"{") || !data.ends_with(b"}") {
+            return Err("noise in a stream");
+        } else if data.windows(13).any(|w| w == b"cached_tokens") {
+            let said: serde_json::Value = serde_json::from_slice(data).unwrap_or_default();
+            let kept = said["usage"]["prompt_tokens_details"]["cached_tokens"].as_u64().unwrap_or(0);
+            self.kept = kept.min(u64::from(u32::MAX)) as u32;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/ivyward-platform/src/service.rs
@@ -0,0 +1,138 @@
+//! A node in service: what the daemon starts, reloads and stops.
+
+use crate::config::Config;
+use crate::discovery::{Discovery, Reader};
+use crate::door::Door;
+use crate::engine::{Engines, Platform};
+use futures_lite::future::or;
+use ivyward::core::interface::{ListKind, Micros};
+use ivyward::world::{WorldExt, WorldRef};
+use ivyward::{Node, StartError};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use tracing::info;
+
+/// New connections are taken for so long after the word to stop: the front learns of it late.
+const ACCEPTS: Micros = 650_000;
+/// How often idle connections to engines are looked through.
+const SWEEP: Micros = 500_000;
+/// How often the counters are logged.
+const REPORT: Micros = 10_000_000;
+
+/// Why a node is not in service.
+#[derive(Debug, thiserror::Error)]
+pub enum ServiceError {
+    /// It cannot listen.
+    #[error("listen {0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    /// The node does not start.
+    #[error(transparent)]
+    Start(#[from] StartError),
+}
+
+/// A node in service.
+pub struct Service {
+    node: Node,
+    world: WorldRef,
+    door: Arc<Door>,
+    discovery: Arc<Discovery>,
+    /// Dropped to stop listening.
+    listening: Option<async_channel::Sender<()>>,
+    address: SocketAddr,
+}
+
+impl Service {
+    /// Starts a node: it listens when this returns, and is ready when it holds a list.
+    ///
+    /// # Errors
+    /// When it cannot listen or the node does not start.
+    pub async fn start(world: WorldRef, config: Config) -> Result<Service, ServiceError> {
+        let Config { told, bounds, node: settings, .. } = config;
+        let engines =
+            Engines::new(&world, settings.dial_timeout, told.keepalive, bounds.engines, &told.report_fields);
+        let protocol = Arc::new(Platform(engines.clone()));
+        let node = Node::start_with(world.clone(), settings, None, protocol)?;
+        let mut reader = Reader::new(told.clone(), &world);
+        if let Some(known) = &config.known {
+            node.fleet(ListKind::Cached, reader.read(known)).await;
+        }
+        let listener = world.listen(config.listen).map_err(|e| ServiceError::Listen(config.listen, e))?;
+        let address = listener.address();
+        let door = Door::new(node.clone(), world.clone(), told, bounds);
+        let (listening, stopped) = async_channel::bounded::<()>(1);
+        let accepting = door.clone();
+        world.run(async move {
+            or(accepting.serve(listener), async {
+                // Ends when the sender is dropped.
+                let _ = stopped.recv().await;
+            })
+            .await;
+        });
+        let discovery = Arc::new(Discovery::new(config.discovery));
+        let (follows, following, clock) = (discovery.clone(), node.clone(), world.clone());
+        world.run(async move { follows.follow(&following, &mut reader, &clock).await });
+        let (looks, counted, clock) = (door.clone(), node.clone(), world.clone());
+        world.run(async move {
+            let mut next = clock.now().saturating_add(REPORT);
+            loop {
+                if counted.metrics().engines.get() > 0 {
+                    looks.ready.store(true, Ordering::SeqCst);
+                    clock.sleep(SWEEP).await;
+                } else {
+                    clock.sleep(5_000).await;
+                }
+                engines.sweep();
+                if clock.now() >= next {
+                    next = clock.now().saturating_add(REPORT);
+                    let m = counted.metrics();
+                    info!(
+                        open = counted.open(),
+                        clients = looks.connections(),
+                        connections = engines.connections(),
+                        prompt_bytes = looks.prompt_bytes(),
+                        engines = m.engines.get(),
+                        requests = m.requests.get(),
+                        served = m.served.get(),
+                        refused = m.refused.get(),
+                        failed = m.failed.get(),
+                        gone = m.gone.get(),
+                        attempts = m.attempts.get(),
+                        module_us = m.module_us.get(),
+                        driver_us = m.driver_us.get(),
+                        "counters"
+                    );
+                }
+            }
+        });
+        info!(name = config.name, %address, discovery = %config.discovery, ?bounds, "taking requests");
+        Ok(Service { node, world, door, discovery, listening: Some(listening), address })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+    /// The node.
+    pub fn node(&self) -> &Node {
+        &self.node
+    }
+    /// A new configuration: discovery may answer elsewhere. Other values need a restart.
+    pub fn reload(&self, config: &Config) {
+        self.discovery.move_to(config.discovery);
+    }
+    /// Takes what still comes for the stated time, lets all that was taken end, and returns when nothing is open. How
+    /// long that may take is for whoever called: a node that ends before its requests loses them.
+    pub async fn stop(&mut self) {
+        self.door.stopping.store(true, Ordering::SeqCst);
+        info!(open = self.node.open(), "stopping");
+        self.world.sleep(ACCEPTS).await;
+        self.listening = None;
+        self.door.close_idle();
+        while self.node.open() > 0 || self.door.connections() > 0 {
+            self.world.sleep(5_000).await;
+            self.door.close_idle();
+        }
+        info!("stopped");
+    }
+}
--- /dev/null
+++ b/crates/ivyward-platform/src/wire.rs
@@ -0,0 +1,73 @@
+//! A connection, with the bytes that came and were not used yet.
+
+use futures_lite::future::poll_fn;
+use futures_lite::{AsyncRead, AsyncWrite};
+use ivyward::world::Conn;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+
+/// Bytes asked of the system at once.
+const PIECE: usize = 16 << 10;
+
+pub(crate) struct Wire {
+    conn: Conn,
+    buf: Vec<u8>,
+    at: usize,
+}
+
+impl Wire {
+    pub(crate) fn new(conn: Conn) -> Wire {
+        Wire { conn, buf: Vec::new(), at: 0 }
+    }
+    /// What came and was not used yet.
+    pub(crate) fn bytes(&self) -> &[u8] {
+        &self.buf[self.at..]
+    }
+    /// The first `n` of them are used. An empty buffer gives its memory back: most connections are idle.
+    pub(crate) fn used(&mut self, n: usize) {
+        self.at += n;
+        if self.at >= self.buf.len() {
+            (self.buf, self.at) = (Vec::new(), 0);
+        }
+    }
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let mut piece = [0; PIECE];
+        let read = std::task::ready!(Pin::new(&mut self.conn).poll_read(cx, &mut piece));
+        Poll::Ready(read.inspect(|n| {
+            if self.at > 0 {
+                self.buf.drain(..self.at);
+                self.at = 0;
+            }
+            self.buf.extend_from_slice(&piece[..*n]);
+        }))
+    }
+    /// Waits for more bytes; 0 at the peer's end.
+    pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        poll_fn(|cx| self.poll_fill(cx)).await
+    }
+    /// Whether nothing came and the peer has not closed: an idle connection that may be used.
+    pub(crate) fn quiet(&mut self) -> bool {
+        let mut cx = Context::from_waker(Waker::noop());
+        self.bytes().is_empty() && self.poll_fill(&mut cx).is_pending()
+    }
+    /// Writes all parts. Dropped before its end, an unknown part of them has left, and the last byte has not.
+    pub(crate) async fn write(&mut self, mut first: &[u8], mut second: &[u8]) -> io::Result<()> {
+        while !first.is_empty() || !second.is_empty() {
+            let parts = [IoSlice::new(first), IoSlice::new(second)];
+            let n = poll_fn(|cx| Pin::new(&mut self.conn).poll_write_vectored(cx, &parts)).await?;
+            if n == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            let from_first = n.min(first.len());
+            first = &first[from_first..];
+            second = &second[n - from_first..];
+        }
+        poll_fn(|cx| Pin::new(&mut self.conn).poll_flush(cx)).await
+    }
+    /// Ends our sending, so that what was written reaches a peer that still sends.
+    pub(crate) async fn end_sending(&mut self) {
+        // The peer may have gone; there is nothing to lose any more.
+        let _ = poll_fn(|cx| Pin::new(&mut self.conn).poll_close(cx)).await;
+    }
+}
--- a/crates/ivyward-benchlink/src/settings.rs
+++ b/crates/ivyward-settings/src/lib.rs
@@ -1,12 +1,39 @@
-//! Reads an instance's settings text into the library's settings.
+//! The settings object that the bench's adapter and the platform's configuration share: one parser for both.
+//!
+//! [`parse`] takes the adapter's text of `path=value` lines, [`from_json`] the same object as nested JSON. Spans are in
+//! microseconds; keys that are not known are passed over.
 
 use ivyward_core::interface::*;
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-struct Keys<'a>(BTreeMap<&'a str, &'a str>);
+/// What the object says beside the module's settings: names, and limits of whoever does I/O.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Told {
+    /// The module's settings.
+    pub module: Settings,
+    /// Classes' names, in the module's order.
+    pub classes: Vec<String>,
+    /// Tenants' names, in the module's order.
+    pub tenants: Vec<String>,
+    /// Zones' names, in the module's order.
+    pub zones: Vec<String>,
+    /// Names of the kinds of machines, in the module's order.
+    pub kinds: Vec<String>,
+    /// Names of the values of a load report, in the module's order.
+    pub report_fields: Vec<String>,
+    /// An engine closes a connection that was idle for so long; 0 where that is not told.
+    pub keepalive: Micros,
+    /// A connection that is not open after this counts as failed; 0 where that is not told.
+    pub dial_timeout: Micros,
+    /// Requests that a node may hold open; 0 where that is not told.
+    pub most_open: usize,
+}
+
+struct Keys(BTreeMap<String, String>);
 
-impl Keys<'_> {
+impl Keys {
     fn get<T: FromStr>(&self, key: &str) -> Result<Option<T>, String> {
         match self.0.get(key) {
             None => Ok(None),
@@ -37,6 +64,9 @@
     fn flag(&self, key: &str) -> Result<bool, String> {
         Ok(self.get(key)?.unwrap_or(false))
     }
+    fn name(&self, key: &str) -> String {
+        self.0.get(key).cloned().unwrap_or_default()
+    }
     fn list(&self, key: &str) -> Vec<&str> {
         self.0.get(key).map_or(Vec::new(), |v| v.split(',').filter(|s| !s.is_empty()).collect())
     }
@@ -51,7 +81,7 @@
             (None, None) => Err(format!("settings: {key} is missing")),
             (Some(text), _) => words
                 .iter()
-                .find(|(word, _)| word == text)
+                .find(|(word, _)| *word == text.as_str())
                 .map(|(_, value)| *value)
                 .ok_or_else(|| format!("settings: impossible value {text:?} of {key}")),
         }
@@ -59,9 +89,63 @@
 }
 
 /// The settings in a text of `path=value` lines; unknown keys are ignored.
+///
+/// # Errors
+/// A line that names the key and its impossible value.
 pub fn parse(text: &str) -> Result<Settings, String> {
     let pairs = text.lines().filter_map(|line| line.split_once('='));
-    let keys = Keys(pairs.map(|(k, v)| (k.trim(), v.trim())).collect());
+    read(&Keys(pairs.map(|(k, v)| (k.trim().to_owned(), v.trim().to_owned())).collect()))
+}
+
+/// The settings as nested JSON: its paths are the text's, lists of plain values are joined by commas.
+///
+/// # Errors
+/// A line that names the key and its impossible value.
+pub fn from_json(object: &Value) -> Result<Told, String> {
+    let mut flat = BTreeMap::new();
+    flatten(String::new(), object, &mut flat);
+    let keys = Keys(flat);
+    let module = read(&keys)?;
+    let names = |list: &str, n: usize| (0..n).map(|i| keys.name(&format!("{list}.{i}.name"))).collect();
+    let plain = |key: &str| keys.list(key).into_iter().map(str::to_owned).collect();
+    Ok(Told {
+        classes: names("classes", module.classes.len()),
+        tenants: names("parties", module.tenants.len()),
+        zones: plain("failure_domains"),
+        kinds: plain("host_types"),
+        report_fields: if module.report_fields.is_empty() { Vec::new() } else { plain("report.fields") },
+        keepalive: keys.span("limits.keepalive_us")?,
+        dial_timeout: keys.span("limits.dial_timeout_us")?,
+        most_open: keys.get("limits.max_open")?.unwrap_or(0),
+        module,
+    })
+}
+
+fn flatten(path: String, value: &Value, out: &mut BTreeMap<String, String>) {
+    let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    let plain = |value: &Value| match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    match value {
+        Value::Null => {}
+        Value::Object(object) => object.iter().for_each(|(name, value)| flatten(below(name), value, out)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            out.insert(below("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(i, value)| flatten(below(&i.to_string()), value, out));
+        }
+        Value::Array(items) => {
+            // Commas separate: the text's own rule for names that hold one.
+            let items: Vec<String> = items.iter().map(|v| plain(v).replace(',', "_")).collect();
+            out.insert(path, items.join(","));
+        }
+        other => {
+            out.insert(path, plain(other));
+        }
+    }
+}
+
+fn read(keys: &Keys) -> Result<Settings, String> {
     let roles = keys.list("family_info.kind_role").into_iter().map(|role| match role {
         "read" => Ok(Role::Prefill),
         "write" => Ok(Role::Decode),
@@ -100,8 +184,9 @@
         tenants.push(TenantSettings { quota_per_s: keys.number(&format!("parties.{i}.quota_per_s"))? });
     }
     let report_fields = match keys.0.get("report.source") {
-        None | Some(&"none") => Vec::new(),
-        Some(_) => keys.list("report.fields").into_iter().map(|name| report_field(name, &keys)).collect(),
+        None => Vec::new(),
+        Some(source) if source == "none" => Vec::new(),
+        Some(_) => keys.list("report.fields").into_iter().map(|name| report_field(name, keys)).collect(),
     };
     Ok(Settings {
         nodes,
@@ -135,7 +220,7 @@
 }
 
 fn report_field(name: &str, keys: &Keys) -> ReportField {
-    let meaning = |key| keys.0.get(key).copied().unwrap_or("");
+    let meaning = |key| keys.0.get(key).map_or("", String::as_str);
     match name {
         "outstanding" => ReportField::Outstanding,
         "backlog" => ReportField::Backlog,
--- a/crates/ivyward-world/src/smol.rs
+++ b/crates/ivyward-world/src/smol.rs
@@ -17,6 +17,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// The clock's fixed moment lies so long before a world begins, so that what started before it has a time on it.
+const BEFORE: Micros = 3_600_000_000;
 /// How many connections may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -115,7 +117,7 @@
 
 impl World for SmolWorld {
     fn now(&self) -> Micros {
-        self.begun.elapsed().as_micros() as Micros + 1_000_000
+        self.begun.elapsed().as_micros() as Micros + BEFORE
     }
     fn unix_micros(&self) -> Micros {
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
--- a/crates/ivyward/src/attempt.rs
+++ b/crates/ivyward/src/attempt.rs
@@ -4,8 +4,8 @@
 //! it is the module's.
 
 use crate::answer::{Buffer, Over};
-use crate::driver::{Ended, Notice, Shared};
-use crate::link::{DialError, Link};
+use crate::engines::{End, Job, Stop};
+use crate::link::{DialError, GrpcLink};
 use futures_lite::future::{or, poll_fn};
 use ivyward_core::interface::{Micros, Outcome, Report, ReportField};
 use ivyward_core::planted::{self, Defect};
@@ -13,46 +13,36 @@
 use ivyward_wire::{encode, Call, CallError, Cause};
 use ivyward_world::{BoxFuture, WorldRef};
 use prost::Message;
+use std::ops::Deref;
 use std::sync::Arc;
 
-/// What the driver may tell a running attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Stop {
-    /// The module no longer waits for it. One whose stream has begun goes on.
-    CallOff,
-    /// Nobody wants its answer any more.
-    GiveUp,
-}
-
 /// What an attempt asks of its engine.
 pub(crate) enum Ask {
     Read(pb::ReadRequest),
     Write(pb::WriteRequest),
 }
 
-pub(crate) struct Job {
-    pub(crate) shared: Arc<Shared>,
-    pub(crate) link: Arc<Link>,
-    pub(crate) request: u64,
-    pub(crate) attempt: u16,
-    pub(crate) ask: Ask,
-    /// When it ends without a first token.
-    pub(crate) until: Micros,
-    pub(crate) buffer: Arc<Buffer>,
-    pub(crate) stop: async_channel::Receiver<Stop>,
+impl Ask {
+    fn most_tokens(&self) -> u32 {
+        match self {
+            Ask::Write(write) => write.max_output_tokens,
+            Ask::Read(_) => 0,
+        }
+    }
 }
 
-/// How an attempt ended, and what is to be said of it.
-pub(crate) struct End {
-    pub(crate) outcome: Outcome,
-    pub(crate) kept: u32,
-    pub(crate) report: Report,
-    pub(crate) text: String,
+/// An attempt in gRPC's terms.
+pub(crate) struct Work {
+    pub(crate) job: Job,
+    pub(crate) link: Arc<GrpcLink>,
+    pub(crate) ask: Ask,
+    pub(crate) buffer: Arc<Buffer>,
 }
 
-impl End {
-    fn new(outcome: Outcome, text: impl Into<String>) -> End {
-        End { outcome, kept: 0, report: Report::default(), text: text.into() }
+impl Deref for Work {
+    type Target = Job;
+    fn deref(&self) -> &Job {
+        &self.job
     }
 }
 
@@ -109,30 +99,21 @@
     Late,
 }
 
-async fn stopped(stop: &async_channel::Receiver<Stop>) -> Stop {
-    match stop.recv().await {
-        Ok(stop) => stop,
-        // The driver is gone, and the node with it.
-        Err(_) => Stop::GiveUp,
-    }
-}
-
-/// Runs an attempt and tells the driver its one outcome.
-pub(crate) async fn run(job: Job) {
-    let end = attempt(&job).await;
-    job.link.call_ended();
-    let ended = Ended { request: job.request, attempt: job.attempt, end };
-    job.shared.tell(Notice::Ended(ended));
+/// Runs an attempt to its one outcome.
+pub(crate) async fn run(work: Work) -> End {
+    let end = attempt(&work).await;
+    work.link.call_ended();
+    end
 }
 
-async fn attempt(job: &Job) -> End {
+async fn attempt(job: &Work) -> End {
     let world = &job.shared.world;
     if job.until <= world.now() {
         return End::new(Outcome::NotSent, "no time left");
     }
     let channel = {
         let dial = async { Woken::Next(job.link.channel(job.until).await) };
-        match or(dial, async { Woken::Stopped(stopped(&job.stop).await) }).await {
+        match or(dial, async { Woken::Stopped(job.stopped().await) }).await {
             Woken::Next(Ok(channel)) => channel,
             Woken::Next(Err(e @ (DialError::Failed(..) | DialError::Late(_)))) => {
                 return End::new(Outcome::ConnectFailed, e.to_string());
@@ -175,12 +156,12 @@
 
 /// Waits for the next message, a word from the driver, or the timer.
 async fn next<M: Message + Default>(
-    job: &Job,
+    job: &Work,
     call: &mut Call,
     timer: &mut BoxFuture<()>,
 ) -> Woken<Result<Option<M>, CallError>> {
     or(async { Woken::Next(call.next::<M>().await) }, async {
-        or(async { Woken::Stopped(stopped(&job.stop).await) }, async {
+        or(async { Woken::Stopped(job.stopped().await) }, async {
             timer.await;
             Woken::Late
         })
@@ -190,7 +171,7 @@
 }
 
 /// The first message, or the end of an attempt without one.
-async fn first<M: Message + Default>(job: &Job, call: &mut Call) -> Result<M, End> {
+async fn first<M: Message + Default>(job: &Work, call: &mut Call) -> Result<M, End> {
     let mut timer = job.shared.world.sleep_until(job.until);
     match next::<M>(job, call, &mut timer).await {
         Woken::Stopped(_) => Err(End::new(Outcome::Cancelled, "called off")),
@@ -201,7 +182,7 @@
     }
 }
 
-fn same_engine(job: &Job, got: u64) -> Result<(), End> {
+fn same_engine(job: &Work, got: u64) -> Result<(), End> {
     match job.link.id.0 == got {
         true => Ok(()),
         false => {
@@ -210,7 +191,7 @@
     }
 }
 
-async fn read(job: &Job, call: &mut Call) -> End {
+async fn read(job: &Work, call: &mut Call) -> End {
     let reply = match first::<pb::ReadReply>(job, call).await {
         Ok(reply) => reply,
         Err(end) => return end,
@@ -229,7 +210,7 @@
     end
 }
 
-async fn write(job: &Job, call: &mut Call) -> End {
+async fn write(job: &Work, call: &mut Call) -> End {
     let event = match first::<pb::WriteEvent>(job, call).await {
         Ok(event) => event,
         Err(end) => return end,
@@ -243,9 +224,9 @@
 }
 
 /// Passes a stream on until its end.
-async fn stream(job: &Job, call: &mut Call, first: pb::WriteEvent) -> Result<End, End> {
+async fn stream(job: &Work, call: &mut Call, first: pb::WriteEvent) -> Result<End, End> {
     let world = &job.shared.world;
-    let most = job.shared.most_tokens(&job.ask);
+    let most = job.ask.most_tokens();
     let bad = |text: String| End::new(Outcome::Error, text);
     let (mut expected, mut event, mut told) = (0u32, Some(first), false);
     let mut stall = Stall::new(world, job.shared.settings.stream_stall);
@@ -287,7 +268,7 @@
                 job.shared.metrics.buffered_most.most(waiting as u64);
                 if !told {
                     told = true;
-                    job.shared.tell(Notice::First(job.request, job.attempt));
+                    job.first();
                 }
                 // A slow client holds up its own stream alone: its engine is read on when there is room.
                 room(job).await.map_err(|Over| End::new(Outcome::Cancelled, "given up"))?;
@@ -298,7 +279,7 @@
                     return Err(bad(format!("the engine counts {} tokens, {expected} came", done.tokens)));
                 }
                 if !told {
-                    job.shared.tell(Notice::First(job.request, job.attempt));
+                    job.first();
                 }
                 let report = report(done.load.as_ref(), &job.shared.router_settings.report_fields);
                 return Ok(End { kept: done.kept_tokens, report, ..End::new(Outcome::Served, "served") });
@@ -312,10 +293,10 @@
 }
 
 /// Waits until the client has room, or nobody wants the tokens any more.
-async fn room(job: &Job) -> Result<(), Over> {
+async fn room(job: &Work) -> Result<(), Over> {
     let free = poll_fn(|cx| job.buffer.poll_room(cx));
     let given_up = async {
-        while stopped(&job.stop).await == Stop::CallOff {}
+        while job.stopped().await == Stop::CallOff {}
         Err(Over)
     };
     or(free, given_up).await
--- a/crates/ivyward/src/driver.rs
+++ b/crates/ivyward/src/driver.rs
@@ -3,128 +3,49 @@
 //! It decides nothing itself. What the module is told goes through [`Driver::tell`], what it asks for through
 //! [`Driver::carry_out`]; both are what a recording holds.
 
-use crate::answer::{Buffer, Failure, Final, Refusal};
-use crate::attempt::{self, Ask, End, Job, Stop};
-use crate::link::Link;
-use crate::metrics::Metrics;
+use crate::answer::{Failure, Final, Refusal};
+use crate::engines::{Call, End, Held, HoldJob, Job, Kept, LinkRef, ReleaseJob, Stop};
 use crate::record::Recorder;
-use crate::settings::{NodeSettings, KINDS};
+use crate::shared::{Ended, Notice, Shared, Taken};
 use futures_lite::future::or;
 use ivyward_core::interface as core;
 use ivyward_core::interface::{
-    Action, Arrival, Condition, Event, ListKind, Micros, Outcome, RequestId, Role, ServerId,
+    Action, Condition, Event, ListKind, Micros, Outcome, RequestId, Role, ServerId,
 };
 use ivyward_core::planted::{self, Defect};
 use ivyward_core::rules::Router;
-use ivyward_proto::engine as pb;
-use ivyward_wire::encode;
-use ivyward_world::{before, BoxFuture, WorldExt, WorldRef};
+use ivyward_world::{BoxFuture, WorldExt};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use tracing::{debug, info, warn};
 
+fn same(a: &LinkRef, b: &LinkRef) -> bool {
+    std::ptr::addr_eq(Arc::as_ptr(a), Arc::as_ptr(b))
+}
+
 /// An engine as a list names it, with its address.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Engine {
-    /// What the module is told. `kind` is an index into [`KINDS`].
+    /// What the module is told. `kind` is an index into the module's roles.
     pub entry: core::ServerEntry,
     /// Where it listens.
     pub address: SocketAddr,
 }
 
-/// A request that was taken in.
-pub(crate) struct Taken {
-    pub(crate) id: u64,
-    pub(crate) arrival: Arrival,
-    pub(crate) prompt: Arc<Vec<u32>>,
-    pub(crate) class: String,
-    pub(crate) call_id: u64,
-    pub(crate) key: String,
-    /// Without a first token by then, the client gives up.
-    pub(crate) first_by: Micros,
-    /// Without the end by then, the client gives up; `None` for never.
-    pub(crate) end_by: Option<Micros>,
-    pub(crate) buffer: Arc<Buffer>,
-}
-
-pub(crate) struct Ended {
-    pub(crate) request: u64,
-    pub(crate) attempt: u16,
-    pub(crate) end: End,
-}
-
-/// What the driver is told.
-pub(crate) enum Notice {
-    Request(Box<Taken>),
-    Gone(u64),
-    First(u64, u16),
-    Ended(Ended),
-    Place { request: u64, attempt: u16, link: Arc<Link>, held: bool },
-    Probed { server: ServerId, alive: bool, report: core::Report },
-    Fleet { kind: ListKind, engines: Vec<Engine>, done: async_channel::Sender<()> },
-    Stop { by: Micros },
-    Flush(async_channel::Sender<()>),
-}
-
-/// What the parts of a node share.
-pub(crate) struct Shared {
-    pub(crate) world: WorldRef,
-    pub(crate) settings: NodeSettings,
-    pub(crate) router_settings: core::Settings,
-    /// Names this run of the node to engines.
-    pub(crate) incarnation: u64,
-    /// Holds at most a few notices for each open request (its arrival, its end, and each attempt's first token
-    /// and end) beside what the node's owner tells and awaits, so `most_open` bounds it.
-    pub(crate) notices: async_channel::Sender<Notice>,
-    pub(crate) open: AtomicUsize,
-    pub(crate) next_id: AtomicU64,
-    pub(crate) stopping: AtomicBool,
-    pub(crate) stop_told: event_listener::Event,
-    pub(crate) releases: AtomicUsize,
-    pub(crate) metrics: Metrics,
-}
-
-impl Shared {
-    pub(crate) fn tell(&self, notice: Notice) {
-        // Fails only when the driver is gone, and the node with it.
-        let _ = self.notices.try_send(notice);
-    }
-    /// An attempt as engines know it.
-    fn key(&self, request: u64, attempt: u16) -> Option<pb::AttemptKey> {
-        Some(pb::AttemptKey { node: self.incarnation, request, attempt: u32::from(attempt) })
-    }
-    pub(crate) fn most_tokens(&self, ask: &Ask) -> u32 {
-        match ask {
-            Ask::Write(write) => write.max_output_tokens,
-            Ask::Read(_) => 0,
-        }
-    }
-}
-
 struct Attempt {
-    link: Option<Arc<Link>>,
+    link: Option<LinkRef>,
     reads: bool,
     out: bool,
     stop: async_channel::Sender<Stop>,
 }
 
-/// Something that may be kept at an engine for a request.
-struct Kept {
-    link: Arc<Link>,
-    /// The attempt whose key it is kept under.
-    attempt: u16,
-    place: bool,
-    /// The write that was sent when the place was known to be held: its engine uses it for that one.
-    used_by: Option<u16>,
-}
-
 struct Open {
     taken: Box<Taken>,
     attempts: Vec<Attempt>,
     /// Where its read state waits: an index into `kept` is too fragile, so link and attempt.
-    state: Option<(Arc<Link>, u16)>,
+    state: Option<(LinkRef, u16)>,
     kept: Vec<Kept>,
     /// Holds that are under way; dropping one ends it.
     holds: Vec<async_channel::Sender<()>>,
@@ -142,7 +63,7 @@
     router: Router,
     recorder: Option<Recorder>,
     open: BTreeMap<u64, Open>,
-    links: BTreeMap<ServerId, (Arc<Link>, u8)>,
+    links: BTreeMap<ServerId, (LinkRef, u8)>,
     deadlines: BTreeSet<(Micros, u64)>,
     timers: BTreeSet<(Micros, u64, u64)>,
     timer_seq: u64,
@@ -269,7 +190,7 @@
         if !open.answered {
             open.answered = true;
             open.holds.clear();
-            if open.taken.buffer.finish(Final::Failed(why)) {
+            if open.taken.call.finish(Final::Failed(why)) {
                 self.shared.metrics.failed.add(1);
             }
             self.tell(Event::ClientGone(RequestId(id)));
@@ -292,7 +213,9 @@
             Notice::Gone(id) => self.on_gone(id),
             Notice::First(id, attempt) => self.on_first(id, attempt),
             Notice::Ended(ended) => self.on_ended(ended),
-            Notice::Place { request, attempt, link, held } => self.on_place(request, attempt, link, held),
+            Notice::Place { request, attempt, link, call, held } => {
+                self.on_place(request, attempt, (link, call), held)
+            }
             Notice::Probed { server, alive, report } => self.tell(Event::Probed { server, alive, report }),
             Notice::Fleet { kind, engines, done } => {
                 self.on_fleet(kind, engines);
@@ -370,7 +293,7 @@
             Final::Refused { .. } => &self.shared.metrics.refused,
             Final::Failed(_) => &self.shared.metrics.failed,
         };
-        if open.taken.buffer.finish(end) {
+        if open.taken.call.finish(end) {
             counter.add(1);
         }
     }
@@ -389,7 +312,8 @@
 
     fn on_request(&mut self, taken: Box<Taken>) {
         let now = self.shared.world.now();
-        let (id, mut arrival) = (taken.id, taken.arrival);
+        let mut arrival = taken.arrival;
+        let id = arrival.id.0;
         // The module's time ends at once with ours, whenever this notice was taken up.
         arrival.patience = taken.first_by.saturating_sub(now);
         let deadline = self.backstop(taken.first_by);
@@ -431,7 +355,7 @@
         }
         self.shared.metrics.gone.add(1);
         // Tokens that an attempt still has in hand go nowhere.
-        open.taken.buffer.finish(Final::Failed(Failure::Broken("the client left".into())));
+        open.taken.call.finish(Final::Failed(Failure::Broken("the client left".into())));
         let streaming = open.streaming;
         self.tell(Event::ClientGone(RequestId(id)));
         if streaming {
@@ -453,14 +377,18 @@
         }
         // What the writer fetched or took is let go by that; the rest is let go now.
         let used = open.state.take();
-        let rest: Vec<Kept> = std::mem::take(&mut open.kept);
+        let (call, mut rest) = (open.taken.call.clone(), std::mem::take(&mut open.kept));
+        if !self.shared.protocol.one_by_one() {
+            // There the stream itself lets go of the rest.
+            rest.clear();
+        }
         for kept in rest {
             let used_here = match kept.place {
                 true => kept.used_by == Some(attempt),
-                false => used.as_ref().is_some_and(|u| Arc::ptr_eq(&u.0, &kept.link) && u.1 == kept.attempt),
+                false => used.as_ref().is_some_and(|u| same(&u.0, &kept.link) && u.1 == kept.attempt),
             };
             if !used_here {
-                self.let_go(id, kept.link, kept.attempt);
+                self.let_go(id, call.clone(), vec![kept]);
             }
         }
         self.tell(Event::FirstToken { request: RequestId(id), attempt });
@@ -481,25 +409,29 @@
             end.outcome,
             Outcome::ConnectFailed | Outcome::NotSent | Outcome::Full | Outcome::StateLost | Outcome::Read
         );
+        let (call, mut over) = (open.taken.call.clone(), Vec::new());
+        let one_by_one = self.shared.protocol.one_by_one();
         if let Some(link) = link {
-            if reads && end.outcome == Outcome::Read {
-                open.kept.push(Kept { link: link.clone(), attempt: no, place: false, used_by: None });
+            let sure = end.outcome == Outcome::Read;
+            let kept = Kept { link: link.clone(), attempt: no, place: false, sure, used_by: None };
+            if reads && sure {
+                open.kept.push(kept);
                 open.state = Some((link, no));
             } else if reads && unknown && !planted::is(Defect::ReadForgotten) {
                 // A read whose end is not known may have left a state that nobody will fetch.
-                let_go(&self.shared, id, &link, no, Sure::Unknown);
+                if one_by_one { &mut over } else { &mut open.kept }.push(kept);
             }
         }
-        let Some(open) = self.open.get_mut(&id) else { return };
         if end.outcome == Outcome::StateLost {
             open.state = None;
-            // A writer that could not reach the state says the same, and then it is still there.
-            let (places, states): (Vec<Kept>, Vec<Kept>) = open.kept.drain(..).partition(|k| k.place);
-            open.kept = places;
-            for kept in states {
-                self.let_go(id, kept.link, kept.attempt);
+            if one_by_one {
+                // A writer that could not reach the state says the same, and then it is still there.
+                let (places, states): (Vec<Kept>, Vec<Kept>) = open.kept.drain(..).partition(|k| k.place);
+                open.kept = places;
+                over.extend(states);
             }
         }
+        over.into_iter().for_each(|kept| self.let_go(id, call.clone(), vec![kept]));
         let Some(open) = self.open.get_mut(&id) else { return };
         let (broke, served) =
             (open.streaming && end.outcome != Outcome::Served, end.outcome == Outcome::Served);
@@ -521,16 +453,21 @@
         self.sweep(id);
     }
 
-    fn on_place(&mut self, id: u64, attempt: u16, link: Arc<Link>, held: bool) {
-        let server = link.id;
+    fn on_place(&mut self, id: u64, attempt: u16, from: (LinkRef, Arc<dyn Call>), held: Held) {
+        let (link, call) = from;
+        let (server, may_be) = (link.id(), held != Held::No);
+        let kept = Kept { link, attempt, place: true, sure: held == Held::Yes, used_by: None };
+        // What is not sure is let go of at once, or with all that the request leaves.
+        let stays = held == Held::Yes || !self.shared.protocol.one_by_one();
         match self.open.get_mut(&id).filter(|o| !o.answered && !o.streaming) {
-            Some(open) if held => open.kept.push(Kept { link, attempt, place: true, used_by: None }),
+            Some(open) if may_be && stays => open.kept.push(kept),
+            Some(_) if may_be => self.let_go(id, call, vec![kept]),
             Some(_) => {}
             // The request ended meanwhile.
-            None if held => return self.let_go(id, link, attempt),
+            None if may_be => return self.let_go(id, call, vec![kept]),
             None => return,
         }
-        self.tell(Event::PlaceAnswer { request: RequestId(id), server, held });
+        self.tell(Event::PlaceAnswer { request: RequestId(id), server, held: held == Held::Yes });
     }
 
     fn on_fleet(&mut self, kind: ListKind, engines: Vec<Engine>) {
@@ -547,7 +484,7 @@
         let mut entries = Vec::with_capacity(engines.len());
         for engine in engines {
             let Engine { entry, address } = engine;
-            let Some(role) = KINDS.get(usize::from(entry.kind)) else {
+            let Some(role) = self.role(entry.kind) else {
                 warn!(
                     engine = entry.id.0,
                     kind = entry.kind,
@@ -556,7 +493,7 @@
                 continue;
             };
             debug!(engine = entry.id.0, ?role, condition = ?entry.condition, %address, "listed");
-            let moved = self.links.get(&entry.id).is_some_and(|(link, _)| link.address != address);
+            let moved = self.links.get(&entry.id).is_some_and(|(link, _)| link.address() != address);
             if moved || entry.condition == Condition::Gone {
                 if let Some((link, _)) = self.links.remove(&entry.id) {
                     link.set_closing(true);
@@ -564,9 +501,10 @@
             }
             if entry.condition != Condition::Gone {
                 let shared = &self.shared;
-                let (link, kind) = self.links.entry(entry.id).or_insert_with(|| {
-                    (Link::new(&shared.world, entry.id, address, &shared.settings), entry.kind)
-                });
+                let (link, kind) = self
+                    .links
+                    .entry(entry.id)
+                    .or_insert_with(|| (shared.protocol.link(shared, &engine), entry.kind));
                 *kind = entry.kind;
                 link.set_closing(entry.condition != Condition::Ready);
             }
@@ -576,250 +514,104 @@
         self.tell(Event::Fleet { kind, entries });
     }
 
-    fn header(&self, id: u64, attempt: u16, server: ServerId, open: &Open) -> pb::Header {
-        pb::Header {
-            key: self.shared.key(id, attempt),
-            engine: server.0,
-            call_id: open.taken.call_id,
-            class: open.taken.class.clone(),
-            idempotency_key: open.taken.key.clone(),
-        }
+    fn role(&self, kind: u8) -> Option<Role> {
+        self.shared.router_settings.roles.get(usize::from(kind)).copied()
     }
 
     fn send(&mut self, now: Micros, id: u64, server: ServerId, timeout: Micros) {
         let shared = self.shared.clone();
-        let Some(open) = self.open.get(&id) else { return };
-        let no = open.attempts.len() as u16;
         let found = self.links.get(&server).cloned();
+        let reads = found.as_ref().is_some_and(|(_, kind)| self.role(*kind) == Some(Role::Prefill));
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let no = open.attempts.len() as u16;
         // The module sees to both; a message to an engine is too late to find out.
         let ill = open.answered || open.attempts.iter().any(|a| a.out);
         if ill {
             warn!(request = id, "the module asked for an attempt beside another, or after the end: not sent");
         }
-        let reads = found.as_ref().is_some_and(|(_, kind)| KINDS[usize::from(*kind)] == Role::Prefill);
         let (stop_tx, stop) = async_channel::bounded(1);
         let attempt = Attempt { link: found.clone().map(|f| f.0), reads, out: true, stop: stop_tx };
         let job = found.filter(|_| !ill).map(|(link, _)| {
-            let (taken, header) = (&open.taken, Some(self.header(id, no, server, open)));
-            let (opening, opening_tokens) = (taken.arrival.prefix, taken.arrival.prefix_tokens as u32);
-            let (prompt, session) = (taken.prompt.to_vec(), taken.arrival.session);
-            let ask = if reads {
-                Ask::Read(pb::ReadRequest { header, prompt, opening, opening_tokens, session })
-            } else {
-                let state = open.state.as_ref().map(|(at, attempt)| pb::StateRef {
-                    key: shared.key(id, *attempt),
-                    engine: at.id.0,
-                    address: at.address.to_string(),
-                });
-                let max_output_tokens = taken.arrival.max_output as u32;
-                Ask::Write(pb::WriteRequest {
-                    header,
-                    prompt,
-                    opening,
-                    opening_tokens,
-                    session,
-                    max_output_tokens,
-                    state,
-                })
-            };
-            let until =
-                if timeout == 0 { taken.first_by } else { taken.first_by.min(now.saturating_add(timeout)) };
-            let buffer = taken.buffer.clone();
-            Job { shared: shared.clone(), link, request: id, attempt: no, ask, until, buffer, stop }
+            let first_by = open.taken.first_by;
+            let until = if timeout == 0 { first_by } else { first_by.min(now.saturating_add(timeout)) };
+            let (shared, call) = (shared.clone(), open.taken.call.clone());
+            let state = open.state.clone().filter(|_| !reads);
+            (link, Job { shared, call, request: id, attempt: no, reads, state, until, stop })
         });
-        if let Some(open) = self.open.get_mut(&id) {
-            // Guards against places that outlast their request: a writer takes the one that was held beside the read whose
-            // state it fetches. It knows nothing of one held beside a read that failed, and a hold whose answer is not
-            // here yet may reach it after the write.
-            let read = open.state.as_ref().map(|s| s.1);
-            for kept in open.kept.iter_mut().filter(|k| k.place && !reads && k.link.id == server) {
-                let fetched = Some(kept.attempt) == read || planted::is(Defect::PlaceForgotten);
-                kept.used_by = fetched.then_some(no);
-            }
-            open.attempts.push(attempt);
-        }
+        // Guards against places that outlast their request: a writer takes the one that was held beside the read whose
+        // state it fetches. It knows nothing of one held beside a read that failed, and a hold whose answer is not
+        // here yet may reach it after the write.
+        let read = open.state.as_ref().map(|s| s.1);
+        for kept in open.kept.iter_mut().filter(|k| k.place && !reads && k.link.id() == server) {
+            let fetched = Some(kept.attempt) == read || planted::is(Defect::PlaceForgotten);
+            kept.used_by = fetched.then_some(no);
+        }
+        open.attempts.push(attempt);
+        let tell = move |shared: &Shared, end| {
+            shared.tell(Notice::Ended(Ended { request: id, attempt: no, end }));
+        };
         match job {
-            Some(job) => {
+            Some((link, job)) => {
                 shared.metrics.attempts.add(1);
-                shared.world.run(attempt::run(job));
-            }
-            None => {
-                let end = End {
-                    outcome: Outcome::NotSent,
-                    kept: 0,
-                    report: core::Report::default(),
-                    text: String::new(),
-                };
-                shared.tell(Notice::Ended(Ended { request: id, attempt: no, end }));
+                shared.world.clone().run(async move {
+                    let end = link.attempt(job).await;
+                    tell(&shared, end);
+                });
             }
+            None => tell(&shared, End::new(Outcome::NotSent, "")),
         }
     }
 
     /// Lets go of everything that may be kept for a request.
     fn release(&mut self, id: u64) {
+        let one_by_one = self.shared.protocol.one_by_one();
         let Some(open) = self.open.get_mut(&id) else { return };
-        open.state = None;
         open.holds.clear();
-        for kept in std::mem::take(&mut open.kept) {
-            self.let_go(id, kept.link, kept.attempt);
+        // Guards against letting go of what an attempt still needs, or is about to leave: its end comes here again.
+        if !one_by_one && open.attempts.iter().any(|a| a.out) {
+            return;
+        }
+        open.state = None;
+        let (call, kept) = (open.taken.call.clone(), std::mem::take(&mut open.kept));
+        if one_by_one {
+            for kept in kept {
+                self.let_go(id, call.clone(), vec![kept]);
+            }
+        } else if !kept.is_empty() {
+            self.let_go(id, call, kept);
         }
     }
 
-    /// Asks an engine to let go, again with growing pauses while it cannot be reached; after that its own limit
-    /// lets go. The first try leaves at once.
-    fn let_go(&self, id: u64, link: Arc<Link>, attempt: u16) {
-        let_go(&self.shared, id, &link, attempt, Sure::Known);
+    /// Asks engines to let go. The first try leaves at once.
+    fn let_go(&self, request: u64, call: Arc<dyn Call>, kept: Vec<Kept>) {
+        let here = |id| kept.iter().any(|k| k.link.id() == id);
+        let others = match self.shared.protocol.one_by_one() {
+            true => Vec::new(),
+            false => self.links.values().filter(|l| !here(l.0.id())).map(|l| l.0.clone()).collect(),
+        };
+        self.shared.protocol.release(&self.shared, ReleaseJob { call, request, kept, others });
     }
 
     fn hold(&mut self, id: u64, server: ServerId) {
         let link = self.links.get(&server).map(|(link, _)| link.clone());
-        let (Some(open), Some(link)) = (self.open.get(&id), link) else { return };
+        let (Some(open), Some(link)) = (self.open.get_mut(&id), link) else { return };
         let attempt = (open.attempts.len() as u16).saturating_sub(1);
-        let prompt_tokens = open.taken.prompt.len() as u32;
-        let header = Some(self.header(id, attempt, server, open));
-        let body = encode(&pb::HoldRequest { header, prompt_tokens });
         let (stop, stopped) = async_channel::bounded(1);
-        if let Some(open) = self.open.get_mut(&id) {
-            open.holds.push(stop);
-        }
-        let shared = self.shared.clone();
+        open.holds.push(stop);
+        let (shared, call) = (self.shared.clone(), open.taken.call.clone());
         shared.world.clone().run(async move {
-            let held = match hold(&shared, &link, body, &stopped).await {
-                Hold::Answered(held) => held,
-                Hold::NotSent => false,
-                Hold::Unknown => {
-                    // It may hold a place all the same.
-                    let_go(&shared, id, &link, attempt, Sure::Unknown);
-                    false
-                }
-            };
-            shared.tell(Notice::Place { request: id, attempt, link, held });
+            let job = HoldJob { shared: shared.clone(), call: call.clone(), request: id, attempt, stopped };
+            let held = link.clone().hold(job).await;
+            shared.tell(Notice::Place { request: id, attempt, link, call, held });
         });
     }
 
     fn probe(&mut self, server: ServerId) {
         let Some((link, _)) = self.links.get(&server).cloned() else { return };
-        let (shared, world) = (self.shared.clone(), self.shared.world.clone());
-        world.clone().run(async move {
-            let body = encode(&pb::ProbeRequest { engine: server.0 });
-            let reply =
-                unary::<pb::ProbeReply>(&world, &link, "/ivyward.engine.v1.Engine/Probe", body, &shared)
-                    .await;
-            let alive = reply.as_ref().is_some_and(|r| r.engine == server.0);
-            let load = reply.and_then(|r| r.load);
-            let report = attempt::report(load.as_ref(), &shared.router_settings.report_fields);
+        let shared = self.shared.clone();
+        shared.world.clone().run(async move {
+            let (alive, report) = link.probe(shared.clone()).await;
             shared.tell(Notice::Probed { server, alive, report });
         });
     }
 }
-
-/// Whether something is kept.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Sure {
-    /// The engine said so.
-    Known,
-    /// Its call was given up, and may still be on its way.
-    Unknown,
-}
-
-/// Asks an engine to let go. See [`Driver::let_go`]. What may still be on its way is asked for again while a state may be
-/// kept: a release on another connection may come before the call that it is about.
-fn let_go(shared: &Arc<Shared>, id: u64, link: &Arc<Link>, attempt: u16, sure: Sure) {
-    let (shared, link) = (shared.clone(), link.clone());
-    if shared.releases.fetch_add(1, Ordering::SeqCst) >= shared.settings.most_releases {
-        shared.releases.fetch_sub(1, Ordering::SeqCst);
-        shared.metrics.releases_dropped.add(1);
-        return;
-    }
-    shared.metrics.releases.add(1);
-    let body = encode(&pb::ReleaseRequest { key: shared.key(id, attempt), engine: link.id.0 });
-    let world = shared.world.clone();
-    world.clone().run(async move {
-        let give_up = world.now().saturating_add(shared.settings.release_tries);
-        let look_until = world.now().saturating_add(shared.router_settings.release_within);
-        let mut pause = shared.settings.redial_first;
-        loop {
-            let reply = unary::<pb::ReleaseReply>(&world, &link, RELEASE, body.clone(), &shared).await;
-            let next = world.now().saturating_add(pause);
-            match reply {
-                Some(reply) if reply.released || sure == Sure::Known || next > look_until => break,
-                None if next > give_up => {
-                    shared.metrics.releases_dropped.add(1);
-                    break;
-                }
-                _ => {}
-            }
-            world.sleep(pause).await;
-            pause = (pause * 2).min(shared.settings.redial_most);
-        }
-        shared.releases.fetch_sub(1, Ordering::SeqCst);
-    });
-}
-
-/// How a hold ended.
-enum Hold {
-    /// The engine said whether it holds a place.
-    Answered(bool),
-    /// Nothing left for the engine.
-    NotSent,
-    /// It may hold one.
-    Unknown,
-}
-
-/// Asks for a place until the request no longer needs one. Guards against holds that outlast their request: one that waits
-/// for a connection is never sent, one that has left is let go of at once.
-async fn hold(
-    shared: &Arc<Shared>,
-    link: &Arc<Link>,
-    body: bytes::Bytes,
-    stopped: &async_channel::Receiver<()>,
-) -> Hold {
-    let until = shared.world.now().saturating_add(2 * shared.settings.dial_timeout);
-    let over = || async {
-        // Ends when the sender is dropped.
-        let _ = stopped.recv().await;
-    };
-    let dialed = or(async { link.channel(until).await.ok() }, async {
-        over().await;
-        None
-    });
-    let Some(channel) = dialed.await else { return Hold::NotSent };
-    // Told during the dial: nothing new goes to an engine that drains or is gone.
-    if link.closing() && !planted::is(Defect::ClosingIgnored) || stopped.is_closed() {
-        return Hold::NotSent;
-    }
-    let path = "/ivyward.engine.v1.Engine/Hold";
-    let Ok(mut call) = channel.call(path, body, http::HeaderMap::new()).await else { return Hold::NotSent };
-    let reply = or(async { before(&shared.world, until, call.next::<pb::HoldReply>()).await }, async {
-        over().await;
-        None
-    });
-    let reply = reply.await;
-    // Its reset goes ahead of the release, so that an engine that hangs never takes the hold up after it.
-    let left = call.abandon(shared.settings.reset_wait).await;
-    link.call_ended();
-    match reply {
-        Some(Ok(Some(reply))) if reply.engine == link.id.0 => Hold::Answered(reply.held),
-        _ if left => Hold::Unknown,
-        _ => Hold::NotSent,
-    }
-}
-
-const RELEASE: &str = "/ivyward.engine.v1.Engine/Release";
-
-/// A short call whose failure is nobody's outcome.
-async fn unary<M: prost::Message + Default>(
-    world: &WorldRef,
-    link: &Arc<Link>,
-    path: &'static str,
-    body: bytes::Bytes,
-    shared: &Shared,
-) -> Option<M> {
-    let until = world.now().saturating_add(2 * shared.settings.dial_timeout);
-    let channel = link.channel(until).await.ok()?;
-    let mut call = channel.call(path, body, http::HeaderMap::new()).await.ok()?;
-    let reply = before(world, until, call.next::<M>()).await;
-    drop(call);
-    link.call_ended();
-    reply?.ok()?
-}
--- /dev/null
+++ b/crates/ivyward/src/engines.rs
@@ -0,0 +1,179 @@
+//! What the driver asks of whoever speaks to engines, and what it is told back: the seam between the one driver and the
+//! protocols behind it.
+//!
+//! A protocol knows how a prompt, an answer and the keys under which engines hold things look; the driver passes them on
+//! unseen. The driver knows requests, deadlines, timers and what may be held where; a protocol decides nothing of that.
+
+use crate::answer::Final;
+use crate::driver::Engine;
+use crate::shared::{Notice, Shared};
+use ivyward_core::interface::{Micros, Outcome, Report, ServerId};
+use ivyward_world::BoxFuture;
+use std::any::Any;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// What the driver may tell a running attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// The module no longer waits for it. One whose stream has begun goes on.
+    CallOff,
+    /// Nobody wants its answer any more.
+    GiveUp,
+}
+
+/// How an attempt ended, and what is to be said of it.
+#[derive(Clone, Debug)]
+pub struct End {
+    /// What the module is told.
+    pub outcome: Outcome,
+    /// Prompt tokens that were found kept.
+    pub kept: u32,
+    /// The engine's load report, if one came along.
+    pub report: Report,
+    /// For people.
+    pub text: String,
+}
+
+impl End {
+    /// An end with nothing kept and nothing reported.
+    pub fn new(outcome: Outcome, text: impl Into<String>) -> End {
+        End { outcome, kept: 0, report: Report::default(), text: text.into() }
+    }
+}
+
+/// A request as its protocol holds it: the prompt, and the way of the answer to the client.
+pub trait Call: Send + Sync + 'static {
+    /// Sets the final answer; the first one counts. Whether this was it.
+    fn finish(&self, end: Final) -> bool;
+    /// For the protocol to find its own type again.
+    fn as_any(&self) -> &dyn Any;
+}
+
+/// A link to one engine, as the driver holds it.
+pub trait Link: Send + Sync + 'static {
+    /// Which engine.
+    fn id(&self) -> ServerId;
+    /// Where it listens.
+    fn address(&self) -> SocketAddr;
+    /// The node was told that the engine drains or is gone, or is not any more: what has not left yet stays here.
+    fn set_closing(&self, closing: bool);
+    /// Closes all connections.
+    fn shut(&self);
+    /// For the protocol to find its own type again.
+    fn as_any_arc(self: Arc<Self>) -> Arc<dyn Any + Send + Sync>;
+    /// Runs one attempt to its one outcome. It ends only when nothing of it is on its way any more.
+    fn attempt(self: Arc<Self>, job: Job) -> BoxFuture<End>;
+    /// Asks for a place, until the request no longer needs one.
+    fn hold(self: Arc<Self>, job: HoldJob) -> BoxFuture<Held>;
+    /// Asks the engine how it is: whether it answered, and its report.
+    fn probe(self: Arc<Self>, shared: Arc<Shared>) -> BoxFuture<(bool, Report)>;
+}
+
+/// A link as it is handed around.
+pub type LinkRef = Arc<dyn Link>;
+
+/// How engines are spoken to.
+pub trait Protocol: Send + Sync + 'static {
+    /// A link to an engine that is new or has moved.
+    fn link(&self, shared: &Arc<Shared>, engine: &Engine) -> LinkRef;
+    /// Whether what is held is let go one by one. Where it is not, a release ends all that is held for its request
+    /// anywhere, and is asked for once, when no attempt is out and none follows.
+    fn one_by_one(&self) -> bool;
+    /// Lets go of what may be held, as a task of its own, while [`Shared::releases`] has room.
+    fn release(&self, shared: &Arc<Shared>, job: ReleaseJob);
+}
+
+/// One attempt.
+pub struct Job {
+    /// The node's.
+    pub shared: Arc<Shared>,
+    /// The request's own.
+    pub call: Arc<dyn Call>,
+    /// The request's number at this node.
+    pub request: u64,
+    /// The attempt's number.
+    pub attempt: u16,
+    /// Whether the engine only reads.
+    pub reads: bool,
+    /// Where the read state waits, and the attempt that read it.
+    pub state: Option<(LinkRef, u16)>,
+    /// When it ends without a first token.
+    pub until: Micros,
+    pub(crate) stop: async_channel::Receiver<Stop>,
+}
+
+impl Job {
+    /// Says that the answer began to stream: from now on the attempt belongs to the client.
+    pub fn first(&self) {
+        self.shared.tell(Notice::First(self.request, self.attempt));
+    }
+    /// The driver's next word on this attempt.
+    pub async fn stopped(&self) -> Stop {
+        // Without a driver there is no node.
+        self.stop.recv().await.unwrap_or(Stop::GiveUp)
+    }
+}
+
+/// A place asked for ahead.
+pub struct HoldJob {
+    /// The node's.
+    pub shared: Arc<Shared>,
+    /// The request's own.
+    pub call: Arc<dyn Call>,
+    /// The request's number at this node.
+    pub request: u64,
+    /// The attempt beside which it is asked for.
+    pub attempt: u16,
+    pub(crate) stopped: async_channel::Receiver<()>,
+}
+
+impl HoldJob {
+    /// Returns when the request no longer needs a place.
+    pub async fn over(&self) {
+        // Ends when the sender is dropped.
+        let _ = self.stopped.recv().await;
+    }
+    /// Whether the request no longer needs a place.
+    pub fn is_over(&self) -> bool {
+        self.stopped.is_closed()
+    }
+}
+
+/// Whether a place is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Held {
+    /// The engine said so.
+    Yes,
+    /// The engine said no, or nothing left for it.
+    No,
+    /// It may be.
+    Unknown,
+}
+
+/// Something that may be kept at an engine for a request.
+#[derive(Clone)]
+pub struct Kept {
+    /// Where.
+    pub link: LinkRef,
+    /// The attempt whose key it is kept under.
+    pub attempt: u16,
+    /// A place, not a state.
+    pub place: bool,
+    /// The engine said so; else its call was given up, and may still be on its way.
+    pub sure: bool,
+    /// The write that was sent when the place was known to be held: its engine uses it for that one.
+    pub(crate) used_by: Option<u16>,
+}
+
+/// Something to let go.
+pub struct ReleaseJob {
+    /// The request's own.
+    pub call: Arc<dyn Call>,
+    /// The request's number at this node.
+    pub request: u64,
+    /// What may be kept; never empty.
+    pub kept: Vec<Kept>,
+    /// Other engines of the list, for protocols in which any engine takes a release.
+    pub others: Vec<LinkRef>,
+}
--- /dev/null
+++ b/crates/ivyward/src/grpc.rs
@@ -0,0 +1,223 @@
+//! gRPC to engines, behind the seam of [`crate::engines`].
+
+use crate::answer::{Buffer, Final};
+use crate::attempt::{self, Ask, Work};
+use crate::driver::Engine;
+use crate::engines::{Call, End, Held, HoldJob, Job, Link, LinkRef, Protocol, ReleaseJob};
+use crate::link::GrpcLink;
+use crate::shared::Shared;
+use futures_lite::future::or;
+use ivyward_core::interface::{Arrival, Outcome, Report, ServerId};
+use ivyward_core::planted::{self, Defect};
+use ivyward_proto::engine as pb;
+use ivyward_wire::encode;
+use ivyward_world::{before, BoxFuture, WorldExt, WorldRef};
+use std::any::Any;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A request as the gRPC door took it.
+pub(crate) struct GrpcCall {
+    pub(crate) arrival: Arrival,
+    pub(crate) prompt: Arc<Vec<u32>>,
+    pub(crate) class: String,
+    pub(crate) call_id: u64,
+    pub(crate) key: String,
+    pub(crate) buffer: Arc<Buffer>,
+}
+
+impl Call for GrpcCall {
+    fn finish(&self, end: Final) -> bool {
+        self.buffer.finish(end)
+    }
+    fn as_any(&self) -> &dyn Any {
+        self
+    }
+}
+
+/// Engines that speak `ivyward.engine.v1`.
+pub(crate) struct Grpc;
+
+impl Protocol for Grpc {
+    fn link(&self, shared: &Arc<Shared>, engine: &Engine) -> LinkRef {
+        GrpcLink::new(&shared.world, engine.entry.id, engine.address, &shared.settings)
+    }
+    fn one_by_one(&self) -> bool {
+        true
+    }
+    fn release(&self, shared: &Arc<Shared>, job: ReleaseJob) {
+        for kept in job.kept {
+            if let Ok(link) = kept.link.as_any_arc().downcast::<GrpcLink>() {
+                let_go(shared, job.request, &link, kept.attempt, kept.sure);
+            }
+        }
+    }
+}
+
+/// An attempt as engines know it.
+fn key(shared: &Shared, request: u64, attempt: u16) -> Option<pb::AttemptKey> {
+    Some(pb::AttemptKey { node: shared.incarnation, request, attempt: u32::from(attempt) })
+}
+
+fn header(shared: &Shared, call: &GrpcCall, attempt: u16, server: ServerId) -> Option<pb::Header> {
+    Some(pb::Header {
+        key: key(shared, call.arrival.id.0, attempt),
+        engine: server.0,
+        call_id: call.call_id,
+        class: call.class.clone(),
+        idempotency_key: call.key.clone(),
+    })
+}
+
+fn ask(job: &Job, call: &GrpcCall, server: ServerId) -> Ask {
+    let (a, header) = (&call.arrival, header(&job.shared, call, job.attempt, server));
+    let (opening, opening_tokens) = (a.prefix, a.prefix_tokens as u32);
+    let (prompt, session) = (call.prompt.to_vec(), a.session);
+    if job.reads {
+        return Ask::Read(pb::ReadRequest { header, prompt, opening, opening_tokens, session });
+    }
+    let state = job.state.as_ref().map(|(at, attempt)| pb::StateRef {
+        key: key(&job.shared, job.request, *attempt),
+        engine: at.id().0,
+        address: at.address().to_string(),
+    });
+    let max_output_tokens = a.max_output as u32;
+    Ask::Write(pb::WriteRequest {
+        header,
+        prompt,
+        opening,
+        opening_tokens,
+        session,
+        max_output_tokens,
+        state,
+    })
+}
+
+impl Link for GrpcLink {
+    fn id(&self) -> ServerId {
+        self.id
+    }
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+    fn set_closing(&self, closing: bool) {
+        GrpcLink::set_closing(self, closing);
+    }
+    fn shut(&self) {
+        GrpcLink::shut(self);
+    }
+    fn as_any_arc(self: Arc<Self>) -> Arc<dyn Any + Send + Sync> {
+        self
+    }
+    fn attempt(self: Arc<Self>, job: Job) -> BoxFuture<End> {
+        Box::pin(async move {
+            let Some(call) = job.call.as_any().downcast_ref::<GrpcCall>() else {
+                return End::new(Outcome::NotSent, "a request of another protocol");
+            };
+            let (ask, buffer) = (ask(&job, call, self.id), call.buffer.clone());
+            attempt::run(Work { job, link: self, ask, buffer }).await
+        })
+    }
+    fn hold(self: Arc<Self>, job: HoldJob) -> BoxFuture<Held> {
+        Box::pin(async move {
+            let Some(call) = job.call.as_any().downcast_ref::<GrpcCall>() else { return Held::No };
+            let prompt_tokens = call.prompt.len() as u32;
+            let header = header(&job.shared, call, job.attempt, self.id);
+            hold(&self, encode(&pb::HoldRequest { header, prompt_tokens }), &job).await
+        })
+    }
+    fn probe(self: Arc<Self>, shared: Arc<Shared>) -> BoxFuture<(bool, Report)> {
+        Box::pin(async move {
+            let body = encode(&pb::ProbeRequest { engine: self.id.0 });
+            let path = "/ivyward.engine.v1.Engine/Probe";
+            let reply = unary::<pb::ProbeReply>(&shared.world, &self, path, body, &shared).await;
+            let alive = reply.as_ref().is_some_and(|r| r.engine == self.id.0);
+            let load = reply.and_then(|r| r.load);
+            (alive, attempt::report(load.as_ref(), &shared.router_settings.report_fields))
+        })
+    }
+}
+
+/// Asks an engine to let go. What may still be on its way is asked for again while a state may be
+/// kept: a release on another connection may come before the call that it is about.
+fn let_go(shared: &Arc<Shared>, id: u64, link: &Arc<GrpcLink>, attempt: u16, sure: bool) {
+    let (shared, link) = (shared.clone(), link.clone());
+    if !shared.begin_release() {
+        return;
+    }
+    let body = encode(&pb::ReleaseRequest { key: key(&shared, id, attempt), engine: link.id.0 });
+    let world = shared.world.clone();
+    world.clone().run(async move {
+        let give_up = world.now().saturating_add(shared.settings.release_tries);
+        let look_until = world.now().saturating_add(shared.router_settings.release_within);
+        let mut pause = shared.settings.redial_first;
+        loop {
+            let reply = unary::<pb::ReleaseReply>(&world, &link, RELEASE, body.clone(), &shared).await;
+            let next = world.now().saturating_add(pause);
+            match reply {
+                Some(reply) if reply.released || sure || next > look_until => break,
+                None if next > give_up => {
+                    shared.metrics.releases_dropped.add(1);
+                    break;
+                }
+                _ => {}
+            }
+            world.sleep(pause).await;
+            pause = (pause * 2).min(shared.settings.redial_most);
+        }
+        shared.end_release();
+    });
+}
+
+/// Asks for a place until the request no longer needs one. Guards against holds that outlast their request: one that waits
+/// for a connection is never sent, one that has left is let go of at once.
+async fn hold(link: &Arc<GrpcLink>, body: bytes::Bytes, job: &HoldJob) -> Held {
+    let shared = &job.shared;
+    let until = shared.world.now().saturating_add(2 * shared.settings.dial_timeout);
+    let dialed = or(async { link.channel(until).await.ok() }, async {
+        job.over().await;
+        None
+    });
+    let Some(channel) = dialed.await else { return Held::No };
+    // Told during the dial: nothing new goes to an engine that drains or is gone.
+    if link.closing() && !planted::is(Defect::ClosingIgnored) || job.is_over() {
+        return Held::No;
+    }
+    let path = "/ivyward.engine.v1.Engine/Hold";
+    let Ok(mut call) = channel.call(path, body, http::HeaderMap::new()).await else { return Held::No };
+    let reply = or(async { before(&shared.world, until, call.next::<pb::HoldReply>()).await }, async {
+        job.over().await;
+        None
+    });
+    let reply = reply.await;
+    // Its reset goes ahead of the release, so that an engine that hangs never takes the hold up after it.
+    let left = call.abandon(shared.settings.reset_wait).await;
+    link.call_ended();
+    match reply {
+        Some(Ok(Some(reply))) if reply.engine == link.id.0 => match reply.held {
+            true => Held::Yes,
+            false => Held::No,
+        },
+        _ if left => Held::Unknown,
+        _ => Held::No,
+    }
+}
+
+const RELEASE: &str = "/ivyward.engine.v1.Engine/Release";
+
+/// A short call whose failure is nobody's outcome.
+async fn unary<M: prost::Message + Default>(
+    world: &WorldRef,
+    link: &Arc<GrpcLink>,
+    path: &'static str,
+    body: bytes::Bytes,
+    shared: &Shared,
+) -> Option<M> {
+    let until = world.now().saturating_add(2 * shared.settings.dial_timeout);
+    let channel = link.channel(until).await.ok()?;
+    let mut call = channel.call(path, body, http::HeaderMap::new()).await.ok()?;
+    let reply = before(world, until, call.next::<M>()).await;
+    drop(call);
+    link.call_ended();
+    reply?.ok()?
+}
--- a/crates/ivyward/src/lib.rs
+++ b/crates/ivyward/src/lib.rs
@@ -12,26 +12,31 @@
 //! - [`follow`]: engines by etcd's watch API; [`registration`]: the records there; [`snapshot`]: the last list
 //!   in a file.
 //! - [`metrics`]: counters; [`admin`]: health and metrics over HTTP.
-//! - `driver`, `attempt`, `link`: the request path.
+//! - [`engines`]: the seam between the driver and the protocols that engines speak.
+//! - `driver`, `grpc`, `attempt`, `link`: the request path.
 
 pub mod admin;
 pub mod answer;
 mod attempt;
 pub mod door;
 mod driver;
+pub mod engines;
 pub mod follow;
+mod grpc;
 mod link;
 pub mod metrics;
 mod node;
 pub mod record;
 pub mod registration;
 pub mod settings;
+mod shared;
 pub mod snapshot;
 
 pub use answer::{Failure, Final, Part, Refusal, Run};
 pub use driver::Engine;
 pub use node::{Answer, Node, StartError};
 pub use settings::{Class, NodeSettings, SettingsError, Tenant, KINDS};
+pub use shared::Shared;
 
 pub use ivyward_core as core;
 pub use ivyward_proto as proto;
--- a/crates/ivyward/src/link.rs
+++ b/crates/ivyward/src/link.rs
@@ -34,7 +34,7 @@
     next_dial: Micros,
 }
 
-pub(crate) struct Link {
+pub(crate) struct GrpcLink {
     pub(crate) id: ServerId,
     pub(crate) address: SocketAddr,
     world: WorldRef,
@@ -50,10 +50,10 @@
 }
 
 /// Counts a call among those that wait.
-struct Waiting<'a>(&'a Link);
+struct Waiting<'a>(&'a GrpcLink);
 
 impl Waiting<'_> {
-    fn new(link: &Link) -> Waiting<'_> {
+    fn new(link: &GrpcLink) -> Waiting<'_> {
         link.pool().waiting += 1;
         Waiting(link)
     }
@@ -65,20 +65,20 @@
     }
 }
 
-impl Link {
+impl GrpcLink {
     pub(crate) fn new(
         world: &WorldRef,
         id: ServerId,
         address: SocketAddr,
         settings: &NodeSettings,
-    ) -> Arc<Link> {
+    ) -> Arc<GrpcLink> {
         let options = Options {
             streams: settings.calls_per_connection as u32,
             ping_every: settings.ping_every,
             ping_timeout: settings.ping_timeout,
             ..Options::default()
         };
-        Arc::new(Link {
+        Arc::new(GrpcLink {
             id,
             address,
             world: world.clone(),
--- a/crates/ivyward/src/node.rs
+++ b/crates/ivyward/src/node.rs
@@ -1,10 +1,13 @@
 //! A node as its owner holds it.
 
 use crate::answer::{Buffer, Failure, Final, Part, Refusal};
-use crate::driver::{Driver, Engine, Notice, Shared, Taken};
+use crate::driver::{Driver, Engine};
+use crate::engines::{Call, Protocol};
+use crate::grpc::{Grpc, GrpcCall};
 use crate::metrics::Metrics;
 use crate::record::Recorder;
 use crate::settings::{NodeSettings, SettingsError};
+use crate::shared::{Notice, Shared, Taken};
 use event_listener::Event;
 use futures_lite::future::poll_fn;
 use ivyward_core::interface::{Arrival, Effect, ListKind, Micros, RequestId};
@@ -43,6 +46,19 @@
         world: WorldRef,
         settings: NodeSettings,
         recording: Option<Box<dyn std::io::Write + Send>>,
+    ) -> Result<Node, StartError> {
+        Node::start_with(world, settings, recording, Arc::new(Grpc))
+    }
+
+    /// Starts a node that speaks to engines by another protocol.
+    ///
+    /// # Errors
+    /// As for [`Node::start`].
+    pub fn start_with(
+        world: WorldRef,
+        settings: NodeSettings,
+        recording: Option<Box<dyn std::io::Write + Send>>,
+        protocol: Arc<dyn Protocol>,
     ) -> Result<Node, StartError> {
         settings.check()?;
         let router_settings = settings.router();
@@ -54,6 +70,7 @@
             world: world.clone(),
             settings,
             router_settings,
+            protocol,
             notices,
             open: AtomicUsize::new(0),
             next_id: AtomicU64::new(1),
@@ -97,24 +114,48 @@
                 return answer;
             }
         };
-        let refuse = |why| {
-            shared.metrics.refused.add(1);
-            over(Final::Refused { retry_after: Some(shared.router_settings.max_retry_after), why });
-        };
-        if shared.stopping.load(Ordering::SeqCst) {
-            refuse(Refusal::Stopping);
+        match self.enter(taken) {
+            Ok(id) => answer.id = Some(id),
+            Err(why) => {
+                over(Final::Refused { retry_after: Some(shared.router_settings.max_retry_after), why })
+            }
+        }
+        answer
+    }
+
+    /// Takes a request of another protocol: its number at this node, by which [`Node::gone`] knows it. `arrival`'s id
+    /// and patience are filled in; `call` is told the final answer.
+    ///
+    /// # Errors
+    /// Why it is refused: nothing was done, and nothing is told later.
+    pub fn take(&self, arrival: Arrival, first_by: Micros, call: Arc<dyn Call>) -> Result<u64, Refusal> {
+        let id = self.shared.next_id.fetch_add(1, Ordering::Relaxed);
+        let arrival = Arrival { id: RequestId(id), ..arrival };
+        self.enter(Taken { arrival, first_by, end_by: None, call })
+    }
+
+    /// The client of a request left before its answer's end.
+    pub fn gone(&self, id: u64) {
+        self.shared.tell(Notice::Gone(id));
+    }
+
+    fn enter(&self, taken: Taken) -> Result<u64, Refusal> {
+        let (shared, id) = (&self.shared, taken.arrival.id.0);
+        let why = if shared.stopping.load(Ordering::SeqCst) {
+            Refusal::Stopping
         } else if taken.first_by <= shared.world.now() {
             // No time is left to do anything, and nothing was done.
-            refuse(Refusal::Shed);
+            Refusal::Shed
         } else if shared.open.fetch_add(1, Ordering::SeqCst) >= shared.settings.most_open {
             shared.open.fetch_sub(1, Ordering::SeqCst);
-            refuse(Refusal::NodeFull);
+            Refusal::NodeFull
         } else {
             shared.metrics.requests.add(1);
-            answer.id = Some(taken.id);
             shared.tell(Notice::Request(Box::new(taken)));
-        }
-        answer
+            return Ok(id);
+        };
+        shared.metrics.refused.add(1);
+        Err(why)
     }
 
     fn taken(
@@ -188,17 +229,15 @@
             repeat: request.repeat,
             resumed: request.resumed,
         };
-        Ok(Taken {
-            id,
+        let call = GrpcCall {
             arrival,
             prompt: Arc::new(request.prompt),
             class: named_class.name.clone(),
             call_id: request.call_id,
             key: request.idempotency_key,
-            first_by,
-            end_by,
             buffer,
-        })
+        };
+        Ok(Taken { arrival, first_by, end_by, call: Arc::new(call) })
     }
 
     /// Takes nothing new, lets what is under way end for `within` microseconds at most, fails the rest, and returns
--- a/crates/ivyward/src/settings.rs
+++ b/crates/ivyward/src/settings.rs
@@ -33,7 +33,8 @@
     pub classes: Vec<Class>,
     /// The tenants; may be empty.
     pub tenants: Vec<Tenant>,
-    /// What the module is told beside classes, tenants and roles, which are filled in from the fields above.
+    /// What the module is told beside classes and tenants, which are filled in from the fields above. Without roles,
+    /// engines are of the kinds of [`KINDS`].
     pub rules: core::Settings,
     /// The final answer is given so long before the client's patience ends.
     pub answer_margin: Micros,
@@ -141,7 +142,7 @@
     /// The module's settings, with classes, tenants and roles filled in.
     pub fn router(&self) -> core::Settings {
         core::Settings {
-            roles: KINDS.to_vec(),
+            roles: if self.rules.roles.is_empty() { KINDS.to_vec() } else { self.rules.roles.clone() },
             classes: self.classes.iter().map(|c| c.settings.clone()).collect(),
             tenants: self.tenants.iter().map(|t| t.settings.clone()).collect(),
             ..self.rules.clone()
--- a/crates/ivywardd/src/main.rs
+++ b/crates/ivywardd/src/main.rs
@@ -1,6 +1,7 @@
 //! The ivyward daemon: flags, logs, signals and sockets around the library.
 
 mod flags;
+mod platform;
 
 use async_signal::{Signal, Signals};
 use flags::{Start, Stop};
@@ -14,6 +15,9 @@
 use tracing_subscriber::EnvFilter;
 
 fn main() -> ExitCode {
+    if std::env::args_os().nth(1).is_some_and(|first| first == platform::COMMAND) {
+        return platform::main(std::env::args_os().skip(1));
+    }
     let start = match flags::read(std::env::args_os()) {
         Ok(start) => start,
         Err(Stop::Page(page)) => {
--- /dev/null
+++ b/crates/ivywardd/src/platform.rs
@@ -0,0 +1,92 @@
+//! The daemon's platform form: one thread, one listener, everything else from the platform's configuration file.
+
+use async_signal::{Signal, Signals};
+use clap::Parser;
+use futures_lite::StreamExt;
+use ivyward::world::{SmolWorld, WorldExt, WorldRef};
+use ivyward_platform::{Config, Service};
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing::{error, info};
+use tracing_subscriber::EnvFilter;
+
+/// The first word on the command line that asks for this form.
+pub const COMMAND: &str = "platform";
+/// A file that cannot be read at SIGHUP is tried again so often, with this pause.
+const RELOADS: u32 = 15;
+const RELOAD_PAUSE: u64 = 200_000;
+
+/// A node on the platform: HTTP/1.1 to clients, engines and discovery.
+#[derive(Parser, Debug)]
+#[command(name = "ivywardd platform", version, max_term_width = 110)]
+struct Flags {
+    /// The platform's configuration file: addresses, limits, settings and the list as last held.
+    #[arg(long, env = "BALANCER_CONFIG", value_name = "FILE")]
+    config: PathBuf,
+    /// What is logged on standard error, as RUST_LOG is written.
+    #[arg(long, env = "IVYWARD_LOG", default_value = "info,ivyward::module=info")]
+    log: String,
+    /// Only says whether the configuration holds.
+    #[arg(long)]
+    check: bool,
+}
+
+/// Runs a node until SIGTERM.
+pub fn main(args: impl Iterator<Item = OsString>) -> ExitCode {
+    match run(&Flags::parse_from(args)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(line) => {
+            eprintln!("ivywardd: {line}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(flags: &Flags) -> Result<(), String> {
+    // Before anything else: a signal without its handler ends the program.
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
+    let filter = EnvFilter::try_new(&flags.log).map_err(|e| format!("--log {}: {e}", flags.log))?;
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    logs.with_ansi(false).try_init().map_err(|e| format!("logs cannot be set up: {e}"))?;
+    let config = Config::read(&flags.config).map_err(|e| e.to_string())?;
+    if flags.check {
+        println!("the configuration holds: {} classes, {:?}", config.told.classes.len(), config.bounds);
+        return Ok(());
+    }
+    let smol = SmolWorld::start(1, config.node.seed);
+    let world: WorldRef = smol.clone();
+    smol.block_on(async {
+        let mut service = Service::start(world.clone(), config).await.map_err(|e| e.to_string())?;
+        loop {
+            match signals.next().await {
+                Some(Ok(Signal::Hup)) => reload(flags, &service, &world).await,
+                _ => break,
+            }
+        }
+        service.stop().await;
+        // The last answers are on their way to their clients.
+        world.sleep(20_000).await;
+        Ok::<(), String>(())
+    })?;
+    smol.stop();
+    Ok(())
+}
+
+/// Reads the file again. One that cannot be read changes nothing; it may be half written, so it is tried again.
+async fn reload(flags: &Flags, service: &Service, world: &WorldRef) {
+    for again in 0..RELOADS {
+        match Config::read(&flags.config) {
+            Ok(config) => {
+                service.reload(&config);
+                info!("the configuration was read again");
+                return;
+            }
+            Err(e) if again == 0 => error!("nothing is taken over yet: {e}"),
+            Err(_) => {}
+        }
+        world.sleep(RELOAD_PAUSE).await;
+    }
+    error!("the configuration could not be read; everything stays as it was");
+}
