--- a/crates/ivywardd/src/platform.rs
+++ b/crates/ivywardd/src/platform.rs
@@ -59,11 +59,8 @@
     let world: WorldRef = smol.clone();
     smol.block_on(async {
         let mut service = Service::start(world.clone(), config).await.map_err(|e| e.to_string())?;
-        loop {
-            match signals.next().await {
-                Some(Ok(Signal::Hup)) => reload(flags, &service, &world).await,
-                _ => break,
-            }
+        while let Some(Ok(Signal::Hup)) = signals.next().await {
+            reload(flags, &service, &world).await;
         }
         service.stop().await;
         // The last answers are on their way to their clients.
