--- /dev/null
+++ b/crates/ivyward-http1/tests/framing.rs
@@ -0,0 +1,124 @@
+//! Heads and bodies, whole and in pieces, good and bad.
+
+use ivyward_http1::{body, Answer, Body, BodyError, Fault, Framing, Limits, Request, Step};
+use proptest::prelude::*;
+
+const LIMITS: Limits = Limits { head: 2_000, headers: 16, body: 1_000, chunk: 1_000 };
+
+fn head(lines: &str) -> Result<Framing, Fault> {
+    let text = format!("POST /a?b HTTP/1.1\r\n{lines}\r\n");
+    Request::read(text.as_bytes(), &LIMITS).map(|read| read.expect("whole").0.framing)
+}
+
+#[test]
+fn a_bodys_end_is_told_once_or_not_at_all() {
+    assert_eq!(head(""), Ok(Framing::Length(0)));
+    assert_eq!(head("Content-Length: 12\r\n"), Ok(Framing::Length(12)));
+    assert_eq!(head("Content-Length: 12\r\nContent-Length: 12\r\n"), Ok(Framing::Length(12)));
+    assert_eq!(head("Transfer-Encoding: Chunked\r\n"), Ok(Framing::Chunked));
+    assert_eq!(head("Content-Length: 12\r\nContent-Length: 13\r\n"), Err(Fault::Length));
+    assert_eq!(head("Content-Length: 12\r\nTransfer-Encoding: chunked\r\n"), Err(Fault::Both));
+    assert_eq!(head("Transfer-Encoding: gzip\r\n"), Err(Fault::Coding));
+    assert_eq!(head("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"), Err(Fault::Coding));
+    for bad in ["-1", "+1", "1 2", "0x10", "", "1,1"] {
+        assert_eq!(head(&format!("Content-Length: {bad}\r\n")), Err(Fault::Length), "{bad:?}");
+    }
+    for large in ["1001", "99999999999999999999999"] {
+        assert_eq!(head(&format!("Content-Length: {large}\r\n")), Err(Fault::TooLarge), "{large}");
+    }
+}
+
+#[test]
+fn heads_are_bounded() {
+    let long = format!("GET / HTTP/1.1\r\nX: {}", "y".repeat(2_000));
+    assert_eq!(Request::read(&long.as_bytes()[..1_999], &LIMITS), Ok(None));
+    assert_eq!(Request::read(long.as_bytes(), &LIMITS), Err(Fault::TooLong));
+    let many = format!("GET / HTTP/1.1\r\n{}\r\n", "X: y\r\n".repeat(17));
+    assert_eq!(Request::read(many.as_bytes(), &LIMITS), Err(Fault::Unreadable));
+    assert_eq!(Answer::read(b"\x00\x01", &LIMITS), Err(Fault::Unreadable));
+}
+
+#[test]
+fn answers_without_a_body_and_connections_that_end() {
+    let read = |text: &str| Answer::read(text.as_bytes(), &LIMITS).unwrap().unwrap().0;
+    assert_eq!(read("HTTP/1.1 204 No\r\n\r\n").framing, Framing::Length(0));
+    assert_eq!(read("HTTP/1.1 200 OK\r\n\r\n").framing, Framing::UntilClose);
+    assert!(read("HTTP/1.1 200 OK\r\n\r\n").head.keeps());
+    assert!(!read("HTTP/1.1 200 OK\r\nConnection: Close\r\n\r\n").head.keeps());
+    assert!(!read("HTTP/1.0 200 OK\r\n\r\n").head.keeps());
+}
+
+/// Feeds bytes in pieces; the body's bytes, whether it is whole, and how many bytes were used.
+fn feed(framing: Framing, pieces: &[&[u8]]) -> Result<(Vec<u8>, bool, usize), BodyError> {
+    let (mut body, mut out, mut all, mut buf) = (Body::new(framing, &LIMITS), Vec::new(), 0, Vec::new());
+    for piece in pieces {
+        buf.extend_from_slice(piece);
+        loop {
+            let (step, used) = body.step(&buf)?;
+            if let Step::Data(range) = &step {
+                out.extend_from_slice(&buf[range.clone()]);
+            }
+            buf.drain(..used);
+            all += used;
+            match step {
+                Step::Done => return Ok((out, true, all)),
+                Step::More => break,
+                Step::Data(_) => {}
+            }
+        }
+    }
+    Ok((out, body.done(), all))
+}
+
+#[test]
+fn chunks_that_cannot_be() {
+    for (bytes, error) in [
+        ("zz\r\n", BodyError::Size),
+        ("\r\n", BodyError::Size),
+        ("-5\r\nhello\r\n", BodyError::Size),
+        ("5\nhello\r\n", BodyError::Size),
+        ("bb800000\r\n", BodyError::TooLong),
+        ("fffffffffffffffff\r\n", BodyError::TooLong),
+        ("5\r\nhelloX", BodyError::End),
+    ] {
+        assert_eq!(feed(Framing::Chunked, &[bytes.as_bytes()]), Err(error), "{bytes:?}");
+    }
+    assert_eq!(feed(Framing::Chunked, &[&[b'1'; 2_000]]), Err(BodyError::Size));
+    let endless = format!("0\r\n{}", "a: b\r\n".repeat(100));
+    assert_eq!(feed(Framing::Chunked, &[endless.as_bytes()]), Err(BodyError::End));
+}
+
+proptest! {
+    /// However the bytes are cut, the body is the same, and what follows it is not touched.
+    #[test]
+    fn pieces_change_nothing(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..200), 0..6),
+        cuts in prop::collection::vec(0usize..2_000, 0..12),
+    ) {
+        let mut bytes = Vec::new();
+        chunks.iter().for_each(|c| body::chunk(&mut bytes, c));
+        bytes.extend_from_slice(body::LAST);
+        let length = bytes.len();
+        bytes.extend_from_slice(b"GET / next");
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|c| c.min(bytes.len())).collect();
+        cuts.sort_unstable();
+        cuts.push(bytes.len());
+        let mut from = 0;
+        let mut pieces = Vec::new();
+        for cut in cuts {
+            pieces.push(&bytes[from..cut]);
+            from = cut;
+        }
+        prop_assert_eq!(feed(Framing::Chunked, &pieces), Ok((chunks.concat(), true, length)));
+    }
+
+    /// Nothing makes it panic, and it never claims more than it was given.
+    #[test]
+    fn any_bytes_are_survived(bytes in prop::collection::vec(any::<u8>(), 0..3_000)) {
+        let _ = Request::read(&bytes, &LIMITS);
+        let _ = Answer::read(&bytes, &LIMITS);
+        if let Ok((out, _, used)) = feed(Framing::Chunked, &[&bytes]) {
+            prop_assert!(out.len() <= used && used <= bytes.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/ivyward-platform/tests/common/mod.rs
@@ -0,0 +1,429 @@
+//! The platform's other parties in the virtual world: engines, discovery and clients, and what crossed their sockets.
+#![allow(dead_code)] // Each test file uses its part.
+
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use ivyward::core::interface::Micros;
+use ivyward::world::{before, Conn, WorldExt, WorldRef};
+use ivyward_http1::{Answer, Body, Limits, Request, Step};
+use ivyward_platform::{Config, Service};
+use ivyward_sim::{Host, Net, Sim};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+pub const DAY: Micros = 600_000_000;
+pub const LIMITS: Limits = Limits { head: 16 << 10, headers: 64, body: 1 << 20, chunk: 1 << 20 };
+pub const SERVED: &str = concat!(
+    "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"},\"finish_reason\":null}]}\n\n",
+    "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"ab\"},\"finish_reason\":\"stop\"}]}\n\n",
+    "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":7}}}\n\n",
+    "data: [DONE]\n\n: X-Server-Load: TEXT inflight=1, queue=0, util=0.5\n\n"
+);
+const STREAM: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// What an engine does with a request that came whole.
+#[derive(Clone, Debug)]
+pub enum Play {
+    /// Reads or answers as an engine does.
+    Usual,
+    /// Says these bytes, and keeps the connection.
+    Say(Vec<u8>),
+    /// Says the first event, then these bytes, and keeps the connection.
+    AfterFirst(Vec<u8>),
+    /// Says these bytes and closes.
+    SayAndClose(Vec<u8>),
+    /// Serves after this span.
+    Late(Micros),
+    Silent,
+}
+
+pub fn say(text: &str) -> Play {
+    Play::Say(text.as_bytes().to_vec())
+}
+
+/// Something that came whole to an engine.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub at: Micros,
+    pub engine: usize,
+    pub connection: usize,
+    pub method: String,
+    pub target: String,
+    pub id: String,
+    pub timeout_ms: u64,
+    pub body: Vec<u8>,
+}
+
+#[derive(Default)]
+pub struct Book {
+    pub seen: Vec<Seen>,
+    /// When connections ended at the engine's side: engine, connection, time.
+    pub closed: Vec<(usize, usize, Micros)>,
+    pub connections: usize,
+    /// Kept connections now, and most ever.
+    pub standing: usize,
+    pub most_standing: usize,
+}
+
+type Script = Arc<dyn Fn(&Seen) -> Play + Send + Sync>;
+
+/// The whole scene: engine 0 and 1 read, engine 2 and 3 write.
+pub struct Rig {
+    pub sim: Sim,
+    pub world: WorldRef,
+    pub client: Arc<Host>,
+    pub book: Arc<Mutex<Book>>,
+    pub list: Arc<Mutex<(u64, String)>>,
+    pub config: String,
+    pub engines: Vec<Arc<Host>>,
+    pub discovery: SocketAddr,
+    node: Arc<Host>,
+}
+
+pub fn entry(i: usize, state: &str) -> String {
+    let kind = if i < 2 { "prefill" } else { "decode" };
+    let addr = address(i);
+    format!(
+        r#"{{"id":"s-{i}","addr":"{addr}","zone":"a","kind":"{kind}","cell":1,"state":"{state}","weight":1.0,"started_ms":0}}"#
+    )
+}
+
+pub fn address(i: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 1, i as u8 + 1], 8080))
+}
+
+pub fn list(states: &[&str]) -> String {
+    let entries: Vec<String> = states.iter().enumerate().map(|(i, s)| entry(i, s)).collect();
+    entries.join(",")
+}
+
+pub fn config(discovery: SocketAddr, sockets: usize) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.9:8080","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},
+        "settings":{{"balancers":1,"zone":0,"failure_domains":["a"],"host_types":["prefill","decode"],
+        "family_info":{{"kind_role":["read","write"],"local_read":false,"early_pairing":true,"let_go_by_us":300000,
+          "memory_tokens":[250000,150000],"aim_us_per_1000_prompt_tokens":[40000.0,40000.0],"token_aim_us":[60000.0,60000.0],
+          "transfer_price":0.05,"report_x0":"share_of_memory_that_is_held"}},
+        "classes":[{{"name":"draft","semantics":"retryable","target_us":1500000,"deadline_us":7500000,"importance":2.0,
+            "late_share":0.1,"key_ttl_us":5000000,"group":"all","streamed":true}},
+          {{"name":"send","semantics":"fragile","target_us":1500000,"deadline_us":7500000,"importance":5.0,"late_share":0.1,
+            "key_ttl_us":5000000,"group":"all","streamed":true}}],
+        "parties":[{{"name":"acme","quota_per_s":100.0}}],
+        "guarantees":{{"drain_grace_us":1000000,"fall_multiple":2.5,"fall_us":3000000,"start_capacity":0.4,"warm_after_us":10000000}},
+        "limits":{{"may_cancel":true,"probes":true,"second_copies":true,"try_limit":5,"retry_after":true,
+          "max_retry_after_us":2000000,"keepalive_us":15000000,"dial_timeout_us":250000,"max_open":20000}},
+        "report":{{"source":"answers","fields":["utilization","backlog"]}},"discovery":"automatic"}}}}"#
+    )
+}
+
+impl Rig {
+    pub fn new(script: impl Fn(&Seen) -> Play + Send + Sync + 'static) -> Rig {
+        Rig::with(1024, script)
+    }
+
+    pub fn with(sockets: usize, script: impl Fn(&Seen) -> Play + Send + Sync + 'static) -> Rig {
+        let sim = Sim::new(7, Net { latency: 200, jitter: 50, ..Net::default() });
+        let (node, client, told) = (sim.host(1), sim.host(2), sim.host(3));
+        let book = Arc::new(Mutex::new(Book::default()));
+        let script: Script = Arc::new(script);
+        let engines: Vec<Arc<Host>> = (0..4).map(|i| sim.host(10 + i as u64)).collect();
+        for (i, host) in engines.iter().enumerate() {
+            engine(host, i, &book, &script);
+        }
+        let whole = list(&["up"; 4]);
+        let list = Arc::new(Mutex::new((1, whole)));
+        let discovery = SocketAddr::from(([127, 0, 2, 1], 8500));
+        discover(&told, discovery, &list);
+        let config = config(discovery, sockets);
+        Rig { sim, world: node.world(), client, book, list, config, engines, discovery, node }
+    }
+
+    pub fn config(&self) -> Config {
+        Config::parse("test", self.config.as_bytes()).unwrap()
+    }
+
+    /// Plays a scene on the client's host, beside a node that serves.
+    pub fn play<F: std::future::Future<Output = ()> + Send + 'static>(
+        &self,
+        scene: impl FnOnce(Scene) -> F + Send + 'static,
+    ) {
+        let (world, config, client) = (self.world.clone(), self.config(), self.client.world());
+        let (book, list) = (self.book.clone(), self.list.clone());
+        let played = self.sim.run(&self.node, DAY, async move {
+            let service = Service::start(world.clone(), config).await.unwrap();
+            let address = service.address();
+            while !healthy(&client, address).await {
+                client.sleep(10_000).await;
+            }
+            scene(Scene { service, world, client, address, book, list }).await;
+        });
+        played.unwrap();
+    }
+}
+
+pub struct Scene {
+    pub service: Service,
+    pub world: WorldRef,
+    pub client: WorldRef,
+    pub address: SocketAddr,
+    pub book: Arc<Mutex<Book>>,
+    pub list: Arc<Mutex<(u64, String)>>,
+}
+
+impl Scene {
+    pub fn seen(&self) -> Vec<Seen> {
+        self.book.lock().unwrap().seen.clone()
+    }
+    /// What engines got of a request: its sends, without holds and releases.
+    pub fn sends(&self, id: &str) -> Vec<Seen> {
+        self.seen().into_iter().filter(|s| s.id == id).collect()
+    }
+    /// Releases of a request.
+    pub fn releases(&self, id: &str) -> Vec<Seen> {
+        let target = format!("/v1/holds/{id}");
+        self.seen().into_iter().filter(|s| s.method == "DELETE" && s.target == target).collect()
+    }
+    /// Gives the list another text.
+    pub fn relist(&self, text: String) {
+        let mut list = self.list.lock().unwrap();
+        *list = (list.0 + 1, text);
+    }
+    pub async fn connect(&self) -> Conn {
+        self.client.connect(self.address).await.unwrap()
+    }
+    /// One request on a connection of its own.
+    pub async fn ask(&self, id: &str, class: &str) -> Got {
+        let mut conn = self.connect().await;
+        conn.write_all(&request(id, class, 4_800)).await.unwrap();
+        got(&self.client, &mut conn).await
+    }
+}
+
+async fn healthy(world: &WorldRef, address: SocketAddr) -> bool {
+    let Ok(mut conn) = world.connect(address).await else { return false };
+    conn.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").await.unwrap();
+    got(world, &mut conn).await.status == 200
+}
+
+pub const BODY: &str = r#"{"model":"chat","stream":true,"max_tokens":80,"messages":[{"role":"user","content":"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"}]}"#;
+
+pub fn request(id: &str, class: &str, timeout_ms: u64) -> Vec<u8> {
+    let length = BODY.len();
+    format!(
+        "POST /v1/chat/completions?a=b HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
+         X-Tenant-Id: acme\r\nX-Route-Key: k{id}\r\nX-Timeout-Ms: {timeout_ms}\r\n\
+         X-Attrs: prefix=5c0f,prompt_len=40,prefix_len=4,max_out=80\r\nContent-Length: {length}\r\n\r\n{BODY}"
+    )
+    .into_bytes()
+}
+
+/// An answer as a client sees it.
+#[derive(Debug, Default)]
+pub struct Got {
+    /// 0 where the connection ended without one.
+    pub status: u16,
+    pub body: Vec<u8>,
+    /// The body came to its end.
+    pub whole: bool,
+    pub closes: bool,
+    pub retry_after: Option<String>,
+    /// When its last byte, or the connection's end, came.
+    pub at: Micros,
+    /// When the body's last byte came.
+    pub last: Micros,
+}
+
+pub async fn got(world: &WorldRef, conn: &mut Conn) -> Got {
+    let (mut bytes, mut out, mut body): (Vec<u8>, Got, Option<Body>) = (Vec::new(), Got::default(), None);
+    loop {
+        if body.is_none() {
+            if let Some((answer, used)) = Answer::read(&bytes, &LIMITS).expect("an answer that can be read") {
+                bytes.drain(..used);
+                out.status = answer.status;
+                out.closes = !answer.head.keeps();
+                out.retry_after = answer.head.text("retry-after").map(str::to_owned);
+                body = Some(Body::new(answer.framing, &LIMITS));
+            }
+        }
+        while let Some(body) = body.as_mut() {
+            let (step, used) = body.step(&bytes).expect("a body that can be read");
+            if let Step::Data(range) = &step {
+                out.body.extend_from_slice(&bytes[range.clone()]);
+                out.last = world.now();
+            }
+            bytes.drain(..used);
+            match step {
+                Step::Done => return Got { whole: true, at: world.now(), ..out },
+                Step::More => break,
+                Step::Data(_) => {}
+            }
+        }
+        let mut piece = [0; 4096];
+        match conn.read(&mut piece).await {
+            Ok(n) if n > 0 => bytes.extend_from_slice(&piece[..n]),
+            _ => return Got { at: world.now(), ..out },
+        }
+    }
+}
+
+/// A whole request from a connection, or `None` at its end.
+async fn whole(conn: &mut Conn, bytes: &mut Vec<u8>) -> Option<(Request, Vec<u8>)> {
+    let mut head: Option<(Request, Body, Vec<u8>)> = None;
+    loop {
+        if head.is_none() {
+            if let Some((request, used)) = Request::read(bytes, &LIMITS).ok()? {
+                bytes.drain(..used);
+                let body = Body::new(request.framing, &LIMITS);
+                head = Some((request, body, Vec::new()));
+            }
+        }
+        if let Some((_, body, text)) = head.as_mut() {
+            loop {
+                let (step, used) = body.step(bytes).ok()?;
+                if let Step::Data(range) = &step {
+                    text.extend_from_slice(&bytes[range.clone()]);
+                }
+                bytes.drain(..used);
+                match step {
+                    Step::Done => return head.map(|(request, _, text)| (request, text)),
+                    Step::More => break,
+                    Step::Data(_) => {}
+                }
+            }
+        }
+        let mut piece = [0; 4096];
+        match conn.read(&mut piece).await {
+            Ok(n) if n > 0 => bytes.extend_from_slice(&piece[..n]),
+            _ => return None,
+        }
+    }
+}
+
+fn engine(host: &Arc<Host>, me: usize, book: &Arc<Mutex<Book>>, script: &Script) {
+    let world = host.world();
+    let mut listener = world.listen(address(me)).unwrap();
+    let (book, script) = (book.clone(), script.clone());
+    world.clone().run(async move {
+        while let Ok((conn, _)) = listener.accept().await {
+            let (book, script, world) = (book.clone(), script.clone(), world.clone());
+            let connection = {
+                let mut book = book.lock().unwrap();
+                book.connections += 1;
+                book.standing += 1;
+                book.most_standing = book.most_standing.max(book.standing);
+                book.connections
+            };
+            world.clone().run(async move {
+                serve(&world, conn, (me, connection), &book, &script).await;
+                let mut book = book.lock().unwrap();
+                book.standing -= 1;
+                book.closed.push((me, connection, world.now()));
+            });
+        }
+    });
+}
+
+async fn serve(
+    world: &WorldRef,
+    mut conn: Conn,
+    (me, connection): (usize, usize),
+    book: &Mutex<Book>,
+    script: &Script,
+) {
+    let mut bytes = Vec::new();
+    while let Some((request, body)) = whole(&mut conn, &mut bytes).await {
+        let text = |name: &str| request.head.text(name).unwrap_or("").to_owned();
+        let seen = Seen {
+            at: world.now(),
+            engine: me,
+            connection,
+            method: request.method.clone(),
+            target: request.target.clone(),
+            id: text("x-request-id"),
+            timeout_ms: text("x-timeout-ms").parse().unwrap_or(0),
+            body,
+        };
+        book.lock().unwrap().seen.push(seen.clone());
+        let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+        let usual = match (request.method.as_str(), me < 2) {
+            ("DELETE", _) => "HTTP/1.1 204 No Content\r\n\r\n".to_owned(),
+            ("POST", _) if request.target.starts_with("/v1/holds/") => {
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned()
+            }
+            (_, true) => {
+                "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":4}".to_owned()
+            }
+            (_, false) => format!("{STREAM}{}0\r\n\r\n", chunk(SERVED)),
+        };
+        let (said, closes) = match script(&seen) {
+            Play::Usual => (usual.into_bytes(), false),
+            Play::Say(bytes) => (bytes, false),
+            Play::SayAndClose(bytes) => (bytes, true),
+            Play::AfterFirst(bytes) => {
+                let first = SERVED.split_inclusive("\n\n").next().unwrap();
+                let opening = format!("{STREAM}{}", chunk(first));
+                if conn.write_all(opening.as_bytes()).await.is_err() {
+                    return;
+                }
+                world.sleep(300_000).await;
+                (bytes, false)
+            }
+            Play::Late(span) => {
+                world.sleep(span).await;
+                (usual.into_bytes(), false)
+            }
+            Play::Silent => (Vec::new(), false),
+        };
+        if conn.write_all(&said).await.is_err() || closes {
+            return;
+        }
+    }
+}
+
+/// Discovery: a list that changes is told at once to whoever watches.
+pub fn discover(host: &Arc<Host>, at: SocketAddr, list: &Arc<Mutex<(u64, String)>>) {
+    let world = host.world();
+    let mut listener = world.listen(at).unwrap();
+    let list = list.clone();
+    world.clone().run(async move {
+        while let Ok((mut conn, _)) = listener.accept().await {
+            let (list, world) = (list.clone(), world.clone());
+            world.clone().run(async move {
+                let mut bytes = Vec::new();
+                while let Some((request, _)) = whole(&mut conn, &mut bytes).await {
+                    let query = |name: &str| {
+                        let at = request.target.find(&format!("{name}="))? + name.len() + 1;
+                        let digits = request.target[at..].split('&').next()?;
+                        digits.parse::<u64>().ok()
+                    };
+                    let from = query("from");
+                    let until = world.now() + query("hold_ms").unwrap_or(0) * 1_000;
+                    while from == Some(list.lock().unwrap().0) && world.now() < until {
+                        world.sleep(1_000).await;
+                    }
+                    let (version, servers) = list.lock().unwrap().clone();
+                    let text = if from == Some(version) {
+                        format!(r#"{{"version":{version},"full":false,"servers":[]}}"#)
+                    } else {
+                        format!(r#"{{"version":{version},"full":true,"servers":[{servers}]}}"#)
+                    };
+                    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+                    if conn.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
+/// Waits for something to hold, for a virtual minute at most.
+pub async fn until(world: &WorldRef, what: &str, holds: impl Fn() -> bool) {
+    let waited = before(world, world.now() + 60_000_000, async {
+        while !holds() {
+            world.sleep(1_000).await;
+        }
+    });
+    assert!(waited.await.is_some(), "{what}");
+}
--- /dev/null
+++ b/crates/ivyward-platform/tests/engines.rs
@@ -0,0 +1,226 @@
+//! Engines: what proves that an attempt never ran, spoilt and stalled streams, connections, and what is let go of.
+
+mod common;
+use common::*;
+use futures_lite::AsyncWriteExt;
+use ivyward::world::WorldExt;
+
+fn writes(seen: &Seen) -> bool {
+    seen.engine >= 2 && seen.method == "POST" && !seen.id.is_empty()
+}
+
+#[test]
+fn a_request_is_read_then_written_and_passes_unchanged() {
+    Rig::new(|_| Play::Usual).play(|scene| async move {
+        for id in ["one", "two"] {
+            let got = scene.ask(id, "draft").await;
+            assert_eq!((got.status, got.whole), (200, true));
+            assert_eq!(String::from_utf8(got.body).unwrap(), SERVED);
+            let sends = scene.sends(id);
+            assert_eq!(sends.len(), 2, "{sends:?}");
+            assert!(sends[0].engine < 2 && sends[1].engine >= 2, "read, then written");
+            for send in &sends {
+                assert_eq!(send.target, "/v1/chat/completions?a=b");
+                assert_eq!(send.body, BODY.as_bytes());
+                assert!((2_500..=4_800).contains(&send.timeout_ms), "{}", send.timeout_ms);
+            }
+        }
+        // A place is asked for behind the read's last byte, and a connection serves again.
+        let holds = scene.seen().into_iter().filter(|s| s.target == "/v1/holds/one" && s.method == "POST");
+        let (hold, read) = (holds.last().unwrap(), &scene.sends("one")[0]);
+        assert!(hold.at >= read.at && hold.engine >= 2);
+        assert_eq!(scene.sends("one")[0].connection, scene.sends("two")[0].connection);
+        assert!(scene.releases("one").is_empty(), "the stream itself lets go");
+    });
+}
+
+/// Spoilt before the first event: the attempt may have run, so a safe request is sent again and an unsafe one is not.
+#[test]
+fn what_is_spoilt_before_its_first_event_may_have_run() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+    let spoilt = [
+        "\x01\x02\x03 noise \r\n\r\n".to_owned(),
+        format!("{head}X-Long: {}", "y".repeat(40_000)),
+        format!("{head}Content-Length: 5\r\n\r\n5\r\ndata:\r\n"),
+        format!("{head}\r\nzz\r\ndata: {{}}\n\n\r\n"),
+        format!("{head}\r\nbb800000\r\n{}", "a".repeat(5_000)),
+        format!("{head}\r\n5\r\ndata:\r\nqq\r\n"),
+        format!("{head}\r\n7\r\nnoise\n\n\r\n"),
+        "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        // Without its own word that nothing ran, a status proves nothing.
+        "HTTP/1.1 503 Oh\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata: {}\n".to_owned(),
+    ];
+    for (i, noise) in spoilt.into_iter().enumerate() {
+        let spoil = noise.clone();
+        let rig = Rig::new(move |seen| match writes(seen) && seen.engine == 2 {
+            true => say(&spoil),
+            false => Play::Usual,
+        });
+        rig.play(move |scene| async move {
+            for n in 0..6 {
+                let (safe, once) = (format!("safe{n}"), format!("once{n}"));
+                let got = scene.ask(&safe, "draft").await;
+                assert_eq!((got.status, got.whole), (200, true), "spoilt {i}");
+                assert_eq!(got.body, SERVED.as_bytes(), "spoilt {i}");
+                let got = scene.ask(&once, "send").await;
+                let sends: Vec<Seen> = scene.sends(&once).into_iter().filter(writes).collect();
+                assert_eq!(sends.len(), 1, "spoilt {i}: no effect twice");
+                let want = if sends[0].engine == 2 { 502 } else { 200 };
+                assert_eq!(got.status, want, "spoilt {i}");
+                scene.world.sleep(3_000_000).await;
+            }
+            let met = scene.seen().iter().filter(|s| writes(s) && s.engine == 2).count();
+            assert!(met >= 2, "spoilt {i}: the spoilt engine was met {met} times");
+        });
+    }
+}
+
+/// An engine's own word that nothing ran lets an unsafe request go elsewhere; so does a connection that never came up.
+#[test]
+fn what_never_ran_is_sent_again() {
+    for status in [503, 504, 410] {
+        let turned = std::sync::Mutex::new(std::collections::BTreeSet::new());
+        let rig = Rig::new(move |seen| {
+            let first = writes(seen) && seen.engine == 2 && turned.lock().unwrap().insert(seen.id.clone());
+            match first {
+                true => {
+                    say(&format!("HTTP/1.1 {status} No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"))
+                }
+                false => Play::Usual,
+            }
+        });
+        rig.play(move |scene| async move {
+            for n in 0..4 {
+                let got = scene.ask(&format!("r{n}"), "send").await;
+                assert_eq!((got.status, got.whole), (200, true), "{status}");
+            }
+            assert!(scene.seen().iter().any(|s| writes(s) && s.engine == 2), "{status}: never met");
+        });
+    }
+    let rig = Rig::new(|_| Play::Usual);
+    rig.sim.kill(rig.engines[2].id(), true);
+    rig.play(|scene| async move {
+        for n in 0..4 {
+            assert_eq!(scene.ask(&format!("r{n}"), "send").await.status, 200);
+        }
+    });
+}
+
+/// After the first event the stream is the client's: it ends without its last chunk, and nothing is sent again.
+#[test]
+fn what_is_spoilt_later_breaks_the_clients_stream() {
+    for noise in
+        ["zz\r\n", "5\r\ndata:qq", "bb800000\r\ndata: {}\n\n", "9\r\nnoise!!\n\n\r\n", "0\r\n\r\n", ""]
+    {
+        let rig = Rig::new(move |seen| match writes(seen) {
+            true => Play::AfterFirst(noise.as_bytes().to_vec()),
+            false => Play::Usual,
+        });
+        rig.play(move |scene| async move {
+            let got = scene.ask("one", "draft").await;
+            assert_eq!((got.status, got.whole), (200, false), "{noise:?}");
+            assert!(SERVED.as_bytes().starts_with(&got.body) && !got.body.is_empty(), "{noise:?}");
+            assert!(got.at - got.last < 5_000_000, "{noise:?}: left waiting {} us", got.at - got.last);
+            scene.world.sleep(1_000_000).await;
+            assert_eq!(scene.sends("one").iter().filter(|s| writes(s)).count(), 1, "{noise:?}");
+            // The engine's connection ended too.
+            let at = scene.sends("one").into_iter().find(writes).unwrap().connection;
+            assert!(scene.book.lock().unwrap().closed.iter().any(|c| c.1 == at), "{noise:?}");
+        });
+    }
+}
+
+/// More than belongs to an answer is survived, and its connection is not used again where it stays unclear.
+#[test]
+fn extras_around_a_good_answer_are_survived() {
+    let body = format!("{:x}\r\n{SERVED}\r\n0\r\n\r\n", SERVED.len());
+    let head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Server-Load: TEXT inflight=\x7e, util\r\n\r\n";
+    let second = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nhey";
+    let extras = [
+        (format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\n\r\n{head}{body}"), true),
+        (format!("{head}{body}{second}"), false),
+    ];
+    for (extra, again) in extras {
+        let rig = Rig::new(move |seen| if writes(seen) { say(&extra) } else { Play::Usual });
+        rig.play(move |scene| async move {
+            let mut connections = Vec::new();
+            for n in 0..8 {
+                let id = format!("r{n}");
+                let got = scene.ask(&id, "send").await;
+                assert_eq!((got.status, got.whole, got.body.as_slice()), (200, true, SERVED.as_bytes()));
+                connections.extend(scene.sends(&id).iter().filter(|s| writes(s)).map(|s| s.connection));
+                scene.world.sleep(10_000).await;
+            }
+            let all = connections.len();
+            connections.sort_unstable();
+            connections.dedup();
+            assert_eq!(connections.len() < all, again, "{connections:?} of {all}");
+        });
+    }
+}
+
+/// A read that was not used is let go of in time, and not before its last attempt is over.
+#[test]
+fn what_is_held_is_let_go_in_time() {
+    let rig = Rig::new(|seen| match writes(seen) {
+        true => say("HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"),
+        false => Play::Usual,
+    });
+    rig.play(|scene| async move {
+        let got = scene.ask("one", "draft").await;
+        assert_eq!(got.status, 429, "refused: nothing ran");
+        assert!(got.retry_after.is_some_and(|r| r.parse::<f64>().is_ok_and(|r| r > 0.0)));
+        until(&scene.world, "a release", || !scene.releases("one").is_empty()).await;
+        let (release, last) = (scene.releases("one")[0].at, scene.sends("one").last().unwrap().at);
+        assert!(release >= last && release - last <= 300_000, "{} us", release - last);
+    });
+}
+
+/// Where the engine that holds something does not answer, another one is asked: any engine takes a release.
+#[test]
+fn a_release_finds_an_engine_that_answers() {
+    let rig = Rig::new(|seen| match (seen.method.as_str(), seen.engine) {
+        ("DELETE", engine) if engine != 3 => Play::Silent,
+        ("POST", engine) if engine >= 2 && !seen.id.is_empty() => Play::Silent,
+        _ => Play::Usual,
+    });
+    rig.play(|scene| async move {
+        let mut conn = scene.connect().await;
+        conn.write_all(&request("one", "draft", 4_800)).await.unwrap();
+        until(&scene.world, "a write", || scene.sends("one").iter().any(writes)).await;
+        let left = scene.world.now();
+        drop(conn);
+        until(&scene.world, "a release", || scene.releases("one").iter().any(|s| s.engine == 3)).await;
+        let took = scene.world.now() - left;
+        assert!(took < 600_000, "{took} us");
+        // Nothing is sent for a client that left.
+        let sends = scene.sends("one").len();
+        scene.world.sleep(2_000_000).await;
+        assert_eq!(scene.sends("one").len(), sends);
+    });
+}
+
+/// Descriptors: connections to engines stay within their bound while engines are replaced, and those to engines that
+/// are gone are closed.
+#[test]
+fn engines_that_are_replaced_leave_no_connections() {
+    let rig = Rig::new(|_| Play::Usual);
+    rig.play(|scene| async move {
+        for round in 0..10 {
+            // The same four addresses under ids that were never there before.
+            let text = list(&["up"; 4]).replace("\"s-", &format!("\"r{round}-"));
+            scene.relist(text);
+            scene.world.sleep(50_000).await;
+            for n in 0..3 {
+                assert_eq!(scene.ask(&format!("q{round}-{n}"), "draft").await.status, 200);
+            }
+        }
+        scene.world.sleep(50_000).await;
+        let book = scene.book.lock().unwrap();
+        assert!(book.standing <= 6, "{} connections stand", book.standing);
+        assert!(book.connections >= 20, "each new engine had connections of its own: {}", book.connections);
+        assert_eq!(scene.service.node().metrics().engines.get(), 4);
+    });
+}
--- /dev/null
+++ b/crates/ivyward-platform/tests/service.rs
@@ -0,0 +1,128 @@
+//! Configuration, discovery, reload and stop.
+
+mod common;
+use common::*;
+use futures_lite::AsyncWriteExt;
+use ivyward::world::WorldExt;
+use ivyward_platform::Config;
+
+#[test]
+fn a_configuration_that_cannot_hold_names_field_value_and_reason() {
+    let good = Rig::new(|_| Play::Usual).config;
+    assert!(Config::parse("f", good.as_bytes()).is_ok());
+    let bad = [
+        (good.replace("127.0.0.9:8080", "somewhere"), "listen somewhere"),
+        (good.replace("\"sockets\":1024", "\"sockets\":20"), "limits.sockets 20"),
+        (good.replace("\"memory_mb\":64", "\"memory_mb\":1"), "limits.memory_mb 1"),
+        (good.replace("retryable", "sometimes"), "\"sometimes\" of classes.0.semantics"),
+        (good.replace("[\"read\",\"write\"]", "[\"read\",\"sing\"]"), "kind_role"),
+        (
+            good.replace(
+                "\"target_us\":1500000,\"deadline_us\":7500000,\"importance\":2.0",
+                "\"importance\":2.0",
+            ),
+            "target_us",
+        ),
+        (good.replace("\"name\":\"send\"", "\"name\":\"draft\""), "draft"),
+        (good[..200].to_owned(), "f: "),
+    ];
+    for (text, what) in bad {
+        let line = Config::parse("f", text.as_bytes()).unwrap_err().to_string();
+        assert!(line.contains(what) && !line.contains('\n'), "{what}: {line}");
+    }
+}
+
+/// Bounds follow from the limits, and never ask for more descriptors than there are.
+#[test]
+fn bounds_fit_into_the_limits() {
+    for sockets in [160, 256, 512, 1024] {
+        let bounds = Rig::with(sockets, |_| Play::Usual).config().bounds;
+        assert!(bounds.clients + bounds.engines < sockets, "{bounds:?}");
+        assert!(bounds.clients >= sockets / 3, "usual clients hold a third: {bounds:?}");
+        assert!(bounds.prompts + bounds.outlet * bounds.clients < 64_000_000 / 2, "{bounds:?}");
+    }
+}
+
+/// Rule 3: once a drain was told nothing new goes there; one entry that cannot be read leaves the others.
+#[test]
+fn drains_and_unreadable_entries() {
+    Rig::new(|_| Play::Usual).play(|scene| async move {
+        assert_eq!(scene.ask("before", "draft").await.status, 200);
+        let text = list(&["up", "draining", "up", "removed"]);
+        scene.relist(format!("{text},{},{}", r#"{"id":"s-9","addr":"nowhere","state":"up"}"#, "17"));
+        scene.world.sleep(20_000).await;
+        let told = scene.world.now();
+        for n in 0..12 {
+            assert_eq!(scene.ask(&format!("r{n}"), "draft").await.status, 200);
+        }
+        let late: Vec<Seen> =
+            scene.seen().into_iter().filter(|s| s.at > told && matches!(s.engine, 1 | 3)).collect();
+        assert!(late.is_empty(), "{late:?}");
+        // The one that is up again is used again.
+        scene.relist(list(&["draining", "up", "up", "up"]));
+        scene.world.sleep(20_000).await;
+        assert_eq!(scene.ask("after", "draft").await.status, 200);
+        assert_eq!(scene.sends("after")[0].engine, 1);
+    });
+}
+
+/// Discovery that falls silent leaves the list; a new configuration moves the watch, and what the new address says counts.
+#[test]
+fn discovery_may_fall_silent_and_move() {
+    let rig = Rig::new(|_| Play::Usual);
+    let (other, new) = (rig.sim.host(44), std::net::SocketAddr::from(([127, 0, 2, 2], 8500)));
+    let newer = std::sync::Arc::new(std::sync::Mutex::new((70, list(&["up", "draining", "up", "draining"]))));
+    discover(&other, new, &newer);
+    let moved = config(new, 1024);
+    let sim = rig.sim.clone();
+    rig.play(move |scene| async move {
+        // The first discovery dies: host 2 in the order of their making.
+        sim.kill(2, false);
+        scene.world.sleep(30_000_000).await;
+        assert_eq!(scene.ask("one", "draft").await.status, 200, "the old list stays");
+        scene.service.reload(&Config::parse("f", moved.as_bytes()).unwrap());
+        scene.world.sleep(1_000_000).await;
+        let told = scene.world.now();
+        for n in 0..8 {
+            assert_eq!(scene.ask(&format!("r{n}"), "draft").await.status, 200);
+        }
+        let late = scene.seen().into_iter().filter(|s| s.at > told && matches!(s.engine, 1 | 3)).count();
+        assert_eq!(late, 0, "drains told by the new address hold");
+    });
+}
+
+/// SIGTERM: new requests are taken for the stated time, all that was taken is answered, and then the node ends.
+#[test]
+fn a_stop_answers_all_that_was_taken() {
+    let rig = Rig::new(|seen| if seen.engine >= 2 { Play::Late(900_000) } else { Play::Usual });
+    rig.play(|mut scene| async move {
+        let (client, address) = (scene.client.clone(), scene.address);
+        let mut kept = scene.connect().await;
+        kept.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").await.unwrap();
+        assert_eq!(got(&client, &mut kept).await.status, 200);
+        let mut early = scene.connect().await;
+        early.write_all(&request("early", "send", 4_800)).await.unwrap();
+        until(&scene.world, "an attempt", || !scene.sends("early").is_empty()).await;
+        let (done, answers) = async_channel::unbounded();
+        for (id, after) in [("late1", 100_000), ("late2", 390_000)] {
+            let (client, done) = (client.clone(), done.clone());
+            scene.client.run(async move {
+                client.sleep(after).await;
+                let mut conn = client.connect(address).await.unwrap();
+                conn.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").await.unwrap();
+                assert_eq!(got(&client, &mut conn).await.status, 503);
+                let mut conn = client.connect(address).await.unwrap();
+                conn.write_all(&request(id, "send", 4_800)).await.unwrap();
+                done.send(got(&client, &mut conn).await).await.unwrap();
+            });
+        }
+        scene.service.stop().await;
+        let early = got(&client, &mut early).await;
+        assert_eq!((early.status, early.whole), (200, true));
+        for _ in 0..2 {
+            let late = answers.recv().await.unwrap();
+            assert_eq!((late.status, late.whole, late.closes), (200, true, true));
+        }
+        assert!(client.connect(address).await.is_err(), "it listens no longer");
+    });
+}
