Tenants turned away are remembered by server and tenant; servers that are gone are forgotten

Seen: on wide requests of 10 to 18 s were read, turned away by four writers one after the other, and refused. Checked with class, tenant and engine in the line of each attempt's end: 95 of 95 such answers went to one tenant, at six of seven writers and one of eight readers, each after 0.23 s or 0.39 s, while the same servers served the other two tenants. Ruled out: full slots (others were served within the same second), broken connections (none). At fault: rules.rs took Full for a state of the server, for all tenants, for a quarter of the aim.

Change: a server that turns a tenant away again is left to others by that tenant for twice as long each time, until it is served there; the first time it counts as full for all, as before. Servers that are gone and to which no request in hand was sent leave the module with their sessions: replaced engines leave nothing behind (Router::known, logged as `known`).

--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -7,7 +7,7 @@
 use crate::interface::*;
 use crate::state::*;
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 // ---- Constants: shares, counts, or multiples of told or learned figures; none is a deployment's figure.
 
@@ -93,6 +93,8 @@
 const DIRECT_MARGIN: f64 = 2.0;
 /// Multiple of the readers' time that an op without answers so far is taken to need.
 const UNSEEN: f64 = 3.0;
+/// What turns a tenant away is remembered for a quarter of the aim, twice as long each time, so many times.
+const LIMITED: i32 = 5;
 /// Log lines per start, and timer tokens.
 const LOG_LINES: u32 = 40;
 const SUBSCRIBE: u64 = 0;
@@ -122,13 +124,25 @@
         let since = |w: &Wait| now.saturating_sub(w.sent.max(self.progress)) as f64;
         self.waiting.values().any(|w| since(w) > STALL * w.expected)
     }
-    /// 0: use freely; 1: full of late; 2: doubted or stalled, only when nothing else is left.
-    fn grade(&self, now: Micros) -> u8 {
+    /// 0: use freely; 1: full of late, for all or for this tenant; 2: doubted or stalled, only when nothing
+    /// else is left.
+    fn grade(&self, now: Micros, tenant: usize) -> u8 {
         let trial_due = now >= self.trial_at && self.waiting.is_empty();
         if self.doubt >= 1.0 && !trial_due || self.stalled(now) {
             return 2;
         }
-        u8::from(now < self.full_until)
+        let limited = self.turned_away.get(&tenant).is_some_and(|t| now < t.1);
+        u8::from(now < self.full_until || limited)
+    }
+    /// Guards against servers that limit one tenant: its requests are turned away while others' are served,
+    /// so each further time makes the memory of it longer, for that tenant alone, until it is served there.
+    fn turn_away(&mut self, now: Micros, r: &Request) {
+        let (times, until) = self.turned_away.entry(r.a.tenant).or_default();
+        *times = (*times + 1).min(LIMITED);
+        *until = now + (r.aim / 8.0 * 2f64.powi(*times)) as Micros;
+        if *times == 1 {
+            self.full_until = *until;
+        }
     }
 }
 
@@ -258,9 +272,11 @@
                 // Restarted or gone: nothing it kept is there any more, and its past tells nothing.
                 server.epoch += 1;
                 (server.times, server.doubt, server.full_until) = (Fading::default(), 0.0, 0);
+                server.turned_away.clear();
             }
             server.entry = *entry;
         }
+        self.forget_gone();
         let listed: Vec<ServerEntry> = self.listed().map(|s| s.entry).collect();
         self.kinds.fill((0.0, 0.0));
         for entry in &listed {
@@ -278,6 +294,22 @@
         self.racks = pulls.collect();
     }
 
+    /// Forgets servers that are gone and to which no request in hand was sent, with the sessions they held.
+    fn forget_gone(&mut self) {
+        let used: BTreeSet<ServerId> =
+            self.open.values().flat_map(|r| r.attempts.iter().map(|t| t.server)).collect();
+        let before = self.fleet.len();
+        self.fleet.retain(|id, s| s.entry.condition != Condition::Gone || used.contains(id));
+        if self.fleet.len() < before {
+            self.rows.retain(|_, row| self.fleet.contains_key(&row.writer));
+        }
+    }
+
+    /// Servers that are remembered: those listed, and those gone to which a request in hand was sent.
+    pub fn known(&self) -> usize {
+        self.fleet.len()
+    }
+
     fn role(&self, server: &Server) -> Role {
         self.cfg.roles[usize::from(server.entry.kind)]
     }
@@ -381,8 +413,8 @@
         let key = if r.a.prefix != 0 { r.a.prefix } else { session };
         let readers = self.pool(true).filter(|s| !r.tried.contains(&s.entry.id) && self.cold_room(s, now));
         let mut ring: Vec<&Server> = readers.collect();
-        let best = ring.iter().map(|s| s.grade(now)).min()?;
-        ring.retain(|s| s.grade(now) == best);
+        let best = ring.iter().map(|s| s.grade(now, r.a.tenant)).min()?;
+        ring.retain(|s| s.grade(now, r.a.tenant) == best);
         let place = |s: &Server, key: u64| {
             // Nothing learned here: all nodes are to name the same homes.
             let weight = self.size(&s.entry) * self.capacity_share(&s.entry, now) * self.pull(&s.entry);
@@ -430,7 +462,7 @@
                 each *= self.expected(now, s, Op::Local, r.a.prompt_tokens, r.aim);
             }
             let cost = (s.load() + unit(lot ^ mix(s.entry.id.0))) * each;
-            let grade = s.grade(now);
+            let grade = s.grade(now, r.a.tenant);
             if tiers[tier].is_none_or(|best| (grade, cost) < (best.0, best.1)) {
                 tiers[tier] = Some((grade, cost, each, s));
             }
@@ -524,7 +556,7 @@
         let mut target = None;
         if left > 0 && in_time && self.repeat_open(&r, now) {
             if r.state_at.is_some() {
-                let ready = |s: &&Server| s.entry.condition == Condition::Ready && s.grade(now) < 2;
+                let ready = |s: &&Server| s.entry.condition == Condition::Ready && s.grade(now, 0) < 2;
                 let held = r.held_at.and_then(|id| self.fleet.get(&id)).filter(ready);
                 let held = held.filter(|s| self.cold_room(s, now) && !r.tried.contains(&s.entry.id));
                 let writer =
@@ -555,7 +587,7 @@
         let margin = |s: &Server| if self.role(s) == Role::Mixed { 1.0 } else { DIRECT_MARGIN };
         let direct = |s: &Server| margin(s) * self.expected(now, s, Op::Local, r.a.prompt_tokens, r.aim);
         let writer = || self.pick_writer(now, None, r, true).map(|id| &self.fleet[&id]);
-        read > JAMMED * r.aim && writer().is_some_and(|s| s.grade(now) == 0 && direct(s) < read)
+        read > JAMMED * r.aim && writer().is_some_and(|s| s.grade(now, r.a.tenant) == 0 && direct(s) < read)
     }
 
     /// Tokens of a prompt that nobody has kept. The design page's prompt minus shared opening, extended:
@@ -598,7 +630,7 @@
         r.path = Some((Path::Remote, key));
         let limits = new < LOCAL_SHARE * r.a.prompt_tokens && server.load() <= LOCAL_CROWD * median;
         let able = self.role(server) == Role::Mixed || self.cfg.decode_may_prefill;
-        let well = server.entry.condition == Condition::Ready && server.grade(now) == 0;
+        let well = server.entry.condition == Condition::Ready && server.grade(now, r.a.tenant) == 0;
         if !(limits && able && well && self.cold_room(server, now)) {
             return None;
         }
@@ -713,6 +745,7 @@
         (r.first_token, r.state_at, r.held_at) = (Some(now), None, None);
         let (to, op, took, work) = (t.server, t.op, now - t.sent, t.work);
         let (path, keys, session, context) = (r.path, row_keys(&r.a), r.a.session, r.a.prompt_tokens);
+        let tenant = r.a.tenant;
         let ttft = (now - r.arrived) as f64;
         let (ratio, new) = (ttft / r.aim.max(1.0), r.new);
         self.begun.add(now, DELAY_QUEUE, 0.0);
@@ -720,6 +753,7 @@
         self.learn_cell(path, |stats| stats.ttft.add(now, CELL_AGE, ttft));
         self.progress(now, to, op, took, work);
         let server = self.at(to);
+        server.turned_away.remove(&tenant);
         server.waiting.remove(&(id, attempt));
         server.streams += 1;
         let epoch = server.epoch;
@@ -770,6 +804,7 @@
         match outcome {
             Outcome::Read => {
                 self.progress(now, to, op, now - sent, work);
+                self.at(to).turned_away.remove(&r.a.tenant);
                 r.state_at = Some(to);
             }
             Outcome::Served => {
@@ -785,7 +820,7 @@
                     self.rows.get_mut(&key).into_iter().for_each(|row| row.used = now);
                 }
             }
-            Outcome::Full => self.at(to).full_until = now + (r.aim / 4.0) as Micros,
+            Outcome::Full => self.at(to).turn_away(now, &r),
             Outcome::StateLost => r.state_at = None,
             Outcome::ConnectFailed | Outcome::Reset => {
                 self.at(to).epoch += 1;
--- a/crates/ivyward-core/src/state.rs
+++ b/crates/ivyward-core/src/state.rs
@@ -86,6 +86,8 @@
     pub(crate) trial_gap: Micros,
     pub(crate) progress: Micros,
     pub(crate) full_until: Micros,
+    /// Tenants that were turned away here and not served since: how often, and until when it is taken to go on.
+    pub(crate) turned_away: BTreeMap<usize, (i32, Micros)>,
     /// Recent sends, kept while it is cold.
     pub(crate) sends: VecDeque<Micros>,
 }
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -92,6 +92,7 @@
                         connections = engines.connections(),
                         prompt_bytes = looks.prompt_bytes(),
                         engines = m.engines.get(),
+                        known = m.engines_known.get(),
                         requests = m.requests.get(),
                         served = m.served.get(),
                         refused = m.refused.get(),
--- a/crates/ivyward/src/driver.rs
+++ b/crates/ivyward/src/driver.rs
@@ -402,7 +402,8 @@
         attempt.out = false;
         let (reads, link) = (attempt.reads, attempt.link.clone());
         let engine = link.as_ref().map_or(0, |l| l.id().0);
-        debug!(request = id, attempt = no, engine, reads, outcome = ?end.outcome, text = end.text, "attempt ended");
+        let (class, tenant) = (open.taken.arrival.class, open.taken.arrival.tenant);
+        debug!(request = id, attempt = no, class, tenant, engine, reads, outcome = ?end.outcome, text = end.text, "attempt ended");
         if !matches!(end.outcome, Outcome::Served | Outcome::Read) {
             open.last = end.text.clone();
         }
@@ -513,6 +514,7 @@
         }
         self.shared.metrics.engines.set(self.links.len() as u64);
         self.tell(Event::Fleet { kind, entries });
+        self.shared.metrics.engines_known.set(self.router.known() as u64);
     }
 
     fn role(&self, kind: u8) -> Option<Role> {
--- a/crates/ivyward/src/metrics.rs
+++ b/crates/ivyward/src/metrics.rs
@@ -52,6 +52,8 @@
     pub releases_dropped: Counter,
     /// Engines in the list.
     pub engines: Counter,
+    /// Engines that the module remembers, those that are gone and still have something of ours among them.
+    pub engines_known: Counter,
     /// 1 while the list of engines may be out of date: the store does not answer, or something was missed.
     pub list_stale: Counter,
     /// The store's revision up to which the list is known.
@@ -114,6 +116,7 @@
             ("ivyward_module_us_total", self.module_us.get()),
             ("ivyward_buffered_tokens_most", self.buffered_most.get()),
             ("ivyward_engines", self.engines.get()),
+            ("ivyward_engines_known", self.engines_known.get()),
             ("ivyward_open_requests", open as u64),
         ];
         // Writing to a String cannot fail.
