Writers that err at once: two errors doubt one, and unsafe requests are no trials of it

A server that errs at once has the fewest streams and draws every request; rules.rs needed four errors to doubt it (blame of 0.3 each) and then tried it again every 0.75 s with whatever came, unsafe requests too, which fail for good by that. Ruled out: releases and restarts, which begin later.

Change: an error counts half a doubt, and what may not be sent again is never the trial of a doubted server.

Looked at and not changed: requests later than 0.65 s after SIGTERM are not taken, since what the kill finds of them is lost.

--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -126,8 +126,9 @@
     }
     /// 0: use freely; 1: full of late, for all or for this tenant; 2: doubted or stalled, only when nothing
     /// else is left.
-    fn grade(&self, now: Micros, tenant: usize) -> u8 {
-        let trial_due = now >= self.trial_at && self.waiting.is_empty();
+    fn grade(&self, now: Micros, tenant: usize, once: bool) -> u8 {
+        // What may not be sent again is no trial: a server that errs at once is always the least loaded one.
+        let trial_due = now >= self.trial_at && self.waiting.is_empty() && !once;
         if self.doubt >= 1.0 && !trial_due || self.stalled(now) {
             return 2;
         }
@@ -413,8 +414,8 @@
         let key = if r.a.prefix != 0 { r.a.prefix } else { session };
         let readers = self.pool(true).filter(|s| !r.tried.contains(&s.entry.id) && self.cold_room(s, now));
         let mut ring: Vec<&Server> = readers.collect();
-        let best = ring.iter().map(|s| s.grade(now, r.a.tenant)).min()?;
-        ring.retain(|s| s.grade(now, r.a.tenant) == best);
+        let best = ring.iter().map(|s| s.grade(now, r.a.tenant, false)).min()?;
+        ring.retain(|s| s.grade(now, r.a.tenant, false) == best);
         let place = |s: &Server, key: u64| {
             // Nothing learned here: all nodes are to name the same homes.
             let weight = self.size(&s.entry) * self.capacity_share(&s.entry, now) * self.pull(&s.entry);
@@ -452,6 +453,7 @@
         let able = |s: &Server| !reads || self.role(s) == Role::Mixed || self.cfg.decode_may_prefill;
         let writers = self.pool(false).filter(|s| able(s) && !r.tried.contains(&s.entry.id));
         let writers = writers.filter(|s| self.cold_room(s, now) && self.repeat_allowed(r, s, now));
+        let once = self.cfg.classes[r.a.class].effect == Effect::Unsafe;
         let mut tiers: [Option<(u8, f64, f64, &Server)>; 3] = [None; 3];
         let lot = mix(self.random ^ r.a.id.0);
         for s in writers {
@@ -462,7 +464,7 @@
                 each *= self.expected(now, s, Op::Local, r.a.prompt_tokens, r.aim);
             }
             let cost = (s.load() + unit(lot ^ mix(s.entry.id.0))) * each;
-            let grade = s.grade(now, r.a.tenant);
+            let grade = s.grade(now, r.a.tenant, once);
             if tiers[tier].is_none_or(|best| (grade, cost) < (best.0, best.1)) {
                 tiers[tier] = Some((grade, cost, each, s));
             }
@@ -556,7 +558,8 @@
         let mut target = None;
         if left > 0 && in_time && self.repeat_open(&r, now) {
             if r.state_at.is_some() {
-                let ready = |s: &&Server| s.entry.condition == Condition::Ready && s.grade(now, 0) < 2;
+                let ready =
+                    |s: &&Server| s.entry.condition == Condition::Ready && s.grade(now, r.a.tenant, true) < 2;
                 let held = r.held_at.and_then(|id| self.fleet.get(&id)).filter(ready);
                 let held = held.filter(|s| self.cold_room(s, now) && !r.tried.contains(&s.entry.id));
                 let writer =
@@ -587,7 +590,8 @@
         let margin = |s: &Server| if self.role(s) == Role::Mixed { 1.0 } else { DIRECT_MARGIN };
         let direct = |s: &Server| margin(s) * self.expected(now, s, Op::Local, r.a.prompt_tokens, r.aim);
         let writer = || self.pick_writer(now, None, r, true).map(|id| &self.fleet[&id]);
-        read > JAMMED * r.aim && writer().is_some_and(|s| s.grade(now, r.a.tenant) == 0 && direct(s) < read)
+        read > JAMMED * r.aim
+            && writer().is_some_and(|s| s.grade(now, r.a.tenant, true) == 0 && direct(s) < read)
     }
 
     /// Tokens of a prompt that nobody has kept. The design page's prompt minus shared opening, extended:
@@ -630,7 +634,7 @@
         r.path = Some((Path::Remote, key));
         let limits = new < LOCAL_SHARE * r.a.prompt_tokens && server.load() <= LOCAL_CROWD * median;
         let able = self.role(server) == Role::Mixed || self.cfg.decode_may_prefill;
-        let well = server.entry.condition == Condition::Ready && server.grade(now, r.a.tenant) == 0;
+        let well = server.entry.condition == Condition::Ready && server.grade(now, r.a.tenant, true) == 0;
         if !(limits && able && well && self.cold_room(server, now)) {
             return None;
         }
@@ -834,7 +838,8 @@
                     self.blame(to, now, 0.6, out);
                 }
             }
-            Outcome::Error => self.blame(to, now, 0.3, out),
+            // Errors are rare where nothing is wrong: two without an answer between them are no chance.
+            Outcome::Error => self.blame(to, now, 0.5, out),
             Outcome::TimedOut | Outcome::Cancelled | Outcome::NotSent => {}
         }
         if !matches!(outcome, Outcome::Read | Outcome::StateLost | Outcome::NotSent) {
--- a/crates/ivyward-core/tests/health.rs
+++ b/crates/ivyward-core/tests/health.rs
@@ -164,3 +164,44 @@
     }
     assert!((1..=8).contains(&cancels), "{cancels} call-offs for 20 requests");
 }
+
+/// A writer that answers every request with an error at once has the fewest streams of all, and would draw all requests.
+/// What may be sent again finds out; what may not is never the trial.
+#[test]
+fn a_writer_that_errs_at_once_draws_no_request_that_may_not_be_repeated() {
+    let mut rig = Rig::new(settings(), &fleet());
+    for id in 0..30 {
+        rig.turn(id, id, 1_000.0);
+    }
+    let (mut lost, mut erred, mut once) = (0, 0, 0);
+    for id in 100..300 {
+        let class = usize::from(id % 4 == 0);
+        rig.ask(Arrival { class, prefix: id, ..arrival(id, id, 1_000.0) }).expect("sent to a reader");
+        rig.now += 50_000;
+        let mut writer = rig.end(id, 0, Outcome::Read);
+        once += class;
+        for attempt in 1..4 {
+            match writer {
+                Some(ServerId(11)) => {
+                    erred += 1;
+                    rig.now += 2_000;
+                    writer = rig.end(id, attempt, Outcome::Error);
+                    if rig.failed() {
+                        lost += 1;
+                        break;
+                    }
+                }
+                Some(_) => {
+                    rig.now += 20_000;
+                    rig.first(id, attempt);
+                    rig.now += 30_000;
+                    rig.end(id, attempt, Outcome::Served);
+                    break;
+                }
+                None => break,
+            }
+        }
+    }
+    assert!(lost <= 1, "{lost} of {once} were lost to it");
+    assert!((3..=30).contains(&erred), "it was tried {erred} times in 20 s");
+}
