Readers near the node come first in the ring where crossing zones has a price

Checked: about one crossing a request; the ring's places (rules.rs, pick_reader) know nothing of zones, so that half of the reads cross.

Change: 0.3, only where the settings tell a price.

--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -38,6 +38,8 @@
 /// A reader is preferred by its rack's share of writers over its share of readers, within these bounds.
 const PULL_LEAST: f64 = 0.3;
 const PULL_MOST: f64 = 1.6;
+/// Where crossing zones has a price, a reader in another zone than this node's has this part of its place.
+const FAR_PLACE: f64 = 0.3;
 /// A prefix has one home, and one more for each mean reader's load that it brings, times this.
 const HOMES: f64 = 0.6;
 /// Step of the running mean of worth: about the last ten arrivals.
@@ -417,8 +419,11 @@
         let best = ring.iter().map(|s| s.grade(now, r.a.tenant, false)).min()?;
         ring.retain(|s| s.grade(now, r.a.tenant, false) == best);
         let place = |s: &Server, key: u64| {
-            // Nothing learned here: all nodes are to name the same homes.
-            let weight = self.size(&s.entry) * self.capacity_share(&s.entry, now) * self.pull(&s.entry);
+            // Nothing learned here: all nodes (of a zone) are to name the same homes.
+            let far = s.entry.zone != self.cfg.zone && self.cfg.cross_zone_price > 0.0;
+            let near = if far { FAR_PLACE } else { 1.0 };
+            let weight =
+                near * self.size(&s.entry) * self.capacity_share(&s.entry, now) * self.pull(&s.entry);
             -(unit(mix(key) ^ mix(s.entry.id.0)) + 1e-16).ln() / weight
         };
         ring.sort_by_cached_key(|s| (place(s, key).to_bits(), s.entry.id));
--- a/crates/ivyward-core/tests/ordinary_path.rs
+++ b/crates/ivyward-core/tests/ordinary_path.rs
@@ -165,3 +165,25 @@
     };
     assert_eq!(run(), run());
 }
+
+/// Where crossing zones has a price, most prefixes have their home in the node's own zone; without one, zones mean nothing.
+#[test]
+fn homes_are_near_where_crossing_has_a_price() {
+    let far = |id, zone| ServerEntry { zone, ..server(id, 0) };
+    let fleet = vec![far(1, 0), far(2, 0), far(3, 1), far(4, 1), server(11, 1), server(12, 1)];
+    let near = |price| {
+        let mut rig = Rig::new(Settings { cross_zone_price: price, ..settings() }, &fleet);
+        let homes = (0..200).map(|id| {
+            let home = rig.ask(Arrival { prefix: 1_000 + id, ..arrival(id, id, 1_000.0) }).expect("a reader");
+            rig.now += 200_000;
+            rig.end(id, 0, Outcome::Read);
+            rig.first(id, 1);
+            rig.end(id, 1, Outcome::Served);
+            usize::from(home.0 <= 2)
+        });
+        homes.sum::<usize>()
+    };
+    let (with, without) = (near(0.02), near(0.0));
+    assert!(with > 140, "{with} of 200 homes are in the node's zone");
+    assert!((60..140).contains(&without), "{without} of 200");
+}
