--- a/crates/ivywardd/src/platform.rs
+++ b/crates/ivywardd/src/platform.rs
@@ -59,6 +59,8 @@
     let world: WorldRef = smol.clone();
     smol.block_on(async {
         let mut service = Service::start(world.clone(), config).await.map_err(|e| e.to_string())?;
+        // Scripts wait for this line.
+        println!("listening on {}", service.address());
         while let Some(Ok(Signal::Hup)) = signals.next().await {
             reload(flags, &service, &world).await;
         }
