--- a/crates/ivyward-platform/src/call.rs
+++ b/crates/ivyward-platform/src/call.rs
@@ -225,3 +225,40 @@
         lock(&self.inner).told
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use ivyward::Failure;
+
+    #[test]
+    fn a_slow_client_stops_its_engine_at_the_bound_and_the_first_end_counts() {
+        let outlet = Outlet { inner: Mutex::default(), bound: 8 };
+        let mut cx = Context::from_waker(Waker::noop());
+        outlet.push(b"12345").unwrap();
+        assert!(outlet.poll_room(&mut cx).is_ready());
+        outlet.push(b"6789").unwrap();
+        assert!(outlet.poll_room(&mut cx).is_pending(), "nine bytes wait of eight");
+        assert_eq!(outlet.poll_part(&mut cx), Poll::Ready(Part::Data(b"123456789".to_vec())));
+        assert!(outlet.poll_room(&mut cx).is_ready());
+        outlet.push(b"0").unwrap();
+        assert!(outlet.finish(Final::Failed(Failure::Deadline)));
+        assert!(!outlet.finish(Final::Served));
+        assert_eq!(outlet.push(b"late"), Err(Over));
+        // A failure does not wait behind bytes that nobody took.
+        assert!(!outlet.told());
+        assert_eq!(outlet.poll_part(&mut cx), Poll::Ready(Part::End(Final::Failed(Failure::Deadline))));
+        assert!(outlet.told());
+    }
+
+    #[test]
+    fn shares_of_the_budget_are_given_back() {
+        let budget = Budget::new(100);
+        let (mut one, mut other) = (Share::new(&budget), Share::new(&budget));
+        assert!(one.grow(60) && !other.grow(60));
+        drop(other);
+        assert!(one.grow(40) && budget.held() == 100);
+        drop(one);
+        assert_eq!(budget.held(), 0);
+    }
+}
--- a/crates/ivyward-platform/tests/clients.rs
+++ b/crates/ivyward-platform/tests/clients.rs
@@ -216,3 +216,30 @@
         assert_eq!(scene.sends("one").len(), sends, "nothing is sent after the answer");
     });
 }
+
+/// More bytes of prompts than the node may hold: those beyond are turned away, nothing was sent for them, and when the
+/// others are gone a usual client is served again.
+#[test]
+fn prompts_past_the_bytes_that_are_held_are_turned_away() {
+    let rig = Rig::new(|_| Play::Usual);
+    let bound = rig.config().bounds.prompts;
+    rig.play(move |scene| async move {
+        let head = changed(&format!("Content-Length: {}", BODY.len()), "Content-Length: 250000");
+        let mut conns = Vec::new();
+        for _ in 0..bound / 240_000 + 12 {
+            let mut conn = scene.connect().await;
+            // One that is turned away may be closed under our writing.
+            let _ = conn.write_all(&[head.clone(), vec![b'x'; 240_000]].concat()).await;
+            conns.push(conn);
+        }
+        let mut turned_away = 0;
+        for conn in &mut conns {
+            let got = got(&scene.client, conn).await;
+            assert!(matches!(got.status, 503 | 408), "{}", got.status);
+            turned_away += usize::from(got.status == 503);
+        }
+        assert!((1..=12).contains(&turned_away), "{turned_away} were turned away");
+        assert!(scene.seen().is_empty());
+        assert_eq!(scene.ask("good", "draft").await.status, 200);
+    });
+}
--- /dev/null
+++ b/crates/ivyward-platform/tests/rules.rs
@@ -0,0 +1,165 @@
+//! The five rules on a rough day, checked from what crossed the engines' and the clients' sockets.
+
+mod common;
+use common::*;
+use futures_lite::AsyncWriteExt;
+use ivyward::core::interface::Micros;
+use ivyward::world::{before, WorldExt};
+use std::collections::BTreeMap;
+
+const GRACE: Micros = 1_000_000;
+const HELD: Micros = 300_000;
+/// What the platform adds to every time limit.
+const MORE: Micros = 50_000;
+
+fn hash(text: &str, salt: u64) -> u64 {
+    let mix = |h: u64, b: u64| (h ^ b).wrapping_mul(0x0100_0000_01b3).rotate_left(23);
+    text.bytes().fold(mix(0xcbf2_9ce4_8422_2325, salt), |h, b| mix(h, u64::from(b)))
+}
+
+/// What an engine does with a request, drawn from the request's id and its own number.
+fn fault(seen: &Seen) -> u64 {
+    if seen.id.is_empty() {
+        return 99;
+    }
+    hash(&seen.id, seen.engine as u64) % 24
+}
+
+fn play(seen: &Seen) -> Play {
+    match fault(seen) {
+        0 => say("\u{1}\u{2} noise\r\n\r\n"),
+        1 => say("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"),
+        2 => Play::SayAndClose(Vec::new()),
+        3 | 4 => say("HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"),
+        5 => Play::Silent,
+        6 if seen.engine >= 2 => Play::AfterFirst(b"zz\r\n".to_vec()),
+        7 => Play::Late(400_000),
+        _ => Play::Usual,
+    }
+}
+
+/// Turned away by an engine's own word: nothing ran.
+fn turned_away(seen: &Seen) -> bool {
+    matches!(fault(seen), 3 | 4)
+}
+
+/// A client's side of one request.
+struct Told {
+    class: &'static str,
+    sent: Micros,
+    timeout: Micros,
+    /// `None` where the client left, at the time beside it.
+    got: Option<Got>,
+    over: Micros,
+}
+
+#[test]
+fn a_rough_day_keeps_the_rules() {
+    let rig = Rig::new(play);
+    rig.play(|scene| async move {
+        let (done, answers) = async_channel::unbounded();
+        let begun = scene.world.now();
+        for n in 0..400u64 {
+            let (client, address, done) = (scene.client.clone(), scene.address, done.clone());
+            let id = format!("q{n}");
+            let class = if n % 3 == 0 { "send" } else { "draft" };
+            let timeout = 600_000 + hash(&id, 7) % 4_000_000;
+            let leaves = n % 11 == 5;
+            scene.client.run(async move {
+                client.sleep(n * 25_000).await;
+                let mut conn = client.connect(address).await.unwrap();
+                let sent = client.now();
+                conn.write_all(&request(&id, class, timeout / 1_000)).await.unwrap();
+                let got = match leaves {
+                    true => before(&client, sent + 150_000, got(&client, &mut conn)).await,
+                    false => Some(got(&client, &mut conn).await),
+                };
+                drop(conn);
+                let over = client.now();
+                let _ = done.send((id, Told { class, sent, timeout, got, over })).await;
+            });
+        }
+        drop(done);
+        scene.world.sleep(3_000_000).await;
+        scene.relist(list(&["up", "draining", "up", "draining"]));
+        let drained = scene.world.now();
+        scene.world.sleep(3_000_000).await;
+        scene.relist(list(&["up"; 4]));
+        let back = scene.world.now();
+        let mut told = BTreeMap::new();
+        while let Ok((id, one)) = answers.recv().await {
+            told.insert(id, one);
+        }
+        scene.world.sleep(3_000_000).await;
+        assert_eq!(told.len(), 400);
+        let book = scene.book.lock().unwrap();
+        let mut sends: BTreeMap<&str, Vec<&Seen>> = BTreeMap::new();
+        for seen in book.seen.iter().filter(|s| !s.id.is_empty()) {
+            sends.entry(seen.id.as_str()).or_default().push(seen);
+        }
+        let ended = |connection: usize| book.closed.iter().find(|c| c.1 == connection).map(|c| c.2);
+        let (mut repeated, mut released, mut refused, mut broken) = (0, 0, 0, 0);
+        for (id, one) in &told {
+            let sends = sends.get(id.as_str()).map_or(&[][..], Vec::as_slice);
+            let writes: Vec<&&Seen> = sends.iter().filter(|s| s.engine >= 2).collect();
+            // Rule 1: one final answer in time, and nothing sent after it.
+            let status = one.got.as_ref().map_or(0, |g| g.status);
+            if let Some(got) = &one.got {
+                assert_ne!(got.status, 0, "{id}: no answer");
+                if got.status != 200 {
+                    let took = got.at - one.sent;
+                    assert!(took <= one.timeout + MORE, "{id}: answered after {took} us of {}", one.timeout);
+                }
+                broken += usize::from(got.status == 200 && !got.whole);
+            }
+            for send in sends {
+                assert!(send.at <= one.over + 1_000, "{id}: sent after its end");
+            }
+            // Rule 2: no effect twice, and a refusal only where nothing ran.
+            let may_have_run = writes.iter().filter(|s| !turned_away(s)).count();
+            if one.class == "send" {
+                assert!(may_have_run <= 1, "{id}: may have run {may_have_run} times");
+                if matches!(status, 429 | 503) {
+                    assert_eq!(may_have_run, 0, "{id}: refused, and may have run");
+                }
+            }
+            refused += usize::from(matches!(status, 429 | 503));
+            repeated += usize::from(writes.len() > 1);
+            // No two attempts at once: one that got no answer is over when its connection is.
+            for pair in sends.windows(2).filter(|p| fault(p[0]) == 5) {
+                let over = ended(pair[0].connection);
+                assert!(over.is_some_and(|at| at <= pair[1].at + 1_000), "{id}: two attempts at once");
+            }
+            // Rule 5: what was read and not written is let go.
+            let streamed = writes.iter().any(|s| matches!(fault(s), 6..));
+            let held = sends.iter().any(|s| s.engine < 2 && !turned_away(s) && !matches!(fault(s), 0 | 1));
+            if held && !streamed {
+                let last = sends.iter().map(|s| s.at).max().unwrap_or(0).max(one.over);
+                let let_go = book
+                    .seen
+                    .iter()
+                    .filter(|s| s.method == "DELETE" && s.target.ends_with(&format!("/{id}")));
+                let at = let_go.map(|s| s.at).max();
+                assert!(
+                    at.is_some_and(|at| at <= last + HELD + MORE + HELD),
+                    "{id}: not let go: {at:?} after {last}"
+                );
+                released += 1;
+            }
+        }
+        // Rule 3: drains.
+        for seen in book.seen.iter().filter(|s| matches!(s.engine, 1 | 3) && s.method == "POST") {
+            let late = drained + GRACE + MORE..back;
+            assert!(
+                !late.contains(&seen.at),
+                "{} sent to an engine that drains, {} us late",
+                seen.id,
+                seen.at - drained
+            );
+        }
+        // The day was rough enough to mean something.
+        assert!(repeated > 20 && released > 20 && broken > 5, "{repeated} {released} {refused} {broken}");
+        assert!(book.seen.iter().any(|s| s.at > begun && s.engine == 1), "engine 1 was used at all");
+        assert_eq!(scene.service.node().open(), 0);
+    });
+}
