One buffer for both protocols' answers, and one reader of answers for engines and discovery

Need: the platform's outlet was the gRPC buffer written again, and discovery read heads and bodies beside what engine.rs had for it.

Change: answer::Buffer holds items of any kind, tokens or bytes; `answer` and `rest` of the platform stand in wire.rs and serve both. No change in what is done.

--- a/crates/ivyward-platform/src/discovery.rs
+++ b/crates/ivyward-platform/src/discovery.rs
@@ -1,14 +1,13 @@
 //! The list of engines: discovery's form of it, and the watch that follows it.
 
 use crate::call::lock;
-use crate::config::ANSWERS;
-use crate::wire::Wire;
+use crate::wire::{answer, rest, NoHead, Wire};
 use event_listener::Event;
 use futures_lite::future::or;
 use ivyward::core::interface::{Condition, ListKind, Micros, ServerEntry, ServerId};
 use ivyward::world::{before, WorldRef};
 use ivyward::{Engine, Node};
-use ivyward_http1::{head, Answer, Body, Step};
+use ivyward_http1::head;
 use ivyward_settings::Told;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -26,9 +25,6 @@
 const DIAL: Micros = 500_000;
 /// Pause after a failure.
 const PAUSE: Micros = 100_000;
-/// Longest list taken, in bytes: as long as any body.
-const MOST: usize = crate::config::MOST_BODY;
-
 /// A list in discovery's form.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 pub struct List {
@@ -232,33 +228,11 @@
     let mut request = Vec::new();
     head::write(&mut request, &format!("GET {target} HTTP/1.1"), &[("Host", &host.to_string())]);
     wire.write(&request, &[]).await?;
-    let answer = loop {
-        match Answer::read(wire.bytes(), &ANSWERS).map_err(|e| bad(e.to_string()))? {
-            Some((answer, used)) => {
-                wire.used(used);
-                if answer.status >= 200 {
-                    break answer;
-                }
-            }
-            None if wire.fill().await? == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-            None => {}
-        }
-    };
-    let mut body = Body::new(answer.framing, &ANSWERS);
-    let mut text = Vec::new();
-    loop {
-        let (step, used) = body.step(wire.bytes()).map_err(|e| bad(e.to_string()))?;
-        if let Step::Data(range) = &step {
-            text.extend_from_slice(&wire.bytes()[range.clone()]);
-        }
-        wire.used(used);
-        match step {
-            Step::Done => break,
-            _ if text.len() > MOST => return Err(bad(format!("a list of more than {MOST} bytes"))),
-            Step::More if wire.fill().await? == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-            _ => {}
-        }
-    }
+    let answer = answer(wire).await.map_err(|e| match e {
+        NoHead::Broken(_) => io::ErrorKind::UnexpectedEof.into(),
+        NoHead::Bad(text) => bad(text),
+    })?;
+    let text = rest(wire, &answer).await.ok_or_else(|| bad("the list came spoilt or too long".into()))?;
     if answer.status != 200 {
         return Err(bad(format!("status {}", answer.status)));
     }
--- a/crates/ivyward-platform/src/door.rs
+++ b/crates/ivyward-platform/src/door.rs
@@ -1,6 +1,6 @@
 //! Clients: requests in, final answers out.
 
-use crate::call::{lock, Budget, Part, PlatformCall, Prompt, Share};
+use crate::call::{lock, Budget, PlatformCall, Prompt, Share};
 use crate::config::{Bounds, MOST_BODY, REQUESTS};
 use crate::wire::Wire;
 use futures_lite::future::{or, poll_fn};
@@ -349,8 +349,9 @@
     }
 
     /// Waits for the next part of the answer, or for the client's leaving.
-    async fn part(&self, wire: &mut Wire, call: &PlatformCall) -> Option<Part> {
-        or(async { Some(poll_fn(|cx| call.outlet.poll_part(cx)).await) }, async {
+    async fn part(&self, wire: &mut Wire, call: &PlatformCall) -> Option<Result<Vec<u8>, Final>> {
+        let next = async { Some(poll_fn(|cx| call.outlet.poll_items(cx)).await.map(|(_, data)| data)) };
+        or(next, async {
             // Bytes behind an open request wait for its end; past the bound nothing more is read.
             while wire.bytes().len() < MOST_BEHIND {
                 match wire.fill().await {
@@ -370,7 +371,7 @@
             let Some(part) = self.part(wire, taken.call).await else { return false };
             let mut out = Vec::new();
             match part {
-                Part::Data(data) => {
+                Ok(data) => {
                     if !begun {
                         begun = true;
                         let mut headers =
@@ -382,13 +383,11 @@
                     }
                     body::chunk(&mut out, &data);
                 }
-                Part::End(Final::Served) if begun => out.extend_from_slice(body::LAST),
+                Err(Final::Served) if begun => out.extend_from_slice(body::LAST),
                 // Without the last chunk the client knows that the stream broke.
-                Part::End(_) if begun => return false,
-                Part::End(Final::Refused { retry_after, why }) => {
-                    return self.refuse(wire, retry_after, why).await
-                }
-                Part::End(end) => {
+                Err(_) if begun => return false,
+                Err(Final::Refused { retry_after, why }) => return self.refuse(wire, retry_after, why).await,
+                Err(end) => {
                     let (status, text) = match end {
                         Final::Failed(Failure::Deadline) => (504, "the time was over"),
                         _ => (502, "no engine answered"),
--- a/crates/ivyward-platform/src/engine.rs
+++ b/crates/ivyward-platform/src/engine.rs
@@ -3,10 +3,11 @@
 //! What proves that an attempt never ran is decided here, by the platform's table; what follows from it is the module's.
 //! Nothing is ever sent again at this level.
 
-use crate::call::{lock, Over, PlatformCall, Progress};
+use crate::call::{lock, PlatformCall, Progress};
 use crate::config::{ANSWERS, MOST_BODY};
-use crate::wire::Wire;
+use crate::wire::{answer, rest, NoHead, Wire};
 use futures_lite::future::{or, poll_fn};
+use ivyward::answer::Over;
 use ivyward::core::interface::{Micros, Outcome, Report, ServerId};
 use ivyward::core::keep::Keep;
 use ivyward::engines::{End, Held, HoldJob, Job, Link, LinkRef, Protocol, ReleaseJob, Stop};
@@ -24,8 +25,6 @@
 const KEEP_PART: f64 = 0.6;
 /// Where no idle time is told.
 const KEEP: Micros = 5_000_000;
-/// Heads of interim answers that are passed over.
-const MOST_INTERIM: usize = 8;
 /// Time for the rest of an answer that is known already, so that its connection can serve on.
 const REST: Micros = 50_000;
 /// A round trip is taken for no less and no more than this: what a clock and a busy machine show is not the way.
@@ -303,54 +302,6 @@
     report
 }
 
-/// Why no answer's head came.
-enum NoHead {
-    /// The connection broke or ended.
-    Broken(String),
-    /// What came is no head.
-    Bad(String),
-}
-
-/// The head of an answer; interim ones are passed over.
-async fn answer(wire: &mut Wire) -> Result<Answer, NoHead> {
-    let mut interim = 0;
-    loop {
-        match Answer::read(wire.bytes(), &ANSWERS).map_err(|e| NoHead::Bad(e.to_string()))? {
-            Some((answer, used)) => {
-                wire.used(used);
-                match answer.status {
-                    100..=199 if interim < MOST_INTERIM => interim += 1,
-                    100..=199 => return Err(NoHead::Bad("interim answers without end".into())),
-                    _ => return Ok(answer),
-                }
-            }
-            None => match wire.fill().await {
-                Ok(0) => return Err(NoHead::Broken("the connection ended without an answer".into())),
-                Ok(_) => {}
-                Err(e) => return Err(NoHead::Broken(e.to_string())),
-            },
-        }
-    }
-}
-
-/// The whole body of a short answer, or `None` where it breaks or is longer than any body.
-async fn rest(wire: &mut Wire, answer: &Answer) -> Option<Vec<u8>> {
-    let (mut body, mut text) = (Body::new(answer.framing, &ANSWERS), Vec::new());
-    loop {
-        let (step, used) = body.step(wire.bytes()).ok()?;
-        if let Step::Data(range) = &step {
-            text.extend_from_slice(&wire.bytes()[range.clone()]);
-        }
-        wire.used(used);
-        match step {
-            Step::Done => return Some(text),
-            _ if text.len() > MOST_BODY => return None,
-            Step::More if wire.fill().await.ok()? == 0 => return None,
-            _ => {}
-        }
-    }
-}
-
 impl Link for EngineLink {
     fn id(&self) -> ServerId {
         self.id
--- a/crates/ivyward-platform/src/wire.rs
+++ b/crates/ivyward-platform/src/wire.rs
@@ -1,14 +1,18 @@
-//! A connection, with the bytes that came and were not used yet.
+//! A connection, with the bytes that came and were not used yet, and the answers that come on it.
 
+use crate::config::{ANSWERS, MOST_BODY};
 use futures_lite::future::poll_fn;
 use futures_lite::{AsyncRead, AsyncWrite};
 use ivyward::world::Conn;
+use ivyward_http1::{Answer, Body, Step};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
 
 /// Bytes asked of the system at once.
 const PIECE: usize = 16 << 10;
+/// Heads of interim answers that are passed over.
+const MOST_INTERIM: usize = 8;
 
 pub(crate) struct Wire {
     conn: Conn,
@@ -71,3 +75,51 @@
         let _ = poll_fn(|cx| Pin::new(&mut self.conn).poll_close(cx)).await;
     }
 }
+
+/// Why no answer's head came.
+pub(crate) enum NoHead {
+    /// The connection broke or ended.
+    Broken(String),
+    /// What came is no head.
+    Bad(String),
+}
+
+/// The head of an answer; interim ones are passed over.
+pub(crate) async fn answer(wire: &mut Wire) -> Result<Answer, NoHead> {
+    let mut interim = 0;
+    loop {
+        match Answer::read(wire.bytes(), &ANSWERS).map_err(|e| NoHead::Bad(e.to_string()))? {
+            Some((answer, used)) => {
+                wire.used(used);
+                match answer.status {
+                    100..=199 if interim < MOST_INTERIM => interim += 1,
+                    100..=199 => return Err(NoHead::Bad("interim answers without end".into())),
+                    _ => return Ok(answer),
+                }
+            }
+            None => match wire.fill().await {
+                Ok(0) => return Err(NoHead::Broken("the connection ended without an answer".into())),
+                Ok(_) => {}
+                Err(e) => return Err(NoHead::Broken(e.to_string())),
+            },
+        }
+    }
+}
+
+/// The whole body of a short answer, or `None` where it breaks or is longer than any body.
+pub(crate) async fn rest(wire: &mut Wire, answer: &Answer) -> Option<Vec<u8>> {
+    let (mut body, mut text) = (Body::new(answer.framing, &ANSWERS), Vec::new());
+    loop {
+        let (step, used) = body.step(wire.bytes()).ok()?;
+        if let Step::Data(range) = &step {
+            text.extend_from_slice(&wire.bytes()[range.clone()]);
+        }
+        wire.used(used);
+        match step {
+            Step::Done => return Some(text),
+            _ if text.len() > MOST_BODY => return None,
+            Step::More if wire.fill().await.ok()? == 0 => return None,
+            _ => {}
+        }
+    }
+}
--- a/crates/ivyward/src/answer.rs
+++ b/crates/ivyward/src/answer.rs
@@ -65,71 +65,76 @@
     End(Final),
 }
 
-#[derive(Default)]
-struct Inner {
-    next_index: u32,
-    ids: Vec<u32>,
+struct Inner<T> {
+    /// Items that were handed out.
+    given: u32,
+    items: Vec<T>,
     end: Option<Final>,
     told: bool,
     reader: Option<Waker>,
     writer: Option<Waker>,
 }
 
-/// Tokens on their way from an attempt to the client. It holds at most twice its bound: a run is taken while fewer
-/// tokens wait than the bound, and no run is longer than the bound.
-pub(crate) struct Buffer {
-    inner: Mutex<Inner>,
+/// Tokens, or whatever a protocol's answers are made of, on their way from an attempt to the client. It holds at most its
+/// bound and one piece: a piece is taken while fewer items wait than the bound.
+pub struct Buffer<T = u32> {
+    inner: Mutex<Inner<T>>,
     bound: usize,
 }
 
-/// The request has its final answer; tokens that come later are not taken.
+/// The request has its final answer; what comes later is not taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Over;
+pub struct Over;
 
-impl Buffer {
-    pub(crate) fn new(bound: usize) -> Buffer {
-        Buffer { inner: Mutex::default(), bound }
+impl<T: Copy> Buffer<T> {
+    /// An empty one.
+    pub fn new(bound: usize) -> Buffer<T> {
+        let inner = Inner { given: 0, items: Vec::new(), end: None, told: false, reader: None, writer: None };
+        Buffer { inner: Mutex::new(inner), bound }
     }
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    fn lock(&self) -> MutexGuard<'_, Inner<T>> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
     pub(crate) fn bound(&self) -> usize {
         self.bound
     }
-    /// Takes a run; how many tokens wait now.
-    pub(crate) fn push(&self, ids: &[u32]) -> Result<usize, Over> {
+    /// Takes a piece; how many items wait now.
+    ///
+    /// # Errors
+    /// When the request has its final answer.
+    pub fn push(&self, items: &[T]) -> Result<usize, Over> {
         let mut inner = self.lock();
         if inner.end.is_some() {
             return Err(Over);
         }
-        inner.ids.extend_from_slice(ids);
-        let (reader, waiting) = (inner.reader.take(), inner.ids.len());
+        inner.items.extend_from_slice(items);
+        let (reader, waiting) = (inner.reader.take(), inner.items.len());
         drop(inner);
         if let Some(reader) = reader {
             reader.wake();
         }
         Ok(waiting)
     }
-    /// Ready when fewer tokens wait than the bound.
-    pub(crate) fn poll_room(&self, cx: &mut Context<'_>) -> Poll<Result<(), Over>> {
+    /// Ready when fewer items wait than the bound.
+    pub fn poll_room(&self, cx: &mut Context<'_>) -> Poll<Result<(), Over>> {
         let mut inner = self.lock();
         if inner.end.is_some() {
             return Poll::Ready(Err(Over));
         }
-        if inner.ids.len() < self.bound || planted::is(Defect::NoBound) {
+        if inner.items.len() < self.bound || planted::is(Defect::NoBound) {
             return Poll::Ready(Ok(()));
         }
         inner.writer = Some(cx.waker().clone());
         Poll::Pending
     }
-    /// Sets the final answer; the first one counts. A failure does not wait behind tokens that nobody took.
-    pub(crate) fn finish(&self, end: Final) -> bool {
+    /// Sets the final answer; the first one counts. A failure does not wait behind items that nobody took.
+    pub fn finish(&self, end: Final) -> bool {
         let mut inner = self.lock();
         if inner.end.is_some() {
             return false;
         }
         if end != Final::Served {
-            inner.ids = Vec::new();
+            inner.items = Vec::new();
         }
         inner.end = Some(end);
         let wakers = [inner.reader.take(), inner.writer.take()];
@@ -137,36 +142,46 @@
         wakers.into_iter().flatten().for_each(Waker::wake);
         true
     }
-    /// All tokens that wait, or the end.
-    pub(crate) fn poll_part(&self, cx: &mut Context<'_>) -> Poll<Part> {
+    /// All items that wait, with the place of the first one in the answer, or the end.
+    pub fn poll_items(&self, cx: &mut Context<'_>) -> Poll<Result<(u32, Vec<T>), Final>> {
         let mut inner = self.lock();
-        if !inner.ids.is_empty() {
-            let ids = std::mem::take(&mut inner.ids);
-            if planted::is(Defect::AnsweredTwice) && inner.end.is_some() && ids.len() > 1 {
-                inner.ids = ids.clone();
+        if !inner.items.is_empty() {
+            let items = std::mem::take(&mut inner.items);
+            if planted::is(Defect::AnsweredTwice) && inner.end.is_some() && items.len() > 1 {
+                inner.items = items.clone();
             }
-            let first_index = inner.next_index;
-            inner.next_index += ids.len() as u32;
+            let first = inner.given;
+            inner.given = first.wrapping_add(items.len() as u32);
             let writer = inner.writer.take();
             drop(inner);
             if let Some(writer) = writer {
                 writer.wake();
             }
-            return Poll::Ready(Part::Tokens(Run { first_index, ids }));
+            return Poll::Ready(Ok((first, items)));
         }
         if let Some(end) = inner.end.clone() {
             inner.told = true;
-            return Poll::Ready(Part::End(end));
+            return Poll::Ready(Err(end));
         }
         inner.reader = Some(cx.waker().clone());
         Poll::Pending
     }
     /// Whether the client got its final answer.
-    pub(crate) fn told(&self) -> bool {
+    pub fn told(&self) -> bool {
         self.lock().told
     }
 }
 
+impl Buffer<u32> {
+    /// All tokens that wait, or the end.
+    pub(crate) fn poll_part(&self, cx: &mut Context<'_>) -> Poll<Part> {
+        self.poll_items(cx).map(|part| match part {
+            Ok((first_index, ids)) => Part::Tokens(Run { first_index, ids }),
+            Err(end) => Part::End(end),
+        })
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -201,4 +216,15 @@
         let run = Part::Tokens(Run { first_index: 4, ids: vec![5] });
         assert_eq!(buffer.poll_part(&mut cx), Poll::Ready(run));
     }
+
+    #[test]
+    fn a_failure_does_not_wait_behind_what_nobody_took() {
+        let buffer: Buffer<u8> = Buffer::new(4);
+        let mut cx = Context::from_waker(Waker::noop());
+        buffer.push(b"late").unwrap();
+        assert!(buffer.finish(Final::Failed(Failure::Deadline)));
+        assert_eq!(buffer.push(b"later"), Err(Over));
+        assert_eq!(buffer.poll_items(&mut cx), Poll::Ready(Err(Final::Failed(Failure::Deadline))));
+        assert!(buffer.told());
+    }
 }
