--- a/crates/ivyward-platform/src/config.rs
+++ b/crates/ivyward-platform/src/config.rs
@@ -20,6 +20,8 @@
 /// Descriptors for what is neither client nor engine: logs, listener, poller, discovery old and new, and connections
 /// that were told to close and have not yet.
 const RESERVE: usize = 40;
+/// Of those, connections that only releases and probes may take.
+pub(crate) const SPARE: usize = 12;
 
 /// Why a configuration cannot be used.
 #[derive(Debug, thiserror::Error)]
--- a/crates/ivyward-platform/src/engine.rs
+++ b/crates/ivyward-platform/src/engine.rs
@@ -4,7 +4,7 @@
 //! Nothing is ever sent again at this level.
 
 use crate::call::{lock, PlatformCall, Progress};
-use crate::config::{ANSWERS, MOST_BODY};
+use crate::config::{ANSWERS, MOST_BODY, SPARE};
 use crate::wire::{answer, rest, NoHead, Wire};
 use futures_lite::future::{or, poll_fn};
 use ivyward::answer::Over;
@@ -83,15 +83,17 @@
             lock(&link.idle).retain_mut(|(wire, since)| *since > oldest && wire.quiet());
         }
     }
-    /// Takes a descriptor for a connection: at the bound the one idle longest anywhere goes.
-    fn place(self: &Arc<Self>) -> Option<Place> {
-        if self.connections.load(Ordering::Relaxed) >= self.most {
+    /// Takes a descriptor for a connection: at the bound the one idle longest anywhere goes. Releases have some to spare,
+    /// so that what is held is let go of also while every other connection is in use.
+    fn place(self: &Arc<Self>, spare: usize) -> Option<Place> {
+        let most = self.most + spare;
+        if self.connections.load(Ordering::Relaxed) >= most {
             let oldest = |l: &Arc<EngineLink>| lock(&l.idle).front().map(|(_, since)| *since);
             let links = self.living();
             let link = links.iter().filter(|l| oldest(l).is_some()).min_by_key(|l| oldest(l));
             drop(link.and_then(|l| lock(&l.idle).pop_front()));
         }
-        if self.connections.load(Ordering::Relaxed) >= self.most {
+        if self.connections.load(Ordering::Relaxed) >= most {
             return None;
         }
         self.connections.fetch_add(1, Ordering::Relaxed);
@@ -198,12 +200,12 @@
 
 impl EngineLink {
     /// A connection that stands and may be used, or a new one; `again` where the request may be sent again.
-    async fn connect(&self, until: Micros, again: bool) -> Result<EngineWire, String> {
+    async fn connect(&self, until: Micros, again: bool, spare: usize) -> Result<EngineWire, String> {
         let world = &self.engines.world;
         if let Some(wire) = self.standing(again) {
             return Ok(wire);
         }
-        let place = self.engines.place().ok_or("no descriptor is left for a connection")?;
+        let place = self.engines.place(spare).ok_or("no descriptor is left for a connection")?;
         let until = until.min(world.now().saturating_add(self.engines.dial_timeout));
         let began = world.now();
         match before(world, until, world.connect(self.address)).await {
@@ -250,7 +252,7 @@
 
     /// A call without a body: its status and the load report of its head or body.
     async fn short(&self, method: &str, target: &str, until: Micros) -> Option<(u16, Report)> {
-        let mut wire = self.connect(until, true).await.ok()?;
+        let mut wire = self.connect(until, true, SPARE).await.ok()?;
         self.ask(&mut wire, method, target).await.ok()?;
         let answer = answer(&mut wire).await.ok()?;
         let mut report = self.report(answer.head.text("x-server-load"));
@@ -347,7 +349,7 @@
             let until = world.now().saturating_add(HOLD_ANSWER);
             let mut left = false;
             let asked = async {
-                let Ok(mut wire) = self.connect(until, true).await else { return Held::No };
+                let Ok(mut wire) = self.connect(until, true, 0).await else { return Held::No };
                 // Told during the dial: nothing new goes to an engine that drains or is gone.
                 if self.closing.load(Ordering::Relaxed) || job.is_over() {
                     return Held::No;
@@ -418,13 +420,13 @@
         if job.until <= world.now() {
             return End::new(Outcome::NotSent, "no time left");
         }
-        let mut wire = match self.wait(job.until, link.connect(job.until, job.reads || self.call.again)).await
-        {
-            Woken::Next(Ok(wire)) => wire,
-            Woken::Next(Err(text)) => return End::new(Outcome::ConnectFailed, text),
-            Woken::Late => return End::new(Outcome::ConnectFailed, "no connection in time"),
-            Woken::Stopped(_) => return gone(),
-        };
+        let mut wire =
+            match self.wait(job.until, link.connect(job.until, job.reads || self.call.again, 0)).await {
+                Woken::Next(Ok(wire)) => wire,
+                Woken::Next(Err(text)) => return End::new(Outcome::ConnectFailed, text),
+                Woken::Late => return End::new(Outcome::ConnectFailed, "no connection in time"),
+                Woken::Stopped(_) => return gone(),
+            };
         // Told during the dial: nothing new goes to an engine that drains or is gone.
         if link.closing.load(Ordering::Relaxed) {
             return End::new(Outcome::NotSent, "the engine drains or is gone");
@@ -635,3 +637,39 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use ivyward_sim::{Net, Sim};
+
+    #[test]
+    fn releases_have_connections_to_spare() {
+        let world = Sim::new(1, Net::default()).host(1).world();
+        let engines = Engines::new(&world, 1, 1, 2, &[]);
+        let taken: Vec<Place> = (0..2).map(|_| engines.place(0).expect("within the bound")).collect();
+        assert!(engines.place(0).is_none());
+        let spared: Vec<Place> = (0..SPARE).map(|_| engines.place(SPARE).expect("to spare")).collect();
+        assert!(engines.place(SPARE).is_none());
+        drop(spared);
+        drop(taken);
+        assert_eq!(engines.connections(), 0);
+    }
+
+    #[test]
+    fn reports_are_read_whole_or_not_at_all() {
+        let fields: Vec<String> = ["utilization", "backlog", "x0"].map(str::to_owned).to_vec();
+        let values = |text: &str| report(text, &fields).values[..report(text, &fields).len].to_vec();
+        assert_eq!(values("TEXT utilization=0.5, backlog=3, x0=0.25"), [0.5, 3.0, 0.25]);
+        assert_eq!(
+            values("TEXT x0=1, queue=7,util=0.61, more=9"),
+            [0.61, 7.0, 1.0],
+            "as the wire calls them"
+        );
+        for bad in
+            ["", "TEXT", "TEXT utilization=0.5, backlog=3", "TEXT utilization=NaN, backlog=3, x0=1", "\u{1}="]
+        {
+            assert!(values(bad).is_empty(), "{bad:?}");
+        }
+    }
+}
--- a/crates/ivyward-platform/tests/engines.rs
+++ b/crates/ivyward-platform/tests/engines.rs
@@ -222,7 +222,13 @@
         let book = scene.book.lock().unwrap();
         assert!(book.standing <= 6, "{} connections stand", book.standing);
         assert!(book.connections >= 20, "each new engine had connections of its own: {}", book.connections);
-        assert_eq!(scene.service.node().metrics().engines.get(), 4);
+        let metrics = scene.service.node().metrics();
+        assert_eq!(
+            (metrics.engines.get(), metrics.engines_known.get()),
+            (4, 4),
+            "the module forgot the others"
+        );
+        assert_eq!(scene.service.node().open(), 0);
     });
 }
 
--- a/crates/ivyward-platform/tests/rules.rs
+++ b/crates/ivyward-platform/tests/rules.rs
@@ -163,3 +163,48 @@
         assert_eq!(scene.service.node().open(), 0);
     });
 }
+
+/// Rule 4: an engine that has just started is told with its start, and gets no more in the stated time than its share of
+/// what a warm one takes, times the stated multiple, though no other is left.
+#[test]
+fn a_cold_engine_is_not_pushed_over() {
+    const WINDOW: Micros = 3_000_000;
+    let mut rig = Rig::new(|_| Play::Usual);
+    rig.config = rig.config.replace("\"fall_multiple\":2.5", "\"fall_multiple\":1.0");
+    rig.play(|scene| async move {
+        let (client, address) = (scene.client.clone(), scene.address);
+        scene.relist(list(&["up", "up", "up", "removed"]));
+        scene.client.run(async move {
+            for n in 0..1_200u64 {
+                let (client, inner) = (client.clone(), client.clone());
+                inner.run(async move {
+                    let mut conn = client.connect(address).await.unwrap();
+                    conn.write_all(&request(&format!("c{n}"), "draft", 4_800)).await.unwrap();
+                    got(&client, &mut conn).await;
+                });
+                inner.sleep(10_000).await;
+            }
+        });
+        scene.world.sleep(5_000_000).await;
+        let started = scene.world.unix_micros() / 1_000;
+        let cold = entry(3, "up").replace("\"started_ms\":0", &format!("\"started_ms\":{started}"));
+        scene.relist(format!("{},{cold}", list(&["up", "up", "draining"])));
+        let told = scene.world.now();
+        scene.world.sleep(6_000_000).await;
+        let book = scene.book.lock().unwrap();
+        let writes = |engine: usize, from: Micros| {
+            let span = from..from + WINDOW;
+            let ours = book.seen.iter().filter(|s| s.engine == engine && !s.id.is_empty());
+            ours.filter(|s| span.contains(&s.at)).count() as f64
+        };
+        // What one warm writer took for all in such a span, before the other one came.
+        let warm = writes(2, told - WINDOW);
+        assert!(warm > 250.0, "{warm}");
+        // By then it has at most 0.4 and six tenths of what is missing, at three seconds and six.
+        for (from, share) in [(told, 0.4 + 0.6 * 0.3), (told + WINDOW, 0.4 + 0.6 * 0.6)] {
+            let sent = writes(3, from);
+            assert!(sent > 0.0, "it is used all the same");
+            assert!(sent <= share * warm, "{sent} of {warm}");
+        }
+    });
+}
