Waits, bodies and fading sums shared where the platform had written them again

Change: keep.rs counts with state.rs's Fading. The wait for what comes next, the driver's word or a timer, the wait for a client's room and the look for streams without progress stand in engines.rs and serve gRPC and the platform, which sets one timer an attempt and one a stall now instead of one each read. Error bodies are written by serde_json instead of by hand; a test reads each of them. No bound, figure or check is changed.

--- a/crates/ivyward-core/src/keep.rs
+++ b/crates/ivyward-core/src/keep.rs
@@ -7,6 +7,7 @@
 //! longer has outlived whatever closes the younger ones, so times are judged each by itself. No I/O, no clock.
 
 use crate::interface::Micros;
+use crate::state::Fading;
 
 /// Steps of idle times: each is about three times the one before, from a millisecond to a minute and more.
 const STEPS: usize = 11;
@@ -19,29 +20,12 @@
 /// For what may not be sent again, a step has to have shown that it is safe: so many ends are added to the prior's uses.
 const UNPROVEN: f64 = 1.0;
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Seen {
-    uses: f64,
-    ends: f64,
-    at: Micros,
-}
-
-impl Seen {
-    fn left(&self, now: Micros) -> (f64, f64) {
-        let left = (-(now.saturating_sub(self.at) as f64) / MEMORY).exp();
-        (self.uses * left, self.ends * left)
-    }
-    fn add(&mut self, now: Micros, ended: bool) {
-        let (uses, ends) = self.left(now);
-        *self = Seen { uses: uses + 1.0, ends: ends + f64::from(u8::from(ended)), at: now };
-    }
-}
-
 /// What was seen of connections under requests. See the module's page.
 #[derive(Clone, Debug, Default)]
 pub struct Keep {
-    fresh: Seen,
-    steps: [Seen; STEPS],
+    /// Ends, and uses as their count.
+    fresh: Fading,
+    steps: [Fading; STEPS],
 }
 
 fn step(idle: Micros) -> usize {
@@ -58,18 +42,17 @@
     /// A request on a connection that had been idle for so long, or on a new one, got an answer; or the connection ended
     /// under it, before anything of an answer came.
     pub fn seen(&mut self, now: Micros, idle: Option<Micros>, ended: bool) {
-        match idle {
-            Some(idle) => self.steps[step(idle)].add(now, ended),
-            None => self.fresh.add(now, ended),
-        }
+        let of = match idle {
+            Some(idle) => &mut self.steps[step(idle)],
+            None => &mut self.fresh,
+        };
+        of.add(now, MEMORY, f64::from(u8::from(ended)));
     }
 
     /// Whether a connection that has been idle for so long may carry a request, which may or may not be sent again.
     pub fn may_use(&self, now: Micros, idle: Micros, again: bool) -> bool {
-        let (uses, ends) = self.fresh.left(now);
-        let usual = ends / (uses + PRIOR);
-        let (uses, ends) = self.steps[step(idle)].left(now);
+        let usual = self.fresh.mean_near(now, MEMORY, 0.0, PRIOR);
         let unproven = if again { 0.0 } else { UNPROVEN };
-        (ends + usual * PRIOR + unproven) / (uses + PRIOR) <= usual + MORE
+        self.steps[step(idle)].mean_near(now, MEMORY, usual + unproven / PRIOR, PRIOR) <= usual + MORE
     }
 }
--- a/crates/ivyward-core/src/state.rs
+++ b/crates/ivyward-core/src/state.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// A sum of values and their count that fade over a span.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Fading {
     pub(crate) sum: f64,
     pub(crate) count: f64,
--- a/crates/ivyward-platform/src/config.rs
+++ b/crates/ivyward-platform/src/config.rs
@@ -106,11 +106,8 @@
     pub node: NodeSettings,
 }
 
-/// Bounds on clients' requests.
-pub(crate) const REQUESTS: Limits =
-    Limits { head: 16 << 10, headers: 64, body: MOST_BODY as u64, chunk: MOST_BODY as u64 };
-/// Bounds on engines' and discovery's answers.
-pub(crate) const ANSWERS: Limits =
+/// Bounds on clients' requests, and on engines' and discovery's answers.
+pub(crate) const LIMITS: Limits =
     Limits { head: 16 << 10, headers: 64, body: MOST_BODY as u64, chunk: MOST_BODY as u64 };
 
 fn address(field: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
--- a/crates/ivyward-platform/src/discovery.rs
+++ b/crates/ivyward-platform/src/discovery.rs
@@ -69,9 +69,7 @@
 /// A place in a list of names; a number stands for itself.
 fn place(names: &[String], value: &serde_json::Value) -> Option<u8> {
     let at = match value {
-        serde_json::Value::String(name) => {
-            names.iter().position(|n| n == name || *n == name.replace([' ', ','], "_"))?
-        }
+        serde_json::Value::String(name) => ivyward_settings::place(names, name)?,
         other => usize::try_from(other.as_u64()?).ok()?,
     };
     u8::try_from(at).ok()
--- a/crates/ivyward-platform/src/door.rs
+++ b/crates/ivyward-platform/src/door.rs
@@ -1,13 +1,13 @@
 //! Clients: requests in, final answers out.
 
 use crate::call::{lock, Budget, PlatformCall, Prompt, Share};
-use crate::config::{Bounds, MOST_BODY, REQUESTS};
+use crate::config::{Bounds, LIMITS, MOST_BODY};
 use crate::wire::Wire;
 use futures_lite::future::{or, poll_fn};
 use ivyward::core::interface::{Arrival, Effect, Micros};
 use ivyward::world::{before, Conn, Listener, WorldExt, WorldRef};
 use ivyward::{Failure, Final, Node, Refusal};
-use ivyward_http1::{body, head, Body, Framing, Request, Step};
+use ivyward_http1::{body, head, Body, Request, Step};
 use ivyward_settings::Told;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -190,8 +190,7 @@
             };
             if let Some(bad) = bad {
                 let closes = bad.closes || self.stops();
-                let body = format!("{{\"error\":{{\"message\":{:?}}}}}", bad.text);
-                if !self.say(&mut wire, bad.status, &[], &body, closes).await {
+                if !self.say(&mut wire, bad.status, &[], &error(&bad.text), closes).await {
                     return;
                 }
                 if closes {
@@ -229,7 +228,7 @@
 
     async fn whole(&self, wire: &mut Wire) -> Came {
         let (request, used) = loop {
-            match Request::read(wire.bytes(), &REQUESTS) {
+            match Request::read(wire.bytes(), &LIMITS) {
                 Ok(Some(read)) => break read,
                 Ok(None) => {}
                 Err(fault) => {
@@ -252,26 +251,19 @@
         {
             return Came::Over;
         }
-        let mut body = Body::new(request.framing, &REQUESTS);
+        let mut body = Body::new(request.framing, &LIMITS);
         let mut share = Share::new(&self.budget);
-        let room = if let Framing::Length(n) = request.framing { n as usize } else { 0 };
+        // A length alone costs nothing: only what came is counted and held.
         let mut bytes = Vec::new();
         loop {
-            let (step, used) = match body.step(wire.bytes()) {
+            let before = bytes.len();
+            let step = match wire.take(&mut body, &mut bytes) {
                 Ok(step) => step,
                 Err(e) => return Came::Bad(Bad::closing(400, e.to_string())),
             };
-            if let Step::Data(range) = &step {
-                if bytes.is_empty() {
-                    // Not before anything came: a length alone must cost nothing.
-                    bytes.reserve_exact(room.min(4 * range.len()));
-                }
-                if !share.grow(range.len()) {
-                    return Came::Bad(Bad::closing(503, "the node holds as many prompts as it can"));
-                }
-                bytes.extend_from_slice(&wire.bytes()[range.clone()]);
+            if bytes.len() > before && !share.grow(bytes.len() - before) {
+                return Came::Bad(Bad::closing(503, "the node holds as many prompts as it can"));
             }
-            wire.used(used);
             match step {
                 Step::Done => return Came::Whole(Box::new(request), Prompt { bytes, _share: share }),
                 _ if bytes.len() > MOST_BODY => {
@@ -345,7 +337,7 @@
         let status = if why == Refusal::Shed { 429 } else { 503 };
         let seconds = retry_after.filter(|r| *r > 0).map(|r| format!("{:.3}", r as f64 / 1e6));
         let headers: Vec<(&str, &str)> = seconds.iter().map(|s| ("Retry-After", s.as_str())).collect();
-        self.say(wire, status, &headers, "{\"error\":{\"message\":\"refused\"}}", self.stops()).await
+        self.say(wire, status, &headers, &error("refused"), self.stops()).await
     }
 
     /// Waits for the next part of the answer, or for the client's leaving.
@@ -392,8 +384,7 @@
                         Final::Failed(Failure::Deadline) => (504, "the time was over"),
                         _ => (502, "no engine answered"),
                     };
-                    let text = format!("{{\"error\":{{\"message\":{text:?}}}}}");
-                    return self.say(wire, status, &[], &text, self.stops()).await;
+                    return self.say(wire, status, &[], &error(text), self.stops()).await;
                 }
             }
             let last = out.ends_with(body::LAST) && taken.call.outlet.told();
@@ -418,8 +409,7 @@
             return Err(bad(format!("x-request-id must be 1 to {MOST_ID} visible letters")));
         }
         let place = |what: &str, names: &[String], name: &str| {
-            let at = names.iter().position(|n| n == name || *n == name.replace([' ', ','], "_"));
-            at.ok_or_else(|| bad(format!("{what} {name:?} is not known")))
+            ivyward_settings::place(names, name).ok_or_else(|| bad(format!("{what} {name:?} is not known")))
         };
         let class = place("class", &self.told.classes, need("x-priority-class")?)?;
         let tenant = match self.told.tenants.is_empty() {
@@ -493,6 +483,11 @@
     }
 }
 
+/// An error's body. What a client sent may stand in the text, so it is written as JSON writes it.
+fn error(text: &str) -> String {
+    serde_json::json!({"error": {"message": text}}).to_string()
+}
+
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/crates/ivyward-platform/src/engine.rs
+++ b/crates/ivyward-platform/src/engine.rs
@@ -4,13 +4,12 @@
 //! Nothing is ever sent again at this level.
 
 use crate::call::{lock, PlatformCall, Progress};
-use crate::config::{ANSWERS, MOST_BODY, SPARE};
+use crate::config::{LIMITS, MOST_BODY, SPARE};
 use crate::wire::{answer, rest, NoHead, Wire};
-use futures_lite::future::{or, poll_fn};
-use ivyward::answer::Over;
+use futures_lite::future::or;
 use ivyward::core::interface::{Micros, Outcome, Report, ServerId};
 use ivyward::core::keep::Keep;
-use ivyward::engines::{End, Held, HoldJob, Job, Link, LinkRef, Protocol, ReleaseJob, Stop};
+use ivyward::engines::{End, Held, HoldJob, Job, Link, LinkRef, Protocol, ReleaseJob, Stall, Stop, Woken};
 use ivyward::world::{before, BoxFuture, WorldExt, WorldRef};
 use ivyward::{Engine, Shared};
 use ivyward_http1::{head, Answer, Body, Step};
@@ -387,13 +386,6 @@
     }
 }
 
-/// What ends a wait.
-enum Woken<T> {
-    Next(T),
-    Stopped(Stop),
-    Late,
-}
-
 struct Attempt<'a> {
     link: &'a Arc<EngineLink>,
     job: &'a Job,
@@ -401,32 +393,20 @@
 }
 
 impl Attempt<'_> {
-    /// Waits for something, a word from the driver, or a time.
-    async fn wait<T>(&self, until: Micros, future: impl std::future::Future<Output = T>) -> Woken<T> {
-        let world = &self.link.engines.world;
-        or(async { Woken::Next(future.await) }, async {
-            or(async { Woken::Stopped(self.job.stopped().await) }, async {
-                world.sleep_until(until).await;
-                Woken::Late
-            })
-            .await
-        })
-        .await
-    }
-
     async fn run(&self) -> End {
         let (link, job, world) = (self.link, self.job, &self.link.engines.world);
         let gone = || End::new(Outcome::NotSent, "called off before it was sent");
         if job.until <= world.now() {
             return End::new(Outcome::NotSent, "no time left");
         }
-        let mut wire =
-            match self.wait(job.until, link.connect(job.until, job.reads || self.call.again, 0)).await {
-                Woken::Next(Ok(wire)) => wire,
-                Woken::Next(Err(text)) => return End::new(Outcome::ConnectFailed, text),
-                Woken::Late => return End::new(Outcome::ConnectFailed, "no connection in time"),
-                Woken::Stopped(_) => return gone(),
-            };
+        let mut timer = world.sleep_until(job.until);
+        let again = job.reads || self.call.again;
+        let mut wire = match job.wait(&mut timer, link.connect(job.until, again, 0)).await {
+            Woken::Next(Ok(wire)) => wire,
+            Woken::Next(Err(text)) => return End::new(Outcome::ConnectFailed, text),
+            Woken::Late => return End::new(Outcome::ConnectFailed, "no connection in time"),
+            Woken::Stopped(_) => return gone(),
+        };
         // Told during the dial: nothing new goes to an engine that drains or is gone.
         if link.closing.load(Ordering::Relaxed) {
             return End::new(Outcome::NotSent, "the engine drains or is gone");
@@ -443,7 +423,7 @@
             ("Content-Length", &length),
         ];
         head::write(&mut request, &format!("{} {} HTTP/1.1", self.call.method, self.call.target), &headers);
-        match self.wait(job.until, self.write(&mut wire, &request, &prompt.bytes)).await {
+        match job.wait(&mut timer, self.write(&mut wire, &request, &prompt.bytes)).await {
             Woken::Next(Ok(())) => {}
             // Its last byte never left, so it never ran; the connection is closed with the rest of it.
             Woken::Next(Err(e)) => {
@@ -457,7 +437,7 @@
         }
         drop(prompt);
         self.call.mark(Progress::Sent(job.attempt));
-        let answer = match self.wait(job.until, answer(&mut wire)).await {
+        let answer = match job.wait(&mut timer, answer(&mut wire)).await {
             Woken::Next(Ok(answer)) => {
                 link.fared(wire.idle, false);
                 answer
@@ -473,8 +453,8 @@
         let report = link.report(answer.head.text("x-server-load"));
         let never_ran = answer.head.text("x-not-processed") == Some("1");
         let mut end = match (answer.status, job.reads) {
-            (200, false) => return self.stream(wire, answer, report).await,
-            (202, true) => return self.read(wire, answer, report).await,
+            (200, false) => return self.stream(wire, answer, report, timer).await,
+            (202, true) => return self.read(wire, answer, report, timer).await,
             (503 | 504, _) if never_ran => {
                 End::new(Outcome::Full, format!("turned away with {}", answer.status))
             }
@@ -509,8 +489,14 @@
         }
     }
 
-    async fn read(&self, mut wire: EngineWire, answer: Answer, report: Report) -> End {
-        let text = match self.wait(self.job.until, rest(&mut wire, &answer)).await {
+    async fn read(
+        &self,
+        mut wire: EngineWire,
+        answer: Answer,
+        report: Report,
+        mut timer: BoxFuture<()>,
+    ) -> End {
+        let text = match self.job.wait(&mut timer, rest(&mut wire, &answer)).await {
             Woken::Next(text) => text,
             Woken::Late => return End::new(Outcome::TimedOut, "the end of a read did not come"),
             Woken::Stopped(_) => return End::new(Outcome::Cancelled, "called off"),
@@ -523,22 +509,24 @@
     }
 
     /// Passes a stream's events on as they come whole.
-    async fn stream(&self, mut wire: EngineWire, answer: Answer, report: Report) -> End {
+    async fn stream(
+        &self,
+        mut wire: EngineWire,
+        answer: Answer,
+        report: Report,
+        mut timer: BoxFuture<()>,
+    ) -> End {
         let world = &self.link.engines.world;
-        let stall = self.job.shared.settings().stream_stall;
-        let mut body = Body::new(answer.framing, &ANSWERS);
+        let mut body = Body::new(answer.framing, &LIMITS);
         let mut events = Events { pending: Vec::new(), kept: 0, report: None, done: false };
         let bad = |text: &str| End::new(Outcome::Error, text);
-        let (mut until, mut begun) = (self.job.until, false);
+        // Set with the first event: from then on the attempt's own time no longer counts.
+        let mut stall: Option<Stall> = None;
         loop {
-            let (step, used) = match body.step(wire.bytes()) {
+            let step = match wire.take(&mut body, &mut events.pending) {
                 Ok(step) => step,
                 Err(e) => return bad(&e.to_string()),
             };
-            if let Step::Data(range) = &step {
-                events.pending.extend_from_slice(&wire.bytes()[range.clone()]);
-            }
-            wire.used(used);
             match step {
                 Step::Data(_) => {
                     let whole = match events.whole() {
@@ -551,39 +539,41 @@
                     if self.call.outlet.push(&whole).is_err() {
                         return End::new(Outcome::Cancelled, "given up");
                     }
-                    if !begun {
-                        begun = true;
+                    if stall.is_none() {
                         self.job.first();
                         self.call.drop_prompt();
                     }
-                    let room = poll_fn(|cx| self.call.outlet.poll_room(cx));
-                    let given_up = async {
-                        while self.job.stopped().await == Stop::CallOff {}
-                        Err(Over)
-                    };
-                    if or(room, given_up).await.is_err() {
+                    if self.job.room(&self.call.outlet).await.is_err() {
                         return End::new(Outcome::Cancelled, "given up");
                     }
-                    until = world.now().saturating_add(stall);
+                    let span = self.job.shared.settings().stream_stall;
+                    stall.get_or_insert_with(|| Stall::new(world, span)).last = world.now();
                 }
                 Step::Done => {
-                    if !begun || !events.done || !events.pending.is_empty() {
+                    if stall.is_none() || !events.done || !events.pending.is_empty() {
                         return bad("a stream that is not whole");
                     }
                     self.link.keep(wire, answer.head.keeps());
                     let report = events.report.as_deref().map_or(report, |t| self.link.report(Some(t)));
                     return End { kept: events.kept, report, ..End::new(Outcome::Served, "served") };
                 }
-                Step::More => match self.wait(until, wire.fill()).await {
-                    Woken::Next(Ok(0)) => return End::new(Outcome::Reset, "the stream ended early"),
-                    Woken::Next(Ok(_)) => {}
-                    Woken::Next(Err(e)) => return End::new(Outcome::Reset, e.to_string()),
-                    // A stream that has begun is not called off.
-                    Woken::Stopped(Stop::CallOff) if begun => {}
-                    Woken::Stopped(_) => return End::new(Outcome::Cancelled, "called off"),
-                    Woken::Late if begun => return End::new(Outcome::Reset, "no event for too long"),
-                    Woken::Late => return End::new(Outcome::TimedOut, "no event in time"),
-                },
+                Step::More => {
+                    let timer = stall.as_mut().map_or(&mut timer, |s| &mut s.timer);
+                    match (self.job.wait(timer, wire.fill()).await, stall.as_mut()) {
+                        (Woken::Next(Ok(0)), _) => return End::new(Outcome::Reset, "the stream ended early"),
+                        (Woken::Next(Ok(_)), _) => {}
+                        (Woken::Next(Err(e)), _) => return End::new(Outcome::Reset, e.to_string()),
+                        // A stream that has begun is not called off.
+                        (Woken::Stopped(Stop::CallOff), Some(_)) => {}
+                        (Woken::Stopped(_), _) => return End::new(Outcome::Cancelled, "called off"),
+                        (Woken::Late, Some(stall)) => {
+                            if stall.over(world) {
+                                return End::new(Outcome::Reset, "no event for too long");
+                            }
+                        }
+                        (Woken::Late, None) => return End::new(Outcome::TimedOut, "no event in time"),
+                    }
+                }
             }
         }
     }
--- a/crates/ivyward-platform/src/wire.rs
+++ b/crates/ivyward-platform/src/wire.rs
@@ -1,10 +1,10 @@
 //! A connection, with the bytes that came and were not used yet, and the answers that come on it.
 
-use crate::config::{ANSWERS, MOST_BODY};
+use crate::config::{LIMITS, MOST_BODY};
 use futures_lite::future::poll_fn;
 use futures_lite::{AsyncRead, AsyncWrite};
 use ivyward::world::Conn;
-use ivyward_http1::{Answer, Body, Step};
+use ivyward_http1::{Answer, Body, BodyError, Step};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
@@ -50,6 +50,15 @@
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
         poll_fn(|cx| self.poll_fill(cx)).await
     }
+    /// The next step of a body; its bytes go to `into`.
+    pub(crate) fn take(&mut self, body: &mut Body, into: &mut Vec<u8>) -> Result<Step, BodyError> {
+        let (step, used) = body.step(self.bytes())?;
+        if let Step::Data(range) = &step {
+            into.extend_from_slice(&self.bytes()[range.clone()]);
+        }
+        self.used(used);
+        Ok(step)
+    }
     /// Whether nothing came and the peer has not closed: an idle connection that may be used.
     pub(crate) fn quiet(&mut self) -> bool {
         let mut cx = Context::from_waker(Waker::noop());
@@ -88,7 +97,7 @@
 pub(crate) async fn answer(wire: &mut Wire) -> Result<Answer, NoHead> {
     let mut interim = 0;
     loop {
-        match Answer::read(wire.bytes(), &ANSWERS).map_err(|e| NoHead::Bad(e.to_string()))? {
+        match Answer::read(wire.bytes(), &LIMITS).map_err(|e| NoHead::Bad(e.to_string()))? {
             Some((answer, used)) => {
                 wire.used(used);
                 match answer.status {
@@ -108,14 +117,9 @@
 
 /// The whole body of a short answer, or `None` where it breaks or is longer than any body.
 pub(crate) async fn rest(wire: &mut Wire, answer: &Answer) -> Option<Vec<u8>> {
-    let (mut body, mut text) = (Body::new(answer.framing, &ANSWERS), Vec::new());
+    let (mut body, mut text) = (Body::new(answer.framing, &LIMITS), Vec::new());
     loop {
-        let (step, used) = body.step(wire.bytes()).ok()?;
-        if let Step::Data(range) = &step {
-            text.extend_from_slice(&wire.bytes()[range.clone()]);
-        }
-        wire.used(used);
-        match step {
+        match wire.take(&mut body, &mut text).ok()? {
             Step::Done => return Some(text),
             _ if text.len() > MOST_BODY => return None,
             Step::More if wire.fill().await.ok()? == 0 => return None,
--- a/crates/ivyward-platform/tests/clients.rs
+++ b/crates/ivyward-platform/tests/clients.rs
@@ -60,6 +60,10 @@
             if !matches!(what, "no byte" | "half a head") {
                 assert!(got.status >= 400, "{what}: an error, not a close");
             }
+            if got.status >= 400 {
+                let said: serde_json::Value = serde_json::from_slice(&got.body).expect(what);
+                assert!(said["error"]["message"].is_string(), "{what}: {said}");
+            }
             assert!(scene.seen().is_empty(), "{what}: reached an engine");
             assert_eq!(scene.service.node().open(), 0, "{what}");
         }
--- a/crates/ivyward-settings/src/lib.rs
+++ b/crates/ivyward-settings/src/lib.rs
@@ -31,6 +31,11 @@
     pub most_open: usize,
 }
 
+/// The place of a name among the object's names, which may have spaces and commas replaced by `_`.
+pub fn place(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name || *n == name.replace([' ', ','], "_"))
+}
+
 struct Keys(BTreeMap<String, String>);
 
 impl Keys {
--- a/crates/ivyward/src/attempt.rs
+++ b/crates/ivyward/src/attempt.rs
@@ -4,14 +4,13 @@
 //! it is the module's.
 
 use crate::answer::{Buffer, Over};
-use crate::engines::{End, Job, Stop};
+use crate::engines::{End, Job, Stall, Stop, Woken};
 use crate::link::{DialError, GrpcLink};
-use futures_lite::future::{or, poll_fn};
-use ivyward_core::interface::{Micros, Outcome, Report, ReportField};
+use futures_lite::future::or;
+use ivyward_core::interface::{Outcome, Report, ReportField};
 use ivyward_core::planted::{self, Defect};
 use ivyward_proto::engine as pb;
 use ivyward_wire::{encode, Call, CallError, Cause};
-use ivyward_world::{BoxFuture, WorldRef};
 use prost::Message;
 use std::ops::Deref;
 use std::sync::Arc;
@@ -92,13 +91,6 @@
     report
 }
 
-/// What ends a wait.
-enum Woken<T> {
-    Next(T),
-    Stopped(Stop),
-    Late,
-}
-
 /// Runs an attempt to its one outcome.
 pub(crate) async fn run(work: Work) -> End {
     let end = attempt(&work).await;
@@ -154,26 +146,10 @@
     }
 }
 
-/// Waits for the next message, a word from the driver, or the timer.
-async fn next<M: Message + Default>(
-    job: &Work,
-    call: &mut Call,
-    timer: &mut BoxFuture<()>,
-) -> Woken<Result<Option<M>, CallError>> {
-    or(async { Woken::Next(call.next::<M>().await) }, async {
-        or(async { Woken::Stopped(job.stopped().await) }, async {
-            timer.await;
-            Woken::Late
-        })
-        .await
-    })
-    .await
-}
-
 /// The first message, or the end of an attempt without one.
 async fn first<M: Message + Default>(job: &Work, call: &mut Call) -> Result<M, End> {
     let mut timer = job.shared.world.sleep_until(job.until);
-    match next::<M>(job, call, &mut timer).await {
+    match job.wait(&mut timer, call.next::<M>()).await {
         Woken::Stopped(_) => Err(End::new(Outcome::Cancelled, "called off")),
         Woken::Late => Err(End::new(Outcome::TimedOut, "no answer in time")),
         Woken::Next(Err(e)) => Err(End::new(never_ran(&e, call.left()), e.to_string())),
@@ -233,7 +209,7 @@
     loop {
         let taken = match event.take() {
             Some(event) => event,
-            None => match next::<pb::WriteEvent>(job, call, &mut stall.timer).await {
+            None => match job.wait(&mut stall.timer, call.next::<pb::WriteEvent>()).await {
                 Woken::Stopped(Stop::GiveUp) => return Err(End::new(Outcome::Cancelled, "given up")),
                 // A stream that has begun is not called off.
                 Woken::Stopped(Stop::CallOff) => continue,
@@ -271,7 +247,7 @@
                     job.first();
                 }
                 // A slow client holds up its own stream alone: its engine is read on when there is room.
-                room(job).await.map_err(|Over| End::new(Outcome::Cancelled, "given up"))?;
+                job.room(&job.buffer).await.map_err(|Over| End::new(Outcome::Cancelled, "given up"))?;
                 stall.last = world.now();
             }
             Some(pb::write_event::Event::Done(done)) => {
@@ -292,16 +268,6 @@
     }
 }
 
-/// Waits until the client has room, or nobody wants the tokens any more.
-async fn room(job: &Work) -> Result<(), Over> {
-    let free = poll_fn(|cx| job.buffer.poll_room(cx));
-    let given_up = async {
-        while job.stopped().await == Stop::CallOff {}
-        Err(Over)
-    };
-    or(free, given_up).await
-}
-
 /// Once a stream has begun, nothing proves that it never ran.
 fn streaming(error: &CallError) -> Outcome {
     match error.cause {
@@ -309,26 +275,3 @@
         Cause::Status(_) | Cause::Frame(_) => Outcome::Error,
     }
 }
-
-/// Looks for streams without progress with one timer a span, not one a token.
-struct Stall {
-    span: Micros,
-    last: Micros,
-    timer: BoxFuture<()>,
-}
-
-impl Stall {
-    fn new(world: &WorldRef, span: Micros) -> Stall {
-        let last = world.now();
-        Stall { span, last, timer: world.sleep_until(last.saturating_add(span)) }
-    }
-    /// After the timer fired: whether the span is over, else the timer is set anew.
-    fn over(&mut self, world: &WorldRef) -> bool {
-        let due = self.last.saturating_add(self.span);
-        if world.now() >= due {
-            return true;
-        }
-        self.timer = world.sleep_until(due);
-        false
-    }
-}
--- a/crates/ivyward/src/driver.rs
+++ b/crates/ivyward/src/driver.rs
@@ -21,10 +21,6 @@
 use std::sync::Arc;
 use tracing::{debug, info, warn};
 
-fn same(a: &LinkRef, b: &LinkRef) -> bool {
-    std::ptr::addr_eq(Arc::as_ptr(a), Arc::as_ptr(b))
-}
-
 /// An engine as a list names it, with its address.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Engine {
@@ -385,7 +381,7 @@
         for kept in rest {
             let used_here = match kept.place {
                 true => kept.used_by == Some(attempt),
-                false => used.as_ref().is_some_and(|u| same(&u.0, &kept.link) && u.1 == kept.attempt),
+                false => used.as_ref().is_some_and(|u| Arc::ptr_eq(&u.0, &kept.link) && u.1 == kept.attempt),
             };
             if !used_here {
                 self.let_go(id, call.clone(), vec![kept]);
--- a/crates/ivyward/src/engines.rs
+++ b/crates/ivyward/src/engines.rs
@@ -4,12 +4,14 @@
 //! A protocol knows how a prompt, an answer and the keys under which engines hold things look; the driver passes them on
 //! unseen. The driver knows requests, deadlines, timers and what may be held where; a protocol decides nothing of that.
 
-use crate::answer::Final;
+use crate::answer::{Buffer, Final, Over};
 use crate::driver::Engine;
 use crate::shared::{Notice, Shared};
+use futures_lite::future::{or, poll_fn};
 use ivyward_core::interface::{Micros, Outcome, Report, ServerId};
-use ivyward_world::BoxFuture;
+use ivyward_world::{BoxFuture, WorldRef};
 use std::any::Any;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -113,6 +115,65 @@
         // Without a driver there is no node.
         self.stop.recv().await.unwrap_or(Stop::GiveUp)
     }
+    /// Waits for what comes next, a word from the driver, or the timer.
+    pub async fn wait<T>(&self, timer: &mut BoxFuture<()>, next: impl Future<Output = T>) -> Woken<T> {
+        or(async { Woken::Next(next.await) }, async {
+            or(async { Woken::Stopped(self.stopped().await) }, async {
+                timer.await;
+                Woken::Late
+            })
+            .await
+        })
+        .await
+    }
+    /// Waits until the client has room, or nobody wants the answer any more.
+    ///
+    /// # Errors
+    /// When nobody does.
+    pub async fn room<T: Copy>(&self, buffer: &Buffer<T>) -> Result<(), Over> {
+        let free = poll_fn(|cx| buffer.poll_room(cx));
+        let given_up = async {
+            while self.stopped().await == Stop::CallOff {}
+            Err(Over)
+        };
+        or(free, given_up).await
+    }
+}
+
+/// What ends a wait.
+pub enum Woken<T> {
+    /// What was waited for.
+    Next(T),
+    /// The driver's word.
+    Stopped(Stop),
+    /// The timer.
+    Late,
+}
+
+/// Looks for streams without progress with one timer a span, not one for each piece.
+pub struct Stall {
+    span: Micros,
+    /// When something came last.
+    pub last: Micros,
+    /// To wait beside; after it fired ask [`Stall::over`].
+    pub timer: BoxFuture<()>,
+}
+
+impl Stall {
+    /// A stream of which something came just now.
+    pub fn new(world: &WorldRef, span: Micros) -> Stall {
+        let last = world.now();
+        Stall { span, last, timer: world.sleep_until(last.saturating_add(span)) }
+    }
+    /// After the timer fired: whether the span is over, else the timer is set anew.
+    pub fn over(&mut self, world: &WorldRef) -> bool {
+        let due = self.last.saturating_add(self.span);
+        if world.now() >= due {
+            return true;
+        }
+        self.timer = world.sleep_until(due);
+        false
+    }
 }
 
 /// A place asked for ahead.
--- a/crates/ivywardd/src/main.rs
+++ b/crates/ivywardd/src/main.rs
@@ -46,19 +46,20 @@
     }
 }
 
-fn logs(start: &Start) -> Result<(), String> {
-    let filter =
-        EnvFilter::try_new(&start.flags.log).map_err(|e| format!("--log {}: {e}", start.flags.log))?;
+/// Sets up the logs on standard error: what `--log` asks for, as text, with or without colours, or as JSON.
+fn logs(log: &str, format: &str, colours: bool) -> Result<(), String> {
+    let filter = EnvFilter::try_new(log).map_err(|e| format!("--log {log}: {e}"))?;
     let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
-    let set = match start.flags.log_format.as_str() {
+    let set = match format {
         "json" => logs.json().try_init(),
-        _ => logs.try_init(),
+        _ if colours => logs.try_init(),
+        _ => logs.with_ansi(false).try_init(),
     };
     set.map_err(|e| format!("logs cannot be set up: {e}"))
 }
 
 fn run(mut start: Start) -> Result<(), String> {
-    logs(&start)?;
+    logs(&start.flags.log, &start.flags.log_format, true)?;
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
--- a/crates/ivywardd/src/platform.rs
+++ b/crates/ivywardd/src/platform.rs
@@ -9,7 +9,6 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tracing::{error, info};
-use tracing_subscriber::EnvFilter;
 
 /// The first word on the command line that asks for this form.
 pub const COMMAND: &str = "platform";
@@ -47,9 +46,7 @@
     // Before anything else: a signal without its handler ends the program.
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
-    let filter = EnvFilter::try_new(&flags.log).map_err(|e| format!("--log {}: {e}", flags.log))?;
-    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
-    logs.with_ansi(false).try_init().map_err(|e| format!("logs cannot be set up: {e}"))?;
+    crate::logs(&flags.log, "text", false)?;
     let config = Config::read(&flags.config).map_err(|e| e.to_string())?;
     if flags.check {
         println!("the configuration holds: {} classes, {:?}", config.told.classes.len(), config.bounds);
