Cold servers are measured by present capacity, and a fleet all new serves at once

Traced over all nodes' logs: 34 of 59 readers are new and get eleven reads in ten seconds, while the old ones time out 235 of 349 in two seconds. Each attempt's begin is logged at debug level.

--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -189,6 +189,9 @@
     fleet: BTreeMap<ServerId, Server>,
     /// Sum of weights and count of the listed machines of each kind.
     kinds: Vec<(f64, f64)>,
+    /// What they can do now, as so many warm ones of mean size; when that is looked at again.
+    present: Vec<f64>,
+    next_look: Micros,
     /// For each rack its share of writers over its share of readers, within bounds.
     racks: BTreeMap<u16, f64>,
     rows: BTreeMap<(bool, u64), Row>,
@@ -199,6 +202,9 @@
     by_pull: [Fading; 2],
     /// What each kind of machine got done for us lately (storms of retries must not count).
     kind_done: Vec<Fading>,
+    /// Our sends to writers and to readers, and since when requests come without a long gap.
+    sent: [Fading; 2],
+    since: Micros,
     /// Prompt tokens of ours that came into writers' memory so far, and those of our running streams.
     flow: f64,
     running: f64,
@@ -231,6 +237,7 @@
             random: mix(seed),
             lots: mix(!seed),
             kinds: vec![(0.0, 0.0); kinds],
+            present: vec![0.0; kinds],
             kind_done: vec![Fading::default(); kinds],
             holds: (0..kinds).map(memory).collect(),
             tenants: vec![Fading::default(); settings.tenants.len()],
@@ -241,6 +248,9 @@
 
     /// Takes in one event and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        if now >= self.next_look {
+            self.look(now);
+        }
         match event {
             Event::Fleet { kind, entries } => self.on_fleet(now, kind, &entries, out),
             Event::Request(arrival) => self.on_request(now, arrival, out),
@@ -286,6 +296,7 @@
             let (sum, count) = &mut self.kinds[usize::from(entry.kind)];
             (*sum, *count) = (*sum + entry.weight.max(0.01), *count + 1.0);
         }
+        self.look(now);
         let (mut all, mut racks) = ([0.0; 2], BTreeMap::<u16, [f64; 2]>::new());
         for entry in &listed {
             let side = usize::from(self.cfg.roles[usize::from(entry.kind)] != Role::Prefill);
@@ -336,27 +347,62 @@
         start + (1.0 - start) * 0.75 * age / warm.max(1.0)
     }
 
-    /// Guards a cold server: this node's part of the told budget, with what warm ones of its kind do for it
-    /// as the guide to its size. Retries and later turns spend it too. A part under one send becomes a
-    /// chance of one send a window, drawn by lot, so that many nodes that each see little keep the budget
-    /// together.
-    fn cold_room(&self, server: &Server, now: Micros) -> bool {
+    /// Takes note of what the listed machines of each kind can do now.
+    fn look(&mut self, now: Micros) {
+        self.next_look = now + self.cfg.warm_after / 64 + 1;
+        let mut present = vec![0.0; self.kinds.len()];
+        for s in self.listed() {
+            present[usize::from(s.entry.kind)] += self.size(&s.entry) * self.capacity_share(&s.entry, now);
+        }
+        self.present = present;
+    }
+
+    /// Guards a cold server: this node's part of the told budget, with what its kind does for it by present
+    /// capacity as the guide. Retries and later turns spend it too. A part under one send becomes a chance
+    /// of one send a window, drawn by lot, so that many nodes that each see little keep the budget together;
+    /// `spread` (see there) tells how seldom an open lot is used.
+    fn cold_room(&self, server: &Server, now: Micros, spread: f64) -> bool {
         let share = self.capacity_share(&server.entry, now);
         if share >= 1.0 || self.cfg.fall_multiple <= 0.0 {
             return true;
         }
         let window = self.cfg.fall_window.max(1);
         let sent = server.sends.iter().filter(|t| now.saturating_sub(**t) < window).count() as f64;
-        let usual = self.usual_rate(&server.entry, now) * window as f64;
-        let budget = COLD_SAFETY * self.cfg.fall_multiple * share * usual;
+        let usual = self.usual_rate(&server.entry, now).max(self.first_rate(&server.entry));
+        let budget = COLD_SAFETY * self.cfg.fall_multiple * share * usual * window as f64;
+        let used = 1.0 - (-spread * self.size(&server.entry) * share).exp();
         let lot = unit(self.lots ^ mix(server.entry.id.0) ^ mix(now / window));
-        sent + 1.0 <= budget || sent == 0.0 && lot < budget
+        sent + 1.0 <= budget || sent == 0.0 && lot * used < budget
+    }
+
+    /// What this node is to send in a window to each unit of present capacity among those it may use.
+    fn spread(&self, now: Micros, readers: bool, r: &Request) -> f64 {
+        let usable = self
+            .pool(readers)
+            .filter(|s| s.grade(now, r.a.tenant, false) < 2 && !r.tried.contains(&s.entry.id));
+        let usable: f64 = usable.map(|s| self.size(&s.entry) * self.capacity_share(&s.entry, now)).sum();
+        let sends = self.rate(&self.sent[usize::from(readers)], now) * self.cfg.fall_window as f64;
+        sends.max(1.0) / usable.max(0.01)
     }
 
-    /// What a warm server of that kind and size gets done for this node in a microsecond.
+    /// Guards against a fleet in which all are new: nothing was done yet that could tell what they stand. One
+    /// request in the longest wanted time is within any server's means; that, over all nodes.
+    fn first_rate(&self, entry: &ServerEntry) -> f64 {
+        let aim = self.cfg.classes.iter().map(|c| c.ttft_aim).max().unwrap_or(0).max(1);
+        self.size(entry) / aim as f64 / f64::from(self.cfg.nodes.max(1))
+    }
+
+    /// Counts a microsecond; while requests have not come for long, over the time that they have.
+    fn rate(&self, of: &Fading, now: Micros) -> f64 {
+        let since = now.saturating_sub(self.since).max(self.cfg.fall_window) as f64;
+        of.left(now, RECENT).1 / (RECENT * (1.0 - (-since / RECENT).exp()))
+    }
+
+    /// What a server of that kind and size gets done for this node in a microsecond, by the capacity that
+    /// its kind has now: cold ones that do little must not make others look smaller than they are.
     fn usual_rate(&self, entry: &ServerEntry, now: Micros) -> f64 {
         let kind = usize::from(entry.kind);
-        self.kind_done[kind].left(now, RECENT).1 / RECENT * self.size(entry) / self.kinds[kind].1.max(1.0)
+        self.rate(&self.kind_done[kind], now) * self.size(entry) / self.present[kind].max(0.01)
     }
 
     /// Size against the mean of its kind: told weights compare servers of one kind only.
@@ -414,7 +460,9 @@
     fn pick_reader(&self, now: Micros, r: &Request) -> Option<ServerId> {
         let session = if r.a.session != 0 { r.a.session } else { r.a.id.0 };
         let key = if r.a.prefix != 0 { r.a.prefix } else { session };
-        let readers = self.pool(true).filter(|s| !r.tried.contains(&s.entry.id) && self.cold_room(s, now));
+        let spread = self.spread(now, true, r);
+        let readers = self.pool(true).filter(|s| !r.tried.contains(&s.entry.id));
+        let readers = readers.filter(|s| self.cold_room(s, now, spread));
         let mut ring: Vec<&Server> = readers.collect();
         let best = ring.iter().map(|s| s.grade(now, r.a.tenant, false)).min()?;
         ring.retain(|s| s.grade(now, r.a.tenant, false) == best);
@@ -440,8 +488,10 @@
         let times = self.by_pull.map(|of| of.mean_near(now, RECENT, 1.0, JUDGE_PRIOR));
         let cost = |(i, s): (usize, &&Server)| {
             let work = if i < homes { r.new } else { r.a.prompt_tokens };
-            let filled = norm.work.mean() + work + s.waiting_tokens().max(s.oldest(now) * rate);
-            filled * times[usize::from(self.pull(&s.entry) >= 1.0)] / self.effective_weight(s, now)
+            // A cold one got its smaller place in the ring; only what waits there weighs more than elsewhere.
+            let waits = s.waiting_tokens().max(s.oldest(now) * rate) / self.capacity_share(&s.entry, now);
+            let filled = (norm.work.mean() + work + waits) * s.slow(now) / self.size(&s.entry);
+            filled * times[usize::from(self.pull(&s.entry) >= 1.0)]
         };
         let costs: Vec<f64> = ring.iter().enumerate().map(cost).collect();
         let bound = RING_BOUND * costs.iter().copied().fold(f64::INFINITY, f64::min);
@@ -457,7 +507,8 @@
         let from = from.and_then(|id| self.fleet.get(&id)).map(|s| s.entry);
         let able = |s: &Server| !reads || self.role(s) == Role::Mixed || self.cfg.decode_may_prefill;
         let writers = self.pool(false).filter(|s| able(s) && !r.tried.contains(&s.entry.id));
-        let writers = writers.filter(|s| self.cold_room(s, now) && self.repeat_allowed(r, s, now));
+        let spread = self.spread(now, false, r);
+        let writers = writers.filter(|s| self.cold_room(s, now, spread) && self.repeat_allowed(r, s, now));
         let once = self.cfg.classes[r.a.class].effect == Effect::Unsafe;
         let mut tiers: [Option<(u8, f64, f64, &Server)>; 3] = [None; 3];
         let lot = mix(self.random ^ r.a.id.0);
@@ -495,6 +546,9 @@
             return;
         };
         let aim = class.ttft_aim as f64 + class.ttft_aim_per_1000 * a.prompt_tokens / 1000.0;
+        if now.saturating_sub(self.asked.at) as f64 > RECENT {
+            self.since = now;
+        }
         let (new, deadline) = (self.new_tokens(&a), now + a.patience);
         self.asked.add(now, CELL_AGE, a.prompt_tokens);
         if a.prefix != 0 {
@@ -566,7 +620,8 @@
                 let ready =
                     |s: &&Server| s.entry.condition == Condition::Ready && s.grade(now, r.a.tenant, true) < 2;
                 let held = r.held_at.and_then(|id| self.fleet.get(&id)).filter(ready);
-                let held = held.filter(|s| self.cold_room(s, now) && !r.tried.contains(&s.entry.id));
+                let spread = self.spread(now, false, &r);
+                let held = held.filter(|s| self.cold_room(s, now, spread) && !r.tried.contains(&s.entry.id));
                 let writer =
                     held.map(|s| s.entry.id).or_else(|| self.pick_writer(now, r.state_at, &r, false));
                 target = writer.map(|w| (w, Op::Fetch));
@@ -640,7 +695,7 @@
         let limits = new < LOCAL_SHARE * r.a.prompt_tokens && server.load() <= LOCAL_CROWD * median;
         let able = self.role(server) == Role::Mixed || self.cfg.decode_may_prefill;
         let well = server.entry.condition == Condition::Ready && server.grade(now, r.a.tenant, true) == 0;
-        if !(limits && able && well && self.cold_room(server, now)) {
+        if !(limits && able && well && self.cold_room(server, now, self.spread(now, false, r))) {
             return None;
         }
         let cells = [key, coarse(key)].into_iter().filter_map(|key| self.cells.get(&key));
@@ -682,6 +737,7 @@
             if once || left <= 1 || part < PATIENT * expected { 0 } else { part.min(stall) as Micros };
         out.push(Action::Send { request: r.a.id, server: to, timeout });
         let window = self.cfg.fall_window;
+        self.sent[usize::from(op == Op::Read)].add(now, RECENT, 0.0);
         let server = self.at(to);
         if server.entry.started > 0 {
             server.sends.push_back(now);
--- /dev/null
+++ b/crates/ivyward-core/tests/cold_fleet.rs
@@ -0,0 +1,191 @@
+//! Fleets of which much or all has just started, as many nodes meet them, each knowing only its own traffic.
+
+mod common;
+use common::*;
+use ivyward_core::interface::*;
+use ivyward_core::rules::Router;
+use std::collections::{BTreeMap, BinaryHeap};
+
+const START: Micros = 100 * SECOND;
+
+/// What is to happen at a node: an arrival, an attempt's end after a read, a first token, an answer's end.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Arrival,
+    Read(u64, u16),
+    First(u64, u16),
+    Served(u64, u16),
+}
+
+/// Nodes, and servers that take any amount of work in a fixed time: what is looked at is who gets how much.
+struct Crowd {
+    nodes: Vec<Rig>,
+    due: BinaryHeap<(std::cmp::Reverse<Micros>, usize, Due)>,
+    next: u64,
+    /// Sends to each server.
+    sends: BTreeMap<u64, Vec<Micros>>,
+    refused: usize,
+    arrived: usize,
+    kinds: BTreeMap<u64, u8>,
+}
+
+impl Crowd {
+    /// `every` node gets a request once in so many microseconds, their first ones spread over that span.
+    fn new(nodes: u32, every: Micros, fleet: &[ServerEntry]) -> Crowd {
+        let rig = |seed| {
+            let router = Router::new(Settings { nodes, ..settings() }, u64::from(seed) + 1);
+            Rig { router, now: START, done: Vec::new() }
+        };
+        let mut crowd = Crowd {
+            nodes: (0..nodes).map(rig).collect(),
+            due: BinaryHeap::new(),
+            next: 0,
+            sends: BTreeMap::new(),
+            refused: 0,
+            arrived: 0,
+            kinds: BTreeMap::new(),
+        };
+        for node in 0..nodes as usize {
+            let first = START + every * node as u64 / u64::from(nodes);
+            crowd.due.push((std::cmp::Reverse(first), node, Due::Arrival));
+        }
+        crowd.list(START, ListKind::Full, fleet);
+        crowd
+    }
+
+    fn list(&mut self, at: Micros, kind: ListKind, entries: &[ServerEntry]) {
+        self.kinds.extend(entries.iter().map(|e| (e.id.0, e.kind)));
+        for node in &mut self.nodes {
+            node.now = at;
+            node.fleet(kind, entries);
+        }
+    }
+
+    /// Plays until `end`.
+    fn play(&mut self, end: Micros, every: Micros) {
+        while let Some((at, node, due)) = self.due.pop() {
+            if at.0 >= end {
+                self.due.push((at, node, due));
+                return;
+            }
+            let rig = &mut self.nodes[node];
+            rig.now = at.0;
+            match due {
+                Due::Arrival => {
+                    self.next += 1;
+                    self.arrived += 1;
+                    let id = self.next;
+                    rig.ask(Arrival { prefix: 1 + id % 20, ..arrival(id, 1_000 + id, 1_000.0) });
+                    self.refused += usize::from(rig.refused());
+                    self.due.push((std::cmp::Reverse(at.0 + every), node, Due::Arrival));
+                }
+                Due::Read(id, attempt) => {
+                    rig.end(id, attempt, Outcome::Read);
+                    self.refused += usize::from(rig.refused());
+                }
+                Due::First(id, attempt) => rig.first(id, attempt),
+                Due::Served(id, attempt) => drop(rig.end(id, attempt, Outcome::Served)),
+            }
+            let sent: Vec<(u64, u64)> = self.nodes[node]
+                .done
+                .iter()
+                .filter_map(|a| match a {
+                    Action::Send { request, server, .. } => Some((request.0, server.0)),
+                    _ => None,
+                })
+                .collect();
+            for (id, server) in sent {
+                self.sends.entry(server).or_default().push(at.0);
+                let later = |span| std::cmp::Reverse(at.0 + span);
+                if self.kinds[&server] == 0 {
+                    self.due.push((later(100_000), node, Due::Read(id, 0)));
+                } else {
+                    self.due.push((later(100_000), node, Due::First(id, 1)));
+                    self.due.push((later(SECOND), node, Due::Served(id, 1)));
+                }
+            }
+        }
+    }
+
+    /// The most that a server got within the window of rule 4, from `from` on.
+    fn most_in_a_window(&self, server: u64, from: Micros) -> usize {
+        let times: Vec<Micros> =
+            self.sends.get(&server).into_iter().flatten().copied().filter(|t| *t >= from).collect();
+        let window = settings().fall_window;
+        let within = |i: usize| times[i..].iter().take_while(|t| **t < times[i] + window).count();
+        (0..times.len()).map(within).max().unwrap_or(0)
+    }
+
+    fn sent_between(&self, servers: std::ops::RangeInclusive<u64>, from: Micros, to: Micros) -> usize {
+        self.sends.range(servers).flat_map(|s| s.1).filter(|t| (from..to).contains(*t)).count()
+    }
+}
+
+fn started(id: u64, kind: u8, at: Micros) -> ServerEntry {
+    ServerEntry { started: at, ..server(id, kind) }
+}
+
+/// Readers 1 to 20 and writers 101 to 120, or a part of them, that started then.
+fn both(numbers: std::ops::RangeInclusive<u64>, at: Micros) -> Vec<ServerEntry> {
+    numbers.flat_map(|n| [started(n, 0, at), started(100 + n, 1, at)]).collect()
+}
+
+/// Guards against measuring a cold server by warm ones when there are none: nothing was served for as long as all were
+/// cold.
+#[test]
+fn an_idle_fleet_of_new_servers_serves_its_first_request() {
+    for nodes in [1, 3, 300] {
+        let mut rig = Rig::new(Settings { nodes, ..settings() }, &both(1..=20, START - SECOND));
+        rig.turn(1, 1, 1_000.0);
+        assert!(!rig.refused());
+    }
+}
+
+/// All nodes meet the new fleet at once, a request a second each: all are served, and no server gets what would push it
+/// over if it could do no more than one request of this class in its wanted time.
+#[test]
+fn a_new_fleet_is_taken_up_by_many_nodes_together() {
+    let every = 10 * SECOND;
+    let mut crowd = Crowd::new(100, every, &both(1..=20, START - SECOND));
+    crowd.play(START + 9 * SECOND, every);
+    assert!(crowd.refused * 10 <= crowd.arrived, "{} of {} refused", crowd.refused, crowd.arrived);
+    let settings = settings();
+    let bound =
+        settings.fall_multiple * settings.start_capacity * settings.fall_window as f64 / SECOND as f64;
+    // Chance has a say: ten requests a second on twenty servers of each role.
+    let most = (1..=20).flat_map(|n| [n, 100 + n]).map(|s| crowd.most_in_a_window(s, START)).max().unwrap();
+    assert!(most as f64 <= 3.0 * bound, "{most} in a window, {bound:.1} for a server of the least size");
+}
+
+/// Six in ten are replaced within seconds: the new ones take their part at once, in proportion to what they can do, and
+/// the old ones are not left with all of it (join day: the old ones jammed beside idle new ones).
+#[test]
+fn new_servers_carry_their_part_while_most_are_replaced() {
+    for (nodes, every) in [(100, SECOND), (4, SECOND / 25)] {
+        let mut crowd = Crowd::new(nodes, every, &both(1..=20, 0));
+        crowd.play(START + 15 * SECOND, every);
+        let old = (crowd.refused, crowd.arrived);
+        let mut released = both(1..=12, 0);
+        released.iter_mut().for_each(|e| e.condition = Condition::Draining);
+        released.extend(both(21..=32, START + 15 * SECOND));
+        crowd.list(START + 15 * SECOND, ListKind::Changes, &released);
+        crowd.play(START + 20 * SECOND, every);
+        assert!(crowd.refused - old.0 <= (crowd.arrived - old.1) / 50, "{} refused", crowd.refused - old.0);
+        // Of 100 requests a second the new ones, at 0.3 to 0.55 of their size, should take 12 in 20 or so.
+        for (role, new, kept) in [("readers", 21..=32, 13..=20), ("writers", 121..=132, 113..=120)] {
+            let count =
+                |servers| crowd.sent_between(servers, START + 15 * SECOND, START + 20 * SECOND) as f64;
+            let (new, kept) = (count(new), count(kept));
+            assert!(
+                (0.15..0.6).contains(&(new / (new + kept))),
+                "{nodes} nodes, {role}: {new} beside {kept}"
+            );
+        }
+        // A server that does twice the usual 5 a second: 2.5 times 0.3 of that in any window.
+        let bound = 2.5 * 0.3 * 10.0 * 3.0;
+        for server in (21..=32).flat_map(|n| [n, 100 + n]) {
+            let most = crowd.most_in_a_window(server, START + 15 * SECOND);
+            assert!(most as f64 <= bound, "{nodes} nodes: {most} to {server} in a window");
+        }
+    }
+}
--- a/crates/ivyward/src/driver.rs
+++ b/crates/ivyward/src/driver.rs
@@ -523,6 +523,21 @@
         let reads = found.as_ref().is_some_and(|(_, kind)| self.role(*kind) == Some(Role::Prefill));
         let Some(open) = self.open.get_mut(&id) else { return };
         let no = open.attempts.len() as u16;
+        let a = &open.taken.arrival;
+        debug!(
+            request = id,
+            attempt = no,
+            engine = server.0,
+            reads,
+            timeout,
+            patience = a.patience,
+            repeat = a.repeat,
+            prefix = a.prefix,
+            session = a.session,
+            prompt = a.prompt_tokens,
+            shared = a.prefix_tokens,
+            "attempt begins"
+        );
         // The module sees to both; a message to an engine is too late to find out.
         let ill = open.answered || open.attempts.iter().any(|a| a.out);
         if ill {
