A burst after idle time is no overload, and lots on cold servers count what a burst may bring

Seen: 60 calls at once at eight idle warm engines, 29 refused; by a rig of the module, from the third on. Cause: steer()'s queue figure divides what waits by what began in the last four seconds, and nothing began while nobody asked. The lots of cold_room took sends of the last ten seconds for what a window brings; the storm of many_nodes.rs went over rule 4 by that once less was refused. They count the window's own sends, doubled.

--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -63,6 +63,8 @@
 const TRIAL_GAP: f64 = 0.05;
 /// Part of the cold budget that is spent at most: the learned rate is a guess and chance has a say.
 const COLD_SAFETY: f64 = 0.8;
+/// What was sent lately may grow so many times before the window of rule 4 is over.
+const BURST: f64 = 2.0;
 /// A part of arrivals is refused while first tokens come later than this share of their aim.
 const DELAY_TARGET: f64 = 0.8;
 /// The mean of first-token delays fades over this span, so that a node that refused much soon tries again,
@@ -224,6 +226,9 @@
     /// The part of arrivals refused, when that was last steered, and the running mean of worth.
     shed: f64,
     steered: Micros,
+    /// When a request waited last, and since when one did without a long gap.
+    waited: Micros,
+    waits_since: Micros,
     worth: f64,
     logged: u32,
 }
@@ -381,8 +386,8 @@
             .pool(readers)
             .filter(|s| s.grade(now, r.a.tenant, false) < 2 && !r.tried.contains(&s.entry.id));
         let usable: f64 = usable.map(|s| self.size(&s.entry) * self.capacity_share(&s.entry, now)).sum();
-        let sends = self.rate(&self.sent[usize::from(readers)], now) * self.cfg.fall_window as f64;
-        sends.max(1.0) / usable.max(0.01)
+        let sends = self.sent[usize::from(readers)].left(now, self.cfg.fall_window as f64).1;
+        BURST * sends.max(1.0) / usable.max(0.01)
     }
 
     /// Guards against a fleet in which all are new: nothing was done yet that could tell what they stand. One
@@ -602,7 +607,14 @@
         // What waits now, over what gets done (Little's law), tells of a queue before its answers are late.
         let waits = self.open.values().filter(|r| !r.over && r.first_token.is_none());
         let (waiting, aims) = waits.fold((0.0, 0.0), |(n, aims), r| (n + 1.0, aims + r.aim));
-        let time = f64::max(waiting - 1.0, 0.0) * DELAY_QUEUE / (self.begun.left(now, DELAY_QUEUE).1 + 1.0);
+        // Guards against a burst after idle time: that nothing began while nobody asked tells of no queue.
+        if waiting > 0.0 {
+            self.waited = now;
+        } else if now.saturating_sub(self.waited) as f64 > DELAY_QUEUE {
+            self.waits_since = now;
+        }
+        let over = DELAY_QUEUE.min(now.saturating_sub(self.waits_since) as f64);
+        let time = f64::max(waiting - 1.0, 0.0) * over / (self.begun.left(now, DELAY_QUEUE).1 + 1.0);
         let queue = time * waiting / f64::max(aims, 1.0);
         self.shed = (self.shed + (mean.max(queue) - DELAY_TARGET) * span / 1e6).clamp(0.0, SHED_MOST);
     }
@@ -737,7 +749,7 @@
             if once || left <= 1 || part < PATIENT * expected { 0 } else { part.min(stall) as Micros };
         out.push(Action::Send { request: r.a.id, server: to, timeout });
         let window = self.cfg.fall_window;
-        self.sent[usize::from(op == Op::Read)].add(now, RECENT, 0.0);
+        self.sent[usize::from(op == Op::Read)].add(now, self.cfg.fall_window as f64, 0.0);
         let server = self.at(to);
         if server.entry.started > 0 {
             server.sends.push_back(now);
--- a/crates/ivyward-core/tests/cold_fleet.rs
+++ b/crates/ivyward-core/tests/cold_fleet.rs
@@ -189,3 +189,24 @@
         }
     }
 }
+
+/// Guards against taking an idle time for a stopped fleet: of 60 requests at once at an idle node, half were refused.
+#[test]
+fn a_burst_after_idle_time_is_no_overload() {
+    let mut cfg = settings();
+    cfg.classes[0].ttft_aim = SECOND / 2;
+    let mut rig = Rig::new(cfg, &both(1..=4, 0));
+    for id in 0..60 {
+        rig.now += 200;
+        rig.ask(arrival(id, 1_000 + id, 300.0));
+        assert!(!rig.refused(), "request {id}");
+    }
+    // The same burst where nothing is answered for seconds is one, and is refused in part.
+    let mut refused = 0;
+    for id in 60..400 {
+        rig.now += 20_000;
+        rig.ask(arrival(id, 1_000 + id, 300.0));
+        refused += usize::from(rig.refused());
+    }
+    assert!(refused > 100, "{refused}");
+}
--- a/crates/ivyward/src/driver.rs
+++ b/crates/ivyward/src/driver.rs
@@ -399,7 +399,7 @@
         let (reads, link) = (attempt.reads, attempt.link.clone());
         let engine = link.as_ref().map_or(0, |l| l.id().0);
         let (class, tenant) = (open.taken.arrival.class, open.taken.arrival.tenant);
-        debug!(request = id, attempt = no, class, tenant, engine, reads, outcome = ?end.outcome, text = end.text, "attempt ended");
+        debug!(request = id, attempt = no, class, tenant, engine, reads, outcome = ?end.outcome, kept = end.kept, text = end.text, "attempt ended");
         if !matches!(end.outcome, Outcome::Served | Outcome::Read) {
             open.last = end.text.clone();
         }
