What a kind gets done counts over the capacity that it had then

Seen: the platform's test of rule 4 failed (222 sends in 3 s to a cold writer where 174 are its bound): the one warm writer left as the cold one came, and what it had done in ten seconds was divided by the third of a server that was left. Fault: usual_rate. Change: each piece of work counts over the capacity present when it was done, so neither idle newcomers nor leavers change what a server is taken to stand.

--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -202,7 +202,7 @@
     norms: BTreeMap<(Op, Role), Norm>,
     /// Read times over their expectation at readers beside few writers, and beside many.
     by_pull: [Fading; 2],
-    /// What each kind of machine got done for us lately (storms of retries must not count).
+    /// What each kind of machine got done for us lately (storms of retries must not count), over what it can.
     kind_done: Vec<Fading>,
     /// Our sends to writers and to readers, and since when requests come without a long gap.
     sent: [Fading; 2],
@@ -397,17 +397,14 @@
         self.size(entry) / aim as f64 / f64::from(self.cfg.nodes.max(1))
     }
 
-    /// Counts a microsecond; while requests have not come for long, over the time that they have.
-    fn rate(&self, of: &Fading, now: Micros) -> f64 {
-        let since = now.saturating_sub(self.since).max(self.cfg.fall_window) as f64;
-        of.left(now, RECENT).1 / (RECENT * (1.0 - (-since / RECENT).exp()))
-    }
-
-    /// What a server of that kind and size gets done for this node in a microsecond, by the capacity that
-    /// its kind has now: cold ones that do little must not make others look smaller than they are.
+    /// What a warm server of that kind and size gets done for this node in a microsecond, by the capacity
+    /// that its kind had when it did it: cold ones that do little must not make others look smaller than they
+    /// are, nor those that have left make the rest look larger. While requests have not come for long, over
+    /// the time that they have.
     fn usual_rate(&self, entry: &ServerEntry, now: Micros) -> f64 {
-        let kind = usize::from(entry.kind);
-        self.rate(&self.kind_done[kind], now) * self.size(entry) / self.present[kind].max(0.01)
+        let since = now.saturating_sub(self.since).max(self.cfg.fall_window) as f64;
+        let done = self.kind_done[usize::from(entry.kind)].left(now, RECENT).0;
+        done / (RECENT * (1.0 - (-since / RECENT).exp())) * self.size(entry)
     }
 
     /// Size against the mean of its kind: told weights compare servers of one kind only.
@@ -855,7 +852,8 @@
             let rich = usize::from(self.pull(&entry) >= 1.0);
             self.by_pull[rich].add(now, RECENT, ratio);
         }
-        self.kind_done[usize::from(entry.kind)].add(now, RECENT, 0.0);
+        let kind = usize::from(entry.kind);
+        self.kind_done[kind].add(now, RECENT, 1.0 / self.present[kind].max(0.1));
         let usual = self.usual_rate(&entry, now);
         let server = self.at(id);
         server.span = (JUDGE_ANSWERS / usual.max(1e-12)).clamp(RECENT, CELL_AGE);
