The node's house in folders by concern, and no circle between driver, seam and shared

Need: rooms for peers, take-over and pacing come next, and 17 files stood side by side; driver, engines and shared named each other. Change: request/, engines/, membership/ and record/ with their map in mod.rs; what the driver is told stands in request/notices.rs below the driver and above the seam; the listed engine belongs to the seam; shared knows none of the parts, and the driver holds its protocol and its inbox. Paths outside the package stay as they were.

--- a/crates/ivyward/src/engines/mod.rs
+++ b/crates/ivyward/src/engines/mod.rs
@@ -4,17 +4,27 @@
 //! A protocol knows how a prompt, an answer and the keys under which engines hold things look; the driver passes them on
 //! unseen. The driver knows requests, deadlines, timers and what may be held where; a protocol decides nothing of that.
 
-use crate::answer::{Buffer, Final, Over};
-use crate::driver::Engine;
-use crate::shared::{Notice, Shared};
+pub(crate) mod link;
+
+use crate::request::answer::{Buffer, Final, Over};
+use crate::shared::Shared;
 use futures_lite::future::{or, poll_fn};
-use ivyward_core::interface::{Micros, Outcome, Report, ServerId};
+use ivyward_core::interface::{Micros, Outcome, Report, ServerEntry, ServerId};
 use ivyward_world::{BoxFuture, WorldRef};
 use std::any::Any;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// An engine as a list names it, with its address.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Engine {
+    /// What the module is told. `kind` is an index into the module's roles.
+    pub entry: ServerEntry,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// What the driver may tell a running attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stop {
@@ -103,12 +113,13 @@
     /// When it ends without a first token.
     pub until: Micros,
     pub(crate) stop: async_channel::Receiver<Stop>,
+    pub(crate) first: Box<dyn Fn() + Send + Sync>,
 }
 
 impl Job {
     /// Says that the answer began to stream: from now on the attempt belongs to the client.
     pub fn first(&self) {
-        self.shared.tell(Notice::First(self.request, self.attempt));
+        (self.first)();
     }
     /// The driver's next word on this attempt.
     pub async fn stopped(&self) -> Stop {
--- a/crates/ivyward/src/lib.rs
+++ b/crates/ivyward/src/lib.rs
@@ -6,35 +6,29 @@
 //!
 //! - [`settings`]: what a node is told, and the checks on it.
 //! - [`Node`], [`Answer`]: the handles of owner and client.
-//! - [`answer`]: the final answers and the bounded buffer.
-//! - [`door`]: gRPC, and the final answers in its terms.
+//! - [`request`]: the way of a request; the final answers, the door, the driver, the attempts.
+//! - [`engines`]: the seam between the driver and the protocols that engines speak, and the links of one of them.
+//! - [`membership`]: which engines there are.
 //! - [`record`]: recordings of what the module was told and did, and their replay.
-//! - [`follow`]: engines by etcd's watch API; [`registration`]: the records there; [`snapshot`]: the last list
-//!   in a file.
 //! - [`metrics`]: counters; [`admin`]: health and metrics over HTTP.
-//! - [`engines`]: the seam between the driver and the protocols that engines speak.
-//! - `driver`, `grpc`, `attempt`, `link`: the request path.
+//!
+//! `shared` lies below all of these and knows none of them.
 
 pub mod admin;
-pub mod answer;
-mod attempt;
-pub mod door;
-mod driver;
 pub mod engines;
-pub mod follow;
-mod grpc;
-mod link;
+pub mod membership;
 pub mod metrics;
 mod node;
 pub mod record;
-pub mod registration;
+pub mod request;
 pub mod settings;
 mod shared;
-pub mod snapshot;
 
-pub use answer::{Failure, Final, Part, Refusal, Run};
-pub use driver::Engine;
+pub use engines::Engine;
+pub use membership::{follow, registration, snapshot};
 pub use node::{Answer, Node, StartError};
+pub use request::answer::{Failure, Final, Part, Refusal, Run};
+pub use request::{answer, door};
 pub use settings::{Class, NodeSettings, SettingsError, Tenant, KINDS};
 pub use shared::Shared;
 
--- a/crates/ivyward/src/membership/follow.rs
+++ b/crates/ivyward/src/membership/follow.rs
@@ -1,10 +1,10 @@
 //! Follows engines through etcd's watch API: lists, watches, and passes on what the membership decider makes of it.
 
-use crate::driver::Engine;
+use crate::engines::Engine;
+use crate::membership::registration::{key_id, read, PREFIX};
+use crate::membership::snapshot;
 use crate::node::Node;
-use crate::registration::{key_id, read, PREFIX};
 use crate::settings::SettingsError;
-use crate::snapshot;
 use futures_lite::future::or;
 use ivyward_core::interface::{Condition, ListKind, Micros, ServerEntry, ServerId};
 use ivyward_core::membership::{Heard, Member, Membership, MembershipSettings, Told};
--- a/crates/ivyward/src/membership/snapshot.rs
+++ b/crates/ivyward/src/membership/snapshot.rs
@@ -3,7 +3,7 @@
 //! One line that says what it is, which version, how many bytes follow and their checksum; then the records as JSON.
 //! Written beside and moved into place, so that a reader sees the old file or the new one.
 
-use crate::registration::{self, Record, Role, State};
+use crate::membership::registration::{self, Record, Role, State};
 use ivyward_core::interface::{Condition, ServerId};
 use ivyward_core::membership::Member;
 use std::fs::File;
--- a/crates/ivyward/src/node.rs
+++ b/crates/ivyward/src/node.rs
@@ -1,13 +1,14 @@
 //! A node as its owner holds it.
 
-use crate::answer::{Buffer, Failure, Final, Part, Refusal};
-use crate::driver::{Driver, Engine};
-use crate::engines::{Call, Protocol};
-use crate::grpc::{Grpc, GrpcCall};
+use crate::engines::{Call, Engine, Protocol};
 use crate::metrics::Metrics;
 use crate::record::Recorder;
+use crate::request::answer::{Buffer, Failure, Final, Part, Refusal};
+use crate::request::driver::Driver;
+use crate::request::grpc::{Grpc, GrpcCall};
+use crate::request::notices::{Inbox, Notice, Taken};
 use crate::settings::{NodeSettings, SettingsError};
-use crate::shared::{Notice, Shared, Taken};
+use crate::shared::Shared;
 use event_listener::Event;
 use futures_lite::future::poll_fn;
 use ivyward_core::interface::{Arrival, Effect, ListKind, Micros, RequestId};
@@ -34,6 +35,7 @@
 #[derive(Clone)]
 pub struct Node {
     pub(crate) shared: Arc<Shared>,
+    inbox: Inbox,
     done: async_channel::Receiver<()>,
 }
 
@@ -64,14 +66,12 @@
         let router_settings = settings.router();
         let recorder =
             recording.map(|out| Recorder::begin(out, &router_settings, settings.seed)).transpose()?;
-        let (notices, told) = async_channel::unbounded();
+        let (inbox, told) = Inbox::new();
         let shared = Arc::new(Shared {
             incarnation: world.random(),
             world: world.clone(),
             settings,
             router_settings,
-            protocol,
-            notices,
             open: AtomicUsize::new(0),
             next_id: AtomicU64::new(1),
             stopping: AtomicBool::new(false),
@@ -80,19 +80,19 @@
             metrics: Metrics::default(),
         });
         let (finished, done) = async_channel::bounded::<()>(1);
-        let driver = Driver::new(shared.clone(), told, recorder);
+        let driver = Driver::new(shared.clone(), protocol, (inbox.clone(), told), recorder);
         world.run(async move {
             driver.run().await;
             drop(finished);
         });
-        Ok(Node { shared, done })
+        Ok(Node { shared, inbox, done })
     }
 
     /// Tells the node of engines, and returns when it took that in: from then on nothing new goes to one that
     /// drains or is gone.
     pub async fn fleet(&self, kind: ListKind, engines: Vec<Engine>) {
         let (done, wait) = async_channel::bounded(1);
-        self.shared.tell(Notice::Fleet { kind, engines, done });
+        self.inbox.tell(Notice::Fleet { kind, engines, done });
         // An error means that the node ended.
         let _ = wait.recv().await;
     }
@@ -102,7 +102,7 @@
     pub fn generate(&self, request: GenerateRequest, patience: Option<Micros>) -> Answer {
         let shared = &self.shared;
         let buffer = Arc::new(Buffer::new(shared.settings.stream_buffer));
-        let mut answer = Answer { buffer: buffer.clone(), id: None, shared: shared.clone() };
+        let mut answer = Answer { buffer: buffer.clone(), id: None, inbox: self.inbox.clone() };
         let over = |end| {
             buffer.finish(end);
         };
@@ -136,7 +136,7 @@
 
     /// The client of a request left before its answer's end.
     pub fn gone(&self, id: u64) {
-        self.shared.tell(Notice::Gone(id));
+        self.inbox.tell(Notice::Gone(id));
     }
 
     fn enter(&self, taken: Taken) -> Result<u64, Refusal> {
@@ -151,7 +151,7 @@
             Refusal::NodeFull
         } else {
             shared.metrics.requests.add(1);
-            shared.tell(Notice::Request(Box::new(taken)));
+            self.inbox.tell(Notice::Request(Box::new(taken)));
             return Ok(id);
         };
         shared.metrics.refused.add(1);
@@ -245,7 +245,7 @@
     pub async fn stop(&self, within: Micros) {
         self.shared.stopping.store(true, Ordering::SeqCst);
         self.shared.stop_told.notify(usize::MAX);
-        self.shared.tell(Notice::Stop { by: self.shared.world.now().saturating_add(within) });
+        self.inbox.tell(Notice::Stop { by: self.shared.world.now().saturating_add(within) });
         // Ends with an error when the driver is done.
         let _ = self.done.recv().await;
     }
@@ -253,7 +253,7 @@
     /// Writes what was recorded so far through to its file.
     pub async fn flush_recording(&self) {
         let (done, wait) = async_channel::bounded(1);
-        self.shared.tell(Notice::Flush(done));
+        self.inbox.tell(Notice::Flush(done));
         let _ = wait.recv().await;
     }
 
@@ -294,7 +294,7 @@
 pub struct Answer {
     buffer: Arc<Buffer>,
     id: Option<u64>,
-    shared: Arc<Shared>,
+    inbox: Inbox,
 }
 
 impl Answer {
@@ -321,7 +321,7 @@
 impl Drop for Answer {
     fn drop(&mut self) {
         if let Some(id) = self.id.filter(|_| !self.buffer.told()) {
-            self.shared.tell(Notice::Gone(id));
+            self.inbox.tell(Notice::Gone(id));
         }
     }
 }
--- a/crates/ivyward/src/request/attempt.rs
+++ b/crates/ivyward/src/request/attempt.rs
@@ -3,9 +3,9 @@
 //! What proves that an attempt never ran is decided here, in [`never_ran`] and [`turned_away`]; what follows from
 //! it is the module's.
 
-use crate::answer::{Buffer, Over};
+use crate::engines::link::{DialError, GrpcLink};
 use crate::engines::{End, Job, Stall, Stop, Woken};
-use crate::link::{DialError, GrpcLink};
+use crate::request::answer::{Buffer, Over};
 use futures_lite::future::or;
 use ivyward_core::interface::{Outcome, Report, ReportField};
 use ivyward_core::planted::{self, Defect};
--- a/crates/ivyward/src/request/driver.rs
+++ b/crates/ivyward/src/request/driver.rs
@@ -3,12 +3,12 @@
 //! It decides nothing itself. What the module is told goes through [`Driver::tell`], what it asks for through
 //! [`Driver::carry_out`]; both are what a recording holds.
 
-use crate::answer::{Failure, Final, Refusal};
-use crate::engines::{Call, End, Held, HoldJob, Job, Kept, LinkRef, ReleaseJob, Stop};
+use crate::engines::{Call, End, Engine, Held, HoldJob, Job, Kept, LinkRef, Protocol, ReleaseJob, Stop};
 use crate::record::Recorder;
-use crate::shared::{Ended, Notice, Shared, Taken};
+use crate::request::answer::{Failure, Final, Refusal};
+use crate::request::notices::{Ended, Inbox, Notice, Taken};
+use crate::shared::Shared;
 use futures_lite::future::or;
-use ivyward_core::interface as core;
 use ivyward_core::interface::{
     Action, Condition, Event, ListKind, Micros, Outcome, RequestId, Role, ServerId,
 };
@@ -16,20 +16,10 @@
 use ivyward_core::rules::Router;
 use ivyward_world::{BoxFuture, WorldExt};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use tracing::{debug, info, warn};
 
-/// An engine as a list names it, with its address.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Engine {
-    /// What the module is told. `kind` is an index into the module's roles.
-    pub entry: core::ServerEntry,
-    /// Where it listens.
-    pub address: SocketAddr,
-}
-
 struct Attempt {
     link: Option<LinkRef>,
     reads: bool,
@@ -55,6 +45,8 @@
 
 pub(crate) struct Driver {
     shared: Arc<Shared>,
+    protocol: Arc<dyn Protocol>,
+    inbox: Inbox,
     notices: async_channel::Receiver<Notice>,
     router: Router,
     recorder: Option<Recorder>,
@@ -71,12 +63,15 @@
 impl Driver {
     pub(crate) fn new(
         shared: Arc<Shared>,
-        notices: async_channel::Receiver<Notice>,
+        protocol: Arc<dyn Protocol>,
+        (inbox, notices): (Inbox, async_channel::Receiver<Notice>),
         recorder: Option<Recorder>,
     ) -> Driver {
         let router = Router::new(shared.router_settings.clone(), shared.settings.seed);
         Driver {
             shared,
+            protocol,
+            inbox,
             notices,
             router,
             recorder,
@@ -374,7 +369,7 @@
         // What the writer fetched or took is let go by that; the rest is let go now.
         let used = open.state.take();
         let (call, mut rest) = (open.taken.call.clone(), std::mem::take(&mut open.kept));
-        if !self.shared.protocol.one_by_one() {
+        if !self.protocol.one_by_one() {
             // There the stream itself lets go of the rest.
             rest.clear();
         }
@@ -408,7 +403,7 @@
             Outcome::ConnectFailed | Outcome::NotSent | Outcome::Full | Outcome::StateLost | Outcome::Read
         );
         let (call, mut over) = (open.taken.call.clone(), Vec::new());
-        let one_by_one = self.shared.protocol.one_by_one();
+        let one_by_one = self.protocol.one_by_one();
         if let Some(link) = link {
             let sure = end.outcome == Outcome::Read;
             let kept = Kept { link: link.clone(), attempt: no, place: false, sure, used_by: None };
@@ -456,7 +451,7 @@
         let (server, may_be) = (link.id(), held != Held::No);
         let kept = Kept { link, attempt, place: true, sure: held == Held::Yes, used_by: None };
         // What is not sure is let go of at once, or with all that the request leaves.
-        let stays = held == Held::Yes || !self.shared.protocol.one_by_one();
+        let stays = held == Held::Yes || !self.protocol.one_by_one();
         match self.open.get_mut(&id).filter(|o| !o.answered && !o.streaming) {
             Some(open) if may_be && stays => open.kept.push(kept),
             Some(_) if may_be => self.let_go(id, call, vec![kept]),
@@ -498,11 +493,11 @@
                 }
             }
             if entry.condition != Condition::Gone {
-                let shared = &self.shared;
+                let (shared, protocol) = (&self.shared, &self.protocol);
                 let (link, kind) = self
                     .links
                     .entry(entry.id)
-                    .or_insert_with(|| (shared.protocol.link(shared, &engine), entry.kind));
+                    .or_insert_with(|| (protocol.link(shared, &engine), entry.kind));
                 *kind = entry.kind;
                 link.set_closing(entry.condition != Condition::Ready);
             }
@@ -550,7 +545,9 @@
             let until = if timeout == 0 { first_by } else { first_by.min(now.saturating_add(timeout)) };
             let (shared, call) = (shared.clone(), open.taken.call.clone());
             let state = open.state.clone().filter(|_| !reads);
-            (link, Job { shared, call, request: id, attempt: no, reads, state, until, stop })
+            let inbox = self.inbox.clone();
+            let first = Box::new(move || inbox.tell(Notice::First(id, no)));
+            (link, Job { shared, call, request: id, attempt: no, reads, state, until, stop, first })
         });
         // Guards against places that outlast their request: a writer takes the one that was held beside the read whose
         // state it fetches. It knows nothing of one held beside a read that failed, and a hold whose answer is not
@@ -561,24 +558,23 @@
             kept.used_by = fetched.then_some(no);
         }
         open.attempts.push(attempt);
-        let tell = move |shared: &Shared, end| {
-            shared.tell(Notice::Ended(Ended { request: id, attempt: no, end }));
-        };
+        let inbox = self.inbox.clone();
+        let tell = move |end| inbox.tell(Notice::Ended(Ended { request: id, attempt: no, end }));
         match job {
             Some((link, job)) => {
                 shared.metrics.attempts.add(1);
                 shared.world.clone().run(async move {
                     let end = link.attempt(job).await;
-                    tell(&shared, end);
+                    tell(end);
                 });
             }
-            None => tell(&shared, End::new(Outcome::NotSent, "")),
+            None => tell(End::new(Outcome::NotSent, "")),
         }
     }
 
     /// Lets go of everything that may be kept for a request.
     fn release(&mut self, id: u64) {
-        let one_by_one = self.shared.protocol.one_by_one();
+        let one_by_one = self.protocol.one_by_one();
         let Some(open) = self.open.get_mut(&id) else { return };
         open.holds.clear();
         // Guards against letting go of what an attempt still needs, or is about to leave: its end comes here again.
@@ -599,11 +595,11 @@
     /// Asks engines to let go. The first try leaves at once.
     fn let_go(&self, request: u64, call: Arc<dyn Call>, kept: Vec<Kept>) {
         let here = |id| kept.iter().any(|k| k.link.id() == id);
-        let others = match self.shared.protocol.one_by_one() {
+        let others = match self.protocol.one_by_one() {
             true => Vec::new(),
             false => self.links.values().filter(|l| !here(l.0.id())).map(|l| l.0.clone()).collect(),
         };
-        self.shared.protocol.release(&self.shared, ReleaseJob { call, request, kept, others });
+        self.protocol.release(&self.shared, ReleaseJob { call, request, kept, others });
     }
 
     fn hold(&mut self, id: u64, server: ServerId) {
@@ -612,20 +608,20 @@
         let attempt = (open.attempts.len() as u16).saturating_sub(1);
         let (stop, stopped) = async_channel::bounded(1);
         open.holds.push(stop);
-        let (shared, call) = (self.shared.clone(), open.taken.call.clone());
+        let (shared, call, inbox) = (self.shared.clone(), open.taken.call.clone(), self.inbox.clone());
         shared.world.clone().run(async move {
             let job = HoldJob { shared: shared.clone(), call: call.clone(), request: id, attempt, stopped };
             let held = link.clone().hold(job).await;
-            shared.tell(Notice::Place { request: id, attempt, link, call, held });
+            inbox.tell(Notice::Place { request: id, attempt, link, call, held });
         });
     }
 
     fn probe(&mut self, server: ServerId) {
         let Some((link, _)) = self.links.get(&server).cloned() else { return };
-        let shared = self.shared.clone();
+        let (shared, inbox) = (self.shared.clone(), self.inbox.clone());
         shared.world.clone().run(async move {
             let (alive, report) = link.probe(shared.clone()).await;
-            shared.tell(Notice::Probed { server, alive, report });
+            inbox.tell(Notice::Probed { server, alive, report });
         });
     }
 }
--- a/crates/ivyward/src/request/grpc.rs
+++ b/crates/ivyward/src/request/grpc.rs
@@ -1,10 +1,10 @@
 //! gRPC to engines, behind the seam of [`crate::engines`].
 
-use crate::answer::{Buffer, Final};
-use crate::attempt::{self, Ask, Work};
-use crate::driver::Engine;
+use crate::engines::link::GrpcLink;
+use crate::engines::Engine;
 use crate::engines::{Call, End, Held, HoldJob, Job, Link, LinkRef, Protocol, ReleaseJob};
-use crate::link::GrpcLink;
+use crate::request::answer::{Buffer, Final};
+use crate::request::attempt::{self, Ask, Work};
 use crate::shared::Shared;
 use futures_lite::future::or;
 use ivyward_core::interface::{Arrival, Outcome, Report, ServerId};
--- a/crates/ivyward/src/shared.rs
+++ b/crates/ivyward/src/shared.rs
@@ -1,55 +1,18 @@
-//! What the parts of a node share, and what they tell the driver.
+//! What the parts of a node share: its surroundings, its settings and its counters. It knows none of the parts.
 
-use crate::driver::Engine;
-use crate::engines::{Call, End, Held, LinkRef, Protocol};
 use crate::metrics::Metrics;
 use crate::settings::NodeSettings;
 use ivyward_core::interface as core;
-use ivyward_core::interface::{Arrival, ListKind, Micros, ServerId};
 use ivyward_world::WorldRef;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
-
-/// A request that was taken in.
-pub(crate) struct Taken {
-    pub(crate) arrival: Arrival,
-    /// Without a first token by then, the client gives up.
-    pub(crate) first_by: Micros,
-    /// Without the end by then, the client gives up; `None` for never.
-    pub(crate) end_by: Option<Micros>,
-    pub(crate) call: Arc<dyn Call>,
-}
-
-pub(crate) struct Ended {
-    pub(crate) request: u64,
-    pub(crate) attempt: u16,
-    pub(crate) end: End,
-}
-
-/// What the driver is told.
-pub(crate) enum Notice {
-    Request(Box<Taken>),
-    Gone(u64),
-    First(u64, u16),
-    Ended(Ended),
-    Place { request: u64, attempt: u16, link: LinkRef, call: Arc<dyn Call>, held: Held },
-    Probed { server: ServerId, alive: bool, report: core::Report },
-    Fleet { kind: ListKind, engines: Vec<Engine>, done: async_channel::Sender<()> },
-    Stop { by: Micros },
-    Flush(async_channel::Sender<()>),
-}
 
 /// What the parts of a node share.
 pub struct Shared {
     pub(crate) world: WorldRef,
     pub(crate) settings: NodeSettings,
     pub(crate) router_settings: core::Settings,
-    pub(crate) protocol: Arc<dyn Protocol>,
     /// Names this run of the node to engines.
     pub(crate) incarnation: u64,
-    /// Holds at most a few notices for each open request (its arrival, its end, and each attempt's first token
-    /// and end) beside what the node's owner tells and awaits, so `most_open` bounds it.
-    pub(crate) notices: async_channel::Sender<Notice>,
     pub(crate) open: AtomicUsize,
     pub(crate) next_id: AtomicU64,
     pub(crate) stopping: AtomicBool,
@@ -59,10 +22,6 @@
 }
 
 impl Shared {
-    pub(crate) fn tell(&self, notice: Notice) {
-        // Fails only when the driver is gone, and the node with it.
-        let _ = self.notices.try_send(notice);
-    }
     /// The node's surroundings.
     pub fn world(&self) -> &WorldRef {
         &self.world
