--- a/crates/ivyward-core/src/lib.rs
+++ b/crates/ivyward-core/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! [`rules::Router`] holds the decisions on requests, [`interface`] the types it speaks; [`membership`] decides what lists
 //! and notices of engines mean, [`starts`] what their told start times do, [`pace`] how often the module is told of changes,
-//! [`keep`] which kept connections carry a request.
+//! [`peers`] which other nodes are here, [`keep`] which kept connections carry a request.
 //! It does no I/O and has no clock:
 //! give it events, carry out the actions it returns.
 //!
@@ -42,6 +42,7 @@
 pub mod keep;
 pub mod membership;
 pub mod pace;
+pub mod peers;
 pub mod planted;
 pub mod rules;
 pub mod starts;
--- /dev/null
+++ b/crates/ivyward-core/src/peers/gossip.rs
@@ -0,0 +1,185 @@
+//! What nodes say to each other, and which of it rides on the next message.
+
+use crate::interface::Micros;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A node's name as a number, the same after a restart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PeerId(pub u64);
+
+/// How a node announces itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Card {
+    /// Its name.
+    pub id: PeerId,
+    /// Grows with each start: a later one ends all earlier ones.
+    pub start: u64,
+    /// Its zone.
+    pub zone: u8,
+    /// Where it is reached. Answers go there.
+    pub address: SocketAddr,
+}
+
+/// What is claimed of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum About {
+    /// It was heard at that beat.
+    Here,
+    /// It does not answer; that beat is the last that the teller knows.
+    Silent {
+        /// How long ago the question left to which no answer came.
+        since: Micros,
+    },
+    /// It said that it leaves.
+    Left,
+}
+
+/// Something told of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// Of whom.
+    pub card: Card,
+    /// The last evidence of it: its own uptime in milliseconds.
+    pub beat: u64,
+    /// How long ago the teller learned of that.
+    pub ago: Micros,
+    /// What is claimed.
+    pub about: About,
+}
+
+/// What a message is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Body {
+    /// Asks for an [`Body::Ack`] with the same number.
+    Ping {
+        /// The sender's number.
+        seq: u64,
+    },
+    /// The one probed answers, or a relay passes its answer on.
+    Ack {
+        /// The number that was asked with.
+        seq: u64,
+        /// Who answered.
+        of: PeerId,
+    },
+    /// Asks to probe another.
+    Relay {
+        /// The sender's number.
+        seq: u64,
+        /// Whom.
+        to: Card,
+    },
+    /// The relay is here, the one probed has not answered it.
+    Nack {
+        /// The number that was asked with.
+        seq: u64,
+    },
+    /// Asks for a part of the whole view.
+    Ask {
+        /// Names after this one; from the first if there is none.
+        after: Option<PeerId>,
+    },
+    /// A part of the whole view.
+    Page {
+        /// Nodes that are here.
+        claims: Vec<Claim>,
+        /// Where the rest begins.
+        next: Option<PeerId>,
+    },
+    /// The sender leaves.
+    Leave,
+    /// Nothing but what is passed on.
+    Gossip,
+}
+
+/// A message, as one datagram.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// Who says it.
+    pub from: Card,
+    /// The sender's uptime in milliseconds.
+    pub beat: u64,
+    /// What for.
+    pub body: Body,
+    /// What is passed on beside it.
+    pub claims: Vec<Claim>,
+}
+
+/// Most claims in a message: with its head and seal it stays under 1,200 bytes (46 bytes a claim at most, 110 for the rest).
+pub const MOST_CLAIMS: usize = 23;
+
+/// What the decider wants done or made known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Out {
+    /// Send a message.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// What.
+        message: Message,
+    },
+    /// The view changed.
+    Changed {
+        /// Of whom.
+        card: Card,
+        /// What it was taken for; none if it is new.
+        was: Option<super::Standing>,
+        /// What it is taken for.
+        is: super::Standing,
+    },
+}
+
+/// What is being passed on: of each node the last thing, each so many times as reaches all with near certainty.
+#[derive(Default)]
+pub(super) struct Rumours {
+    /// By how often it was sent and in which order it came.
+    queue: BTreeMap<(u32, u64), PeerId>,
+    at: BTreeMap<PeerId, (u32, u64)>,
+    order: u64,
+}
+
+impl Rumours {
+    /// To be passed on as it stands when it is sent, whatever was passed on of that node before.
+    pub(super) fn add(&mut self, id: PeerId) {
+        self.remove(id);
+        self.put(0, id);
+    }
+    pub(super) fn remove(&mut self, id: PeerId) {
+        if let Some(key) = self.at.remove(&id) {
+            self.queue.remove(&key);
+        }
+    }
+    pub(super) fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+    fn put(&mut self, sent: u32, id: PeerId) {
+        self.order += 1;
+        // Latest first among those sent as often: what is old has spread already.
+        let key = (sent, u64::MAX - self.order);
+        self.queue.insert(key, id);
+        self.at.insert(id, key);
+    }
+    /// Up to `room` of them, least sent first.
+    pub(super) fn take(
+        &mut self,
+        room: usize,
+        nodes: usize,
+        of: impl Fn(PeerId) -> Option<Claim>,
+    ) -> Vec<Claim> {
+        let most = 3 * (usize::BITS - nodes.leading_zeros() + 1);
+        let keys: Vec<(u32, u64)> = self.queue.keys().take(room).copied().collect();
+        let mut claims = Vec::with_capacity(keys.len());
+        for key in keys {
+            let Some(id) = self.queue.remove(&key) else { continue };
+            self.at.remove(&id);
+            if let Some(claim) = of(id) {
+                claims.push(claim);
+                if key.0 + 1 < most {
+                    self.put(key.0 + 1, id);
+                }
+            }
+        }
+        claims
+    }
+}
--- /dev/null
+++ b/crates/ivyward-core/src/peers/mod.rs
@@ -0,0 +1,532 @@
+//! The peers decider: which nodes are here. Messages heard and time in, messages to send and changes of the view out.
+//!
+//! It decides whom to probe, whom to doubt, when a silence is a death, and what is passed on to whom. No I/O, no clock, no
+//! hash order: the caller moves messages and time. Nothing here knows of requests. docs/peers.md weighs the ways.
+//!
+//! What it holds to:
+//! - Evidence is a *beat*: a node's own uptime, told in each of its messages and passed on by those who heard it. A higher
+//!   beat is later evidence, whoever brings it. So nothing has to be refuted by number, and no word kills: a node dies of
+//!   silence alone, judged by each node for itself: when nobody who can be heard has heard it for `death_after` since a
+//!   question that it left unanswered.
+//! - A failed probe, direct and through others, only doubts. The doubt spreads with the last beat known; who has heard a
+//!   later one passes that on. A pair that cannot hear each other while others can is a fact of a link ([`Peer::unheard`]).
+//! - A node that slept, seen by its own clock, doubts itself first: its time away is no silence of the others. One that
+//!   hears nobody waits several times as long.
+//! - A beat ahead of what the time since the last one allows is a lie or a broken clock, and is dropped.
+//! - The count of nodes that may still be sending ([`Peers::count`]) falls for those who said that they leave, were started
+//!   again, or whose lease is told to be over; never for silence.
+//! - Answers go to the address a node announces; the source of a message is never seen here.
+
+mod gossip;
+mod view;
+
+pub use gossip::{About, Body, Card, Claim, Message, Out, PeerId, MOST_CLAIMS};
+pub use view::{Peer, Standing};
+
+use crate::interface::Micros;
+use crate::state::mix;
+use gossip::Rumours;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use view::{Members, WITNESSES};
+
+/// Claims in one page of an exchange of the whole view.
+const PAGE: usize = MOST_CLAIMS - 4;
+/// Most that a node doubts itself; a wait for an answer grows by one wait with each.
+const MOST_STRAIN: u32 = 8;
+/// A node that hears nobody waits so many times as long before it takes others for dead.
+const ALONE: u64 = 4;
+
+/// The decider's spans and bounds.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerSettings {
+    /// One node is probed in each such span.
+    pub period: Micros,
+    /// Without an answer for so long others are asked to probe.
+    pub ack_after: Micros,
+    /// How many are asked.
+    pub relays: usize,
+    /// Silence towards everybody that is a death.
+    pub death_after: Micros,
+    /// A gap in the node's own time that is a pause.
+    pub pause: Micros,
+    /// One that is dead is looked for in each such span.
+    pub reach_out: Micros,
+    /// A part of the whole view is compared with some node in each such span.
+    pub page_every: Micros,
+    /// The dead are forgotten after this time.
+    pub keep_dead: Micros,
+    /// Most peers that are remembered; later ones are not taken.
+    pub most: usize,
+}
+
+impl Default for PeerSettings {
+    fn default() -> Self {
+        PeerSettings {
+            period: 125_000,
+            ack_after: 80_000,
+            relays: 3,
+            death_after: 2_350_000,
+            pause: 600_000,
+            reach_out: 1_000_000,
+            page_every: 10_000_000,
+            keep_dead: 3_600_000_000,
+            most: 4_096,
+        }
+    }
+}
+
+/// What was dropped, and why.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Dropped {
+    /// Words of runs that a later start has ended.
+    pub stale: u64,
+    /// Beats ahead of what time allows.
+    pub implausible: u64,
+    /// Peers beyond the bound.
+    pub over: u64,
+}
+
+#[derive(Clone, Copy)]
+struct Probe {
+    of: PeerId,
+    sent: Micros,
+    relayed: bool,
+    /// Relays that were asked and have not said anything.
+    mute: usize,
+}
+
+/// A probe made for another node.
+#[derive(Clone, Copy)]
+struct Errand {
+    of: PeerId,
+    sent: Micros,
+    back: SocketAddr,
+    seq: u64,
+}
+
+/// Decides for one node. See the module's words.
+pub struct Peers {
+    me: Card,
+    began: Micros,
+    settings: PeerSettings,
+    random: u64,
+    members: Members,
+    rumours: Rumours,
+    /// Addresses that were given; kept for good.
+    seeds: Vec<SocketAddr>,
+    ring: Vec<PeerId>,
+    seq: u64,
+    probes: BTreeMap<u64, Probe>,
+    errands: BTreeMap<u64, Errand>,
+    next_probe: Micros,
+    next_reach: Micros,
+    next_page: Micros,
+    last_tick: Micros,
+    woke: Micros,
+    heard_any: Micros,
+    strain: u32,
+    superseded: bool,
+}
+
+impl Peers {
+    /// A node that knows its own card and some addresses. `seed` feeds its lots.
+    pub fn new(now: Micros, me: Card, seeds: Vec<SocketAddr>, settings: PeerSettings, seed: u64) -> Peers {
+        Peers {
+            me,
+            began: now,
+            settings,
+            random: mix(seed ^ me.start),
+            members: Members::new(settings.most),
+            rumours: Rumours::default(),
+            seeds,
+            ring: Vec::new(),
+            seq: 0,
+            probes: BTreeMap::new(),
+            errands: BTreeMap::new(),
+            next_probe: now,
+            next_reach: now,
+            next_page: now,
+            last_tick: now,
+            woke: now,
+            heard_any: now,
+            strain: 0,
+            superseded: false,
+        }
+    }
+
+    /// How often [`Peers::tick`] is to be called.
+    pub fn tick_span(&self) -> Micros {
+        (self.settings.ack_after / 2).max(1)
+    }
+    /// All peers that are known, in the order of their names.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.members.all()
+    }
+    /// One of them.
+    pub fn peer(&self, id: PeerId) -> Option<&Peer> {
+        self.members.get(id)
+    }
+    /// Nodes that may still be sending, this one among them. Falls only when one is certainly gone.
+    pub fn count(&self) -> u32 {
+        1 + self.members.all().filter(|p| !p.certain).count() as u32
+    }
+    /// Whether nobody has been heard for long although others are known.
+    pub fn alone(&self, now: Micros) -> bool {
+        now.saturating_sub(self.heard_any.max(self.woke)) > 4 * self.settings.period
+    }
+    /// Whether a later start of this node's name was heard: this one is to stop.
+    pub fn superseded(&self) -> bool {
+        self.superseded
+    }
+    /// What was dropped.
+    pub fn dropped(&self) -> Dropped {
+        self.members.dropped
+    }
+
+    /// A record of the store names a node. It is a hint where to look, and no evidence of life.
+    pub fn record(&mut self, now: Micros, card: Card, out: &mut Vec<Out>) {
+        if card.id != self.me.id && self.members.get(card.id).is_none() {
+            self.send(now, card.address, Body::Ask { after: None }, out);
+        }
+    }
+
+    /// The store says that the lease of a run is over, with its grace: it can be sending no more.
+    pub fn lease_over(&mut self, id: PeerId, start: u64) {
+        if let Some(peer) = self.members.get_mut(id).filter(|p| p.card.start == start) {
+            peer.certain = matches!(peer.standing, Standing::Dead | Standing::Left);
+        }
+    }
+
+    /// This node leaves: everybody who is here is told, once each.
+    pub fn leave(&mut self, now: Micros, out: &mut Vec<Out>) {
+        let all: Vec<SocketAddr> = self.members.here().map(|p| p.card.address).collect();
+        all.into_iter().for_each(|to| self.send(now, to, Body::Leave, out));
+    }
+
+    /// Takes in a message.
+    pub fn hear(&mut self, now: Micros, message: Message, out: &mut Vec<Out>) {
+        let Message { from, beat, body, claims } = message;
+        if from.id == self.me.id {
+            self.superseded |= from.start > self.me.start;
+            return;
+        }
+        if !self.learn(now, Claim { card: from, beat, ago: 0, about: About::Here }, None, out) {
+            return;
+        }
+        self.heard_any = now;
+        match body {
+            Body::Ping { seq } => self.send(now, from.address, Body::Ack { seq, of: self.me.id }, out),
+            Body::Ack { seq, of } => self.on_ack(now, seq, of, out),
+            Body::Relay { seq, to } => {
+                self.seq += 1;
+                let errand = Errand { of: to.id, sent: now, back: from.address, seq };
+                // As many as come in before they are over; one node's probes ask a few others each.
+                if self.errands.len() < self.settings.most {
+                    self.errands.insert(self.seq, errand);
+                    self.send(now, to.address, Body::Ping { seq: self.seq }, out);
+                }
+            }
+            Body::Nack { seq } => {
+                if let Some(probe) = self.probes.get_mut(&seq) {
+                    probe.mute = probe.mute.saturating_sub(1);
+                }
+            }
+            Body::Ask { after } => {
+                let (page, next) = self.page(now, after);
+                self.send(now, from.address, Body::Page { claims: page, next }, out);
+            }
+            Body::Page { claims, next } => {
+                claims.into_iter().for_each(|claim| self.on_claim(now, from, claim, out));
+                if next.is_some() {
+                    self.send(now, from.address, Body::Ask { after: next }, out);
+                }
+            }
+            Body::Leave => self.left(from, out),
+            Body::Gossip => {}
+        }
+        claims.into_iter().for_each(|claim| self.on_claim(now, from, claim, out));
+    }
+
+    fn on_ack(&mut self, now: Micros, seq: u64, of: PeerId, out: &mut Vec<Out>) {
+        if let Some(errand) = self.errands.get(&seq).copied().filter(|e| e.of == of) {
+            self.errands.remove(&seq);
+            self.send(now, errand.back, Body::Ack { seq: errand.seq, of }, out);
+        }
+        if let Some(probe) = self.probes.remove(&seq).filter(|p| p.of == of) {
+            self.strain = self.strain.saturating_sub(1);
+            if let Some(peer) = self.members.get_mut(of) {
+                // Not by me but by others: a fact of the link between us.
+                peer.unheard = probe.relayed && peer.direct < probe.sent;
+            }
+        }
+    }
+
+    fn on_claim(&mut self, now: Micros, from: Card, claim: Claim, out: &mut Vec<Out>) {
+        let id = claim.card.id;
+        if id == self.me.id {
+            if claim.card.start == self.me.start && claim.about != About::Here {
+                // Somebody cannot hear me: my own word is passed on, and I look at myself first.
+                self.rumours.add(id);
+                self.strain = (self.strain + 1).min(MOST_STRAIN);
+            }
+            return;
+        }
+        match claim.about {
+            About::Here => {
+                let known = self.members.get(id).map(|p| p.standing);
+                let took = self.learn(now, claim, Some(from.id), out);
+                let is = self.members.get(id).map(|p| p.standing);
+                // A node's own answer to a doubt is passed on though there is none here.
+                if took && id == from.id && known == is {
+                    self.rumours.add(id);
+                }
+            }
+            About::Silent { since } => {
+                let asked = now.saturating_sub(since);
+                let known = self.members.get(id);
+                if known.is_some_and(|p| p.card.start > claim.card.start || p.learned > asked) {
+                    // A refutation that is kept to oneself leaves the others with their doubt.
+                    self.rumours.add(id);
+                } else if self.learn(now, claim, Some(from.id), out) {
+                    self.doubt(id, asked, out);
+                }
+            }
+            About::Left => {
+                let known = self.members.get(id).map(|p| (p.card.start, p.standing));
+                if known.is_some_and(|k| k.0 == claim.card.start && k.1 != Standing::Left)
+                    && self.members.witness(id, claim.card.start, true, from.id) >= WITNESSES
+                {
+                    self.left(claim.card, out);
+                }
+            }
+        }
+    }
+
+    /// Whether the evidence counts (it need not be news).
+    fn learn(&mut self, now: Micros, claim: Claim, by: Option<PeerId>, out: &mut Vec<Out>) -> bool {
+        let known = self.members.get(claim.card.id).map(|p| (p.standing, p.card.start));
+        if !self.members.learn(now, &claim, by, self.settings.death_after, out) {
+            return false;
+        }
+        let id = claim.card.id;
+        let Some(peer) = self.members.get(id).copied() else { return false };
+        match known {
+            None => {
+                self.rumours.add(id);
+                let at = self.lot(self.ring.len() + 1);
+                self.ring.insert(at, id);
+            }
+            Some((was, start)) => {
+                let again = was != Standing::Alive && peer.standing == Standing::Alive;
+                if again || start != peer.card.start {
+                    self.rumours.add(id);
+                }
+                if again && was == Standing::Dead && by.is_none() {
+                    // We were apart: what each half knows is compared whole.
+                    self.send(now, peer.card.address, Body::Ask { after: None }, out);
+                }
+            }
+        }
+        true
+    }
+
+    fn doubt(&mut self, id: PeerId, asked: Micros, out: &mut Vec<Out>) {
+        if let Some(peer) = self.members.get_mut(id) {
+            // A silence is as old as the first question in it; before that, nobody asked.
+            let first = peer.standing == Standing::Alive;
+            peer.asked = if first { asked } else { peer.asked.min(asked) };
+        }
+        if self.members.set(id, Standing::Alive, Standing::Suspected, out) {
+            self.rumours.add(id);
+        }
+    }
+
+    fn left(&mut self, card: Card, out: &mut Vec<Out>) {
+        if self.members.leave(card, out) {
+            self.rumours.add(card.id);
+        }
+    }
+
+    /// Moves time on: probes, judges silences, looks for those who are away.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<Out>) {
+        if now.saturating_sub(self.last_tick) > self.settings.pause {
+            self.woke = now;
+            self.rumours.add(self.me.id);
+            self.strain = MOST_STRAIN;
+            // What they would have heard meanwhile tells of me, not of those asked.
+            self.probes.clear();
+            self.errands.clear();
+        }
+        self.last_tick = now;
+        self.judge_probes(now, out);
+        self.judge_silences(now, out);
+        if now >= self.next_probe {
+            self.next_probe = now + self.settings.period;
+            self.probe(now, out);
+        }
+        // What is new spreads at once; in quiet times nothing is sent for it.
+        if !self.rumours.is_empty() {
+            if let Some(to) = self.some_peer() {
+                self.send(now, to, Body::Gossip, out);
+            }
+        }
+        if now >= self.next_reach {
+            self.next_reach = now + self.settings.reach_out / 2 + self.lot_span(self.settings.reach_out);
+            self.reach_out(now, out);
+        }
+        if now >= self.next_page {
+            self.next_page = now + self.settings.page_every / 2 + self.lot_span(self.settings.page_every);
+            let here: Vec<PeerId> = self.members.here().map(|p| p.card.id).collect();
+            if let Some(to) = self.some_peer() {
+                let after = here[self.lot(here.len())];
+                self.send(now, to, Body::Ask { after: Some(after) }, out);
+            }
+        }
+    }
+
+    fn some_peer(&mut self) -> Option<SocketAddr> {
+        let count = self.members.here().count();
+        let at = self.lot(count);
+        self.members.here().nth(at).map(|p| p.card.address)
+    }
+
+    fn wait(&self) -> Micros {
+        self.settings.ack_after * u64::from(1 + self.strain)
+    }
+
+    fn judge_probes(&mut self, now: Micros, out: &mut Vec<Out>) {
+        let wait = self.wait();
+        let open: Vec<(u64, Probe)> = self.probes.iter().map(|(seq, p)| (*seq, *p)).collect();
+        for (seq, probe) in open {
+            let since = now.saturating_sub(probe.sent);
+            let Some(target) = self.members.get(probe.of).copied() else {
+                self.probes.remove(&seq);
+                continue;
+            };
+            if !probe.relayed && since >= wait {
+                let others: Vec<SocketAddr> =
+                    self.members.here().filter(|p| p.card.id != probe.of).map(|p| p.card.address).collect();
+                let mut asked = 0;
+                for _ in 0..self.settings.relays.min(others.len()) {
+                    let to = others[self.lot(others.len())];
+                    self.send(now, to, Body::Relay { seq, to: target.card }, out);
+                    asked += 1;
+                }
+                if let Some(probe) = self.probes.get_mut(&seq) {
+                    (probe.relayed, probe.mute) = (true, asked);
+                }
+            } else if probe.relayed && since >= 3 * wait {
+                self.probes.remove(&seq);
+                // Relays that say nothing at all tell of me as much as of the one probed.
+                if probe.mute > 0 {
+                    self.strain = (self.strain + 1).min(MOST_STRAIN);
+                }
+                // Whoever was heard since, by whomever, is not silent.
+                if target.learned < probe.sent {
+                    self.doubt(probe.of, probe.sent, out);
+                }
+            }
+        }
+        let ack_after = self.settings.ack_after;
+        let over: Vec<u64> =
+            self.errands.iter().filter(|e| now >= e.1.sent + ack_after).map(|e| *e.0).collect();
+        for seq in over {
+            if let Some(errand) = self.errands.remove(&seq) {
+                self.send(now, errand.back, Body::Nack { seq: errand.seq }, out);
+            }
+        }
+    }
+
+    fn judge_silences(&mut self, now: Micros, out: &mut Vec<Out>) {
+        // While nobody at all is heard, their silence tells of me.
+        let (times, from) = if self.alone(now) { (ALONE, self.heard_any) } else { (1, 0) };
+        let (most, from) = (self.settings.death_after * times, self.woke.max(from));
+        let silent = |p: &&Peer| {
+            let since = p.asked.max(p.learned).max(from);
+            p.standing == Standing::Suspected && now.saturating_sub(since) >= most
+        };
+        let dead: Vec<PeerId> = self.members.all().filter(silent).map(|p| p.card.id).collect();
+        for id in dead {
+            self.members.set(id, Standing::Suspected, Standing::Dead, out);
+        }
+        let keep = self.settings.keep_dead;
+        for id in self.members.forget(now, keep) {
+            self.rumours.remove(id);
+            self.ring.retain(|r| *r != id);
+        }
+    }
+
+    fn probe(&mut self, now: Micros, out: &mut Vec<Out>) {
+        for _ in 0..self.ring.len() {
+            let Some(id) = self.ring.pop() else { break };
+            // Back in at a place by lot in the older half: each comes up once in about a round.
+            let at = self.lot(self.ring.len() / 2 + 1);
+            self.ring.insert(at, id);
+            let Some(peer) = self.members.get(id).copied() else { continue };
+            if matches!(peer.standing, Standing::Dead | Standing::Left) {
+                continue;
+            }
+            self.seq += 1;
+            let probe = Probe { of: id, sent: now, relayed: false, mute: 0 };
+            self.probes.insert(self.seq, probe);
+            // The one in doubt hears of it first of all.
+            let extra = (peer.standing == Standing::Suspected).then(|| peer.claim(now));
+            self.send_with(now, peer.card.address, Body::Ping { seq: self.seq }, extra, out);
+            return;
+        }
+    }
+
+    /// Looks for one that is dead, and for given addresses at which nobody is known: halves that were apart find each
+    /// other again by this.
+    fn reach_out(&mut self, now: Micros, out: &mut Vec<Out>) {
+        let here: Vec<SocketAddr> = self.members.here().map(|p| p.card.address).collect();
+        let dead = self.members.all().filter(|p| p.standing == Standing::Dead && !p.certain);
+        let mut away: Vec<SocketAddr> = dead.map(|p| p.card.address).collect();
+        away.extend(self.seeds.iter().filter(|s| **s != self.me.address && !here.contains(s)));
+        if !away.is_empty() {
+            let to = away[self.lot(away.len())];
+            self.send(now, to, Body::Ask { after: None }, out);
+        }
+    }
+
+    fn page(&self, now: Micros, after: Option<PeerId>) -> (Vec<Claim>, Option<PeerId>) {
+        let mut all = self.members.here().filter(|p| after.is_none_or(|a| p.card.id > a));
+        let claims: Vec<Claim> = all.by_ref().take(PAGE).map(|p| p.claim(now)).collect();
+        let next = claims.last().map(|c| c.card.id).filter(|_| all.next().is_some());
+        (claims, next)
+    }
+
+    fn send(&mut self, now: Micros, to: SocketAddr, body: Body, out: &mut Vec<Out>) {
+        self.send_with(now, to, body, None, out);
+    }
+
+    fn send_with(
+        &mut self,
+        now: Micros,
+        to: SocketAddr,
+        body: Body,
+        extra: Option<Claim>,
+        out: &mut Vec<Out>,
+    ) {
+        let taken = if let Body::Page { claims, .. } = &body { claims.len() } else { 0 };
+        let room = MOST_CLAIMS - taken - usize::from(extra.is_some());
+        let beat = now.saturating_sub(self.began) / 1_000;
+        let (me, members) = (self.me, &self.members);
+        let of = |id: PeerId| match id == me.id {
+            true => Some(Claim { card: me, beat, ago: 0, about: About::Here }),
+            false => members.get(id).map(|p| p.claim(now)),
+        };
+        let mut claims = self.rumours.take(room, members.len(), of);
+        claims.extend(extra);
+        out.push(Out::Send { to, message: Message { from: me, beat, body, claims } });
+    }
+
+    fn lot(&mut self, below: usize) -> usize {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        (mix(self.random) % below.max(1) as u64) as usize
+    }
+    fn lot_span(&mut self, below: Micros) -> Micros {
+        self.lot(below.max(1) as usize) as Micros
+    }
+}
