Peers on a network of datagrams in the lab: kills, pauses, loss and splits measured

Need: the decider's spans are to be weighed by figures. Change: the tests' network is the lab's peernet; ivyward-lab peers plays kills, pauses, loss and splits and prints a table.

--- a/crates/ivyward-core/src/peers/gossip.rs
+++ b/crates/ivyward-core/src/peers/gossip.rs
@@ -130,6 +130,9 @@
     },
 }
 
+/// What is new is worth so many messages of its own: enough to reach nearly all, if each who hears it does the same.
+const URGENT: u32 = 6;
+
 /// What is being passed on: of each node the last thing, each so many times as reaches all with near certainty.
 #[derive(Default)]
 pub(super) struct Rumours {
@@ -150,8 +153,9 @@
             self.queue.remove(&key);
         }
     }
-    pub(super) fn is_empty(&self) -> bool {
-        self.queue.is_empty()
+    /// Whether something is so new that it is worth messages of its own; the rest rides on those there are.
+    pub(super) fn urgent(&self) -> bool {
+        self.queue.first_key_value().is_some_and(|(key, _)| key.0 < URGENT)
     }
     fn put(&mut self, sent: u32, id: PeerId) {
         self.order += 1;
--- a/crates/ivyward-core/src/peers/mod.rs
+++ b/crates/ivyward-core/src/peers/mod.rs
@@ -34,6 +34,8 @@
 const PAGE: usize = MOST_CLAIMS - 4;
 /// Most that a node doubts itself; a wait for an answer grows by one wait with each.
 const MOST_STRAIN: u32 = 8;
+/// A node that slept says so to so many at once.
+const WAKE: usize = 8;
 /// A node that hears nobody waits so many times as long before it takes others for dead.
 const ALONE: u64 = 4;
 
@@ -48,6 +50,8 @@
     pub relays: usize,
     /// Silence towards everybody that is a death.
     pub death_after: Micros,
+    /// A doubt is known here for at least so long before it is a death.
+    pub notice: Micros,
     /// A gap in the node's own time that is a pause.
     pub pause: Micros,
     /// One that is dead is looked for in each such span.
@@ -66,7 +70,8 @@
             period: 125_000,
             ack_after: 80_000,
             relays: 3,
-            death_after: 2_350_000,
+            death_after: 2_400_000,
+            notice: 1_000_000,
             pause: 600_000,
             reach_out: 1_000_000,
             page_every: 10_000_000,
@@ -289,7 +294,7 @@
                     // A refutation that is kept to oneself leaves the others with their doubt.
                     self.rumours.add(id);
                 } else if self.learn(now, claim, Some(from.id), out) {
-                    self.doubt(id, asked, out);
+                    self.doubt(now, id, asked, out);
                 }
             }
             About::Left => {
@@ -331,11 +336,13 @@
         true
     }
 
-    fn doubt(&mut self, id: PeerId, asked: Micros, out: &mut Vec<Out>) {
+    fn doubt(&mut self, now: Micros, id: PeerId, asked: Micros, out: &mut Vec<Out>) {
         if let Some(peer) = self.members.get_mut(id) {
             // A silence is as old as the first question in it; before that, nobody asked.
-            let first = peer.standing == Standing::Alive;
-            peer.asked = if first { asked } else { peer.asked.min(asked) };
+            if peer.standing == Standing::Alive {
+                (peer.asked, peer.doubted) = (asked, now);
+            }
+            peer.asked = peer.asked.min(asked);
         }
         if self.members.set(id, Standing::Alive, Standing::Suspected, out) {
             self.rumours.add(id);
@@ -352,8 +359,14 @@
     pub fn tick(&mut self, now: Micros, out: &mut Vec<Out>) {
         if now.saturating_sub(self.last_tick) > self.settings.pause {
             self.woke = now;
-            self.rumours.add(self.me.id);
             self.strain = MOST_STRAIN;
+            // Whoever doubts it by now hears of it before the silence is a death.
+            self.rumours.add(self.me.id);
+            for _ in 0..WAKE {
+                if let Some(to) = self.some_peer() {
+                    self.send(now, to, Body::Gossip, out);
+                }
+            }
             // What they would have heard meanwhile tells of me, not of those asked.
             self.probes.clear();
             self.errands.clear();
@@ -366,7 +379,7 @@
             self.probe(now, out);
         }
         // What is new spreads at once; in quiet times nothing is sent for it.
-        if !self.rumours.is_empty() {
+        if self.rumours.urgent() {
             if let Some(to) = self.some_peer() {
                 self.send(now, to, Body::Gossip, out);
             }
@@ -424,7 +437,7 @@
                 }
                 // Whoever was heard since, by whomever, is not silent.
                 if target.learned < probe.sent {
-                    self.doubt(probe.of, probe.sent, out);
+                    self.doubt(now, probe.of, probe.sent, out);
                 }
             }
         }
@@ -442,9 +455,13 @@
         // While nobody at all is heard, their silence tells of me.
         let (times, from) = if self.alone(now) { (ALONE, self.heard_any) } else { (1, 0) };
         let (most, from) = (self.settings.death_after * times, self.woke.max(from));
+        // A doubt that comes late, from one that waits long, is known here for a while before it counts.
+        let notice = self.settings.notice;
         let silent = |p: &&Peer| {
             let since = p.asked.max(p.learned).max(from);
-            p.standing == Standing::Suspected && now.saturating_sub(since) >= most
+            p.standing == Standing::Suspected
+                && now.saturating_sub(since) >= most
+                && now.saturating_sub(p.doubted) >= notice
         };
         let dead: Vec<PeerId> = self.members.all().filter(silent).map(|p| p.card.id).collect();
         for id in dead {
--- a/crates/ivyward-core/src/peers/view.rs
+++ b/crates/ivyward-core/src/peers/view.rs
@@ -42,6 +42,8 @@
     pub(super) direct: Micros,
     /// While in doubt: when the first question left that it did not answer.
     pub(super) asked: Micros,
+    /// And when that became known here.
+    pub(super) doubted: Micros,
 }
 
 impl Peer {
@@ -104,6 +106,7 @@
             learned: at,
             direct: if direct { now } else { 0 },
             asked: 0,
+            doubted: 0,
         };
         let Some(peer) = self.peers.get_mut(&card.id) else {
             // In quiet times evidence grows old; whoever has it has no doubt either.
--- a/crates/ivyward-lab/src/lib.rs
+++ b/crates/ivyward-lab/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`byhand`]: a fleet to try a daemon with, and one request.
 //! - [`drains`]: how soon a node follows a notice, and what a change costs.
 //! - [`enlist`]: writes engines' records into etcd.
+//! - [`peernet`]: many peers on a network of datagrams in virtual time, and what is measured there.
 //! - [`relay`]: what a node adds to a stream.
 
 pub mod badday;
@@ -14,6 +15,7 @@
 pub mod drains;
 pub mod enlist;
 pub mod load;
+pub mod peernet;
 pub mod plan;
 pub mod relay;
 pub mod scene;
--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -5,6 +5,7 @@
 use ivyward_lab::byhand;
 use ivyward_lab::drains;
 use ivyward_lab::enlist;
+use ivyward_lab::peernet;
 use ivyward_lab::plan::{Plan, Trouble};
 use ivyward_lab::relay;
 use ivyward_lab::scene::Runs;
@@ -108,6 +109,18 @@
         #[arg(long)]
         faults: bool,
     },
+    /// Measures in virtual time how soon peers know of a death, how often they are wrong, and what it costs.
+    Peers {
+        /// Nodes; may be given several times.
+        #[arg(long, default_values_t = [16, 64], value_parser = clap::value_parser!(u64).range(2..=2_000))]
+        nodes: Vec<u64>,
+        /// Seeds of each.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=1_000))]
+        seeds: u64,
+        /// Minutes with pauses, each seed at each loss.
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=600))]
+        minutes: u64,
+    },
     /// Plays scenes in a virtual world, one a seed, under faults drawn from it, and checks the rules.
     Seeds {
         /// The first seed.
@@ -316,6 +329,13 @@
                 }
             })
         }
+        What::Peers { nodes, seeds, minutes } => {
+            println!("{}", peernet::HEAD);
+            for nodes in nodes {
+                println!("{}", peernet::measure(nodes as usize, seeds, minutes));
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         What::Seeds { from, count, jobs, faults, rough } => {
             let size = Size { faults: faults as usize, rough, ..Size::default() };
             Ok(play_seeds(from, count, jobs, &size))
--- /dev/null
+++ b/crates/ivyward-lab/src/peernet.rs
@@ -0,0 +1,342 @@
+//! Many peers on a network of datagrams in virtual time: kills, pauses, loss, cuts, splits, restarts; and what is measured
+//! on it. Only the deciders run here: what is asked is how soon a view is right, and how often it is wrong.
+
+use ivyward_core::interface::Micros;
+use ivyward_core::peers::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+
+/// A second.
+pub const SECOND: Micros = 1_000_000;
+
+/// Where a node is reached, by its number.
+pub fn address(node: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (node >> 8) as u8, node as u8], 7_000))
+}
+
+/// How a node announces itself.
+pub fn card(node: usize, start: u64) -> Card {
+    Card { id: PeerId(node as u64 + 1), start, zone: (node % 3) as u8, address: address(node) }
+}
+
+/// What a directed link does to a message at that time, from one to another, by a lot: loses it, or how much later it comes.
+pub type Way = Box<dyn FnMut(Micros, usize, usize, u64) -> Option<Micros>>;
+
+enum Due {
+    Tick(usize, u64),
+    Message(usize, Box<Message>),
+}
+
+/// How a node's process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// It runs.
+    Up,
+    /// It is stopped until then; what comes waits in its socket.
+    Stopped(Micros),
+    /// It was killed.
+    Gone,
+}
+
+/// The network and its nodes.
+pub struct Net {
+    /// The time.
+    pub now: Micros,
+    /// The deciders.
+    pub peers: Vec<Peers>,
+    /// How their processes are.
+    pub life: Vec<Life>,
+    starts: Vec<u64>,
+    heap: BinaryHeap<Reverse<(Micros, u64)>>,
+    due: BTreeMap<u64, Due>,
+    seq: u64,
+    way: Way,
+    /// When who changed its view of whom to what.
+    pub changes: Vec<(Micros, usize, PeerId, Standing)>,
+    /// Datagrams and bytes that each sent, at 80 bytes and 40 a claim.
+    pub sent: Vec<(u64, u64)>,
+    random: u64,
+}
+
+/// A network that loses nothing, with 0.2 to 1 ms of way.
+pub fn easy() -> Way {
+    Box::new(|_, _, _, lot| Some(200 + lot % 800))
+}
+
+/// The same that loses this share.
+pub fn lossy(share: f64) -> Way {
+    Box::new(move |_, _, _, lot| ((lot % 10_000) as f64 >= share * 10_000.0).then_some(200 + lot % 800))
+}
+
+impl Net {
+    /// So many nodes, all of which start within the first second and know two addresses.
+    pub fn new(nodes: usize, seed: u64, way: Way) -> Net {
+        let mut net = Net {
+            now: 0,
+            peers: Vec::new(),
+            life: vec![Life::Up; nodes],
+            starts: vec![1; nodes],
+            heap: BinaryHeap::new(),
+            due: BTreeMap::new(),
+            seq: 0,
+            way,
+            changes: Vec::new(),
+            sent: vec![(0, 0); nodes],
+            random: seed,
+        };
+        for node in 0..nodes {
+            let peers = net.fresh(node, 1);
+            net.peers.push(peers);
+            // All join within one second.
+            let at = net.lot() % SECOND;
+            net.at(at, Due::Tick(node, 1));
+        }
+        net
+    }
+    fn fresh(&self, node: usize, start: u64) -> Peers {
+        let seeds = vec![address(0), address(1)];
+        Peers::new(self.now, card(node, start), seeds, PeerSettings::default(), self.random ^ node as u64)
+    }
+    fn lot(&mut self) -> u64 {
+        self.random =
+            self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.random >> 20
+    }
+    fn at(&mut self, at: Micros, due: Due) {
+        self.seq += 1;
+        self.heap.push(Reverse((at, self.seq)));
+        self.due.insert(self.seq, due);
+    }
+    /// Takes out what a decider wants done.
+    pub fn carry(&mut self, node: usize, out: Vec<Out>) {
+        for one in out {
+            match one {
+                Out::Changed { card, is, .. } => self.changes.push((self.now, node, card.id, is)),
+                Out::Send { to, message } => {
+                    let [_, _, high, low] = match to.ip() {
+                        std::net::IpAddr::V4(ip) => ip.octets(),
+                        std::net::IpAddr::V6(_) => unreachable!(),
+                    };
+                    let target = usize::from(high) * 256 + usize::from(low);
+                    let claims = message.claims.len()
+                        + if let Body::Page { claims, .. } = &message.body { claims.len() } else { 0 };
+                    debug_assert!(claims <= MOST_CLAIMS);
+                    self.sent[node].0 += 1;
+                    self.sent[node].1 += 80 + 40 * claims as u64;
+                    let lot = self.lot();
+                    if target < self.peers.len() {
+                        if let Some(later) = (self.way)(self.now, node, target, lot) {
+                            self.at(self.now + later, Due::Message(target, Box::new(message)));
+                        }
+                    }
+                }
+            }
+        }
+    }
+    /// Plays until then.
+    pub fn run(&mut self, until: Micros) {
+        while let Some(Reverse((at, seq))) = self.heap.peek().copied().filter(|d| d.0 .0 < until) {
+            self.heap.pop();
+            let Some(due) = self.due.remove(&seq) else { continue };
+            self.now = at;
+            let node = match &due {
+                Due::Tick(node, _) => *node,
+                Due::Message(to, _) => *to,
+            };
+            match self.life[node] {
+                Life::Gone => continue,
+                // What came meanwhile waits in its socket.
+                Life::Stopped(end) if end > at => {
+                    self.at(end, due);
+                    continue;
+                }
+                _ => self.life[node] = Life::Up,
+            }
+            let mut out = Vec::new();
+            match due {
+                Due::Tick(node, start) if start == self.starts[node] => {
+                    self.peers[node].tick(at, &mut out);
+                    let next = at + self.peers[node].tick_span();
+                    self.at(next, Due::Tick(node, start));
+                }
+                Due::Tick(..) => {}
+                Due::Message(node, message) => self.peers[node].hear(at, *message, &mut out),
+            }
+            self.carry(node, out);
+        }
+        self.now = until;
+    }
+    /// Kills a node.
+    pub fn kill(&mut self, node: usize) {
+        self.life[node] = Life::Gone;
+    }
+    /// Starts a node again, under its old name.
+    pub fn restart(&mut self, node: usize) {
+        self.starts[node] += 1;
+        self.life[node] = Life::Up;
+        self.peers[node] = self.fresh(node, self.starts[node]);
+        self.at(self.now, Due::Tick(node, self.starts[node]));
+    }
+    /// What one takes another for.
+    pub fn standing(&self, at: usize, of: usize) -> Option<Standing> {
+        self.peers[at].peer(PeerId(of as u64 + 1)).map(|p| p.standing)
+    }
+    /// Who was not killed.
+    pub fn live(&self) -> Vec<usize> {
+        (0..self.peers.len()).filter(|n| self.life[*n] != Life::Gone).collect()
+    }
+    /// Whether each live node takes all live ones for alive, and all others for dead or gone.
+    pub fn agreed(&self) -> bool {
+        let live = self.live();
+        let right = |at: usize, of: usize| match self.standing(at, of) {
+            Some(Standing::Alive) => live.contains(&of),
+            Some(Standing::Suspected) => false,
+            _ => !live.contains(&of),
+        };
+        live.iter().all(|at| (0..self.peers.len()).all(|of| of == *at || right(*at, of)))
+    }
+    /// Plays until all agree; how long that took, if it came about in time.
+    pub fn until_agreed(&mut self, most: Micros) -> Option<Micros> {
+        let began = self.now;
+        while self.now < began + most {
+            if self.agreed() {
+                return Some(self.now - began);
+            }
+            self.run(self.now + 50_000);
+        }
+        None
+    }
+    /// How often somebody was taken for dead from then on.
+    pub fn deaths(&self, since: Micros) -> usize {
+        self.changes.iter().filter(|c| c.0 >= since && c.3 == Standing::Dead).count()
+    }
+}
+
+/// What is measured for one number of nodes.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    /// How many nodes.
+    pub nodes: usize,
+    /// Milliseconds from a kill until half, and all, of the survivors take it for dead; one of each a kill.
+    pub half: Vec<u64>,
+    /// See `half`.
+    pub all: Vec<u64>,
+    /// Loss, hours played, and false deaths (somebody taken for dead by somebody, who was not) with a pause of up to two
+    /// seconds of each node a minute.
+    pub false_deaths: Vec<(f64, f64, usize)>,
+    /// Datagrams and bytes a second a node, in quiet times and with those pauses.
+    pub quiet: (f64, f64),
+    /// See `quiet`.
+    pub paused: (f64, f64),
+    /// Milliseconds from the end of a minute's split into halves until all agree.
+    pub healed: Vec<u64>,
+}
+
+fn settled(nodes: usize, seed: u64, way: Way) -> Net {
+    let mut net = Net::new(nodes, seed, way);
+    net.run(20 * SECOND);
+    net.until_agreed(60 * SECOND);
+    net
+}
+
+fn rate(net: &Net, before: (u64, u64), seconds: f64) -> (f64, f64) {
+    let (datagrams, bytes) = total(net);
+    let a_node = seconds * net.peers.len() as f64;
+    ((datagrams - before.0) as f64 / a_node, (bytes - before.1) as f64 / a_node)
+}
+
+fn total(net: &Net) -> (u64, u64) {
+    net.sent.iter().fold((0, 0), |sum, s| (sum.0 + s.0, sum.1 + s.1))
+}
+
+/// Plays minutes in which each node is stopped once for up to two seconds; false deaths.
+fn pauses(net: &mut Net, minutes: u64) -> usize {
+    let since = net.now;
+    for _ in 0..minutes {
+        let began = net.now;
+        let mut stops: Vec<(Micros, usize, Micros)> = (0..net.peers.len())
+            .map(|node| (began + net.lot() % (55 * SECOND), node, net.lot() % (2 * SECOND)))
+            .collect();
+        stops.sort();
+        for (at, node, span) in stops {
+            net.run(at);
+            net.life[node] = Life::Stopped(at + span);
+        }
+        net.run(began + 60 * SECOND);
+    }
+    net.deaths(since)
+}
+
+/// Measures for one number of nodes, over so many seeds.
+pub fn measure(nodes: usize, seeds: u64, minutes: u64) -> Figures {
+    let mut figures = Figures { nodes, ..Figures::default() };
+    for seed in 1..=seeds {
+        let mut net = settled(nodes, seed, easy());
+        let before = total(&net);
+        net.run(net.now + 20 * SECOND);
+        figures.quiet = rate(&net, before, 20.0);
+        let (killed, at) = ((net.lot() % nodes as u64) as usize, net.now);
+        net.kill(killed);
+        net.run(at + 10 * SECOND);
+        let of = PeerId(killed as u64 + 1);
+        let known: Vec<Micros> = net
+            .changes
+            .iter()
+            .filter(|c| c.0 >= at && c.2 == of && c.3 == Standing::Dead)
+            .map(|c| (c.0 - at) / 1_000)
+            .collect();
+        if known.len() + 1 >= nodes {
+            figures.half.push(known[(nodes - 1) / 2]);
+            figures.all.push(known[nodes - 2]);
+        }
+        let (from, until) = (80 * SECOND, 140 * SECOND);
+        let way: Way = Box::new(move |now, a, b, lot| {
+            let cut = (from..until).contains(&now) && a % 2 != b % 2;
+            (!cut).then_some(200 + lot % 800)
+        });
+        let mut net = settled(nodes, seed, way);
+        net.run(until);
+        figures.healed.extend(net.until_agreed(60 * SECOND).map(|took| took / 1_000));
+    }
+    for loss in [0.0, 0.05, 0.2] {
+        let mut deaths = 0;
+        for seed in 1..=seeds {
+            let mut net = settled(nodes, 100 + seed, lossy(loss));
+            let before = total(&net);
+            deaths += pauses(&mut net, minutes);
+            if loss == 0.0 {
+                figures.paused = rate(&net, before, 60.0 * minutes as f64);
+            }
+        }
+        figures.false_deaths.push((loss, (minutes * seeds) as f64 / 60.0, deaths));
+    }
+    figures
+}
+
+/// A quantile of some spans.
+fn quantile(spans: &[u64], part: f64) -> u64 {
+    let mut sorted = spans.to_vec();
+    sorted.sort_unstable();
+    sorted
+        .get(((sorted.len() as f64 * part) as usize).min(sorted.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or(0)
+}
+
+impl std::fmt::Display for Figures {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "| {} | {} | ", self.nodes, self.all.len())?;
+        write!(f, "{} / {} | ", quantile(&self.half, 0.5), quantile(&self.all, 0.5))?;
+        write!(f, "{} | {} | ", quantile(&self.all, 1.0), quantile(&self.healed, 1.0))?;
+        for (loss, hours, deaths) in &self.false_deaths {
+            write!(f, "{:.0}%: {deaths} in {hours:.2} h; ", loss * 100.0)?;
+        }
+        let ((d, b), (pd, pb)) = (self.quiet, self.paused);
+        write!(f, "| {d:.1}, {b:.0} | {pd:.1}, {pb:.0} |")
+    }
+}
+
+/// The head of a table of [`Figures`].
+pub const HEAD: &str = "| nodes | kills | known to half / all, ms (median) | to all, most ms | healed, most ms | false deaths with pauses, by \
+     loss | quiet: datagrams, bytes a second | with pauses |\n| --- | --- | --- | --- | --- | --- | --- | --- |";
