Gaps without requests are judged in one place; the corrected rate counts for cold servers only

Faults: steer() took any four seconds without a wait for an idle time, which nodes of one request a second have often; usual_rate's correction for a short past also changed pauses of doubted servers and the span of judgements.

--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -226,9 +226,6 @@
     /// The part of arrivals refused, when that was last steered, and the running mean of worth.
     shed: f64,
     steered: Micros,
-    /// When a request waited last, and since when one did without a long gap.
-    waited: Micros,
-    waits_since: Micros,
     worth: f64,
     logged: u32,
 }
@@ -373,7 +370,10 @@
         }
         let window = self.cfg.fall_window.max(1);
         let sent = server.sends.iter().filter(|t| now.saturating_sub(**t) < window).count() as f64;
-        let usual = self.usual_rate(&server.entry, now).max(self.first_rate(&server.entry));
+        // While requests have not come for long, over the time that they have.
+        let since = now.saturating_sub(self.since).max(window) as f64;
+        let usual = self.usual_rate(&server.entry, now) / (1.0 - (-since / RECENT).exp());
+        let usual = usual.max(self.first_rate(&server.entry));
         let budget = COLD_SAFETY * self.cfg.fall_multiple * share * usual * window as f64;
         let used = 1.0 - (-spread * self.size(&server.entry) * share).exp();
         let lot = unit(self.lots ^ mix(server.entry.id.0) ^ mix(now / window));
@@ -398,13 +398,10 @@
     }
 
     /// What a warm server of that kind and size gets done for this node in a microsecond, by the capacity
-    /// that its kind had when it did it: cold ones that do little must not make others look smaller than they
-    /// are, nor those that have left make the rest look larger. While requests have not come for long, over
-    /// the time that they have.
+    /// that its kind had when it did it: cold ones that do little must not make others look smaller than
+    /// they are, nor those that have left make the rest look larger.
     fn usual_rate(&self, entry: &ServerEntry, now: Micros) -> f64 {
-        let since = now.saturating_sub(self.since).max(self.cfg.fall_window) as f64;
-        let done = self.kind_done[usize::from(entry.kind)].left(now, RECENT).0;
-        done / (RECENT * (1.0 - (-since / RECENT).exp())) * self.size(entry)
+        self.kind_done[usize::from(entry.kind)].left(now, RECENT).0 / RECENT * self.size(entry)
     }
 
     /// Size against the mean of its kind: told weights compare servers of one kind only.
@@ -605,12 +602,7 @@
         let waits = self.open.values().filter(|r| !r.over && r.first_token.is_none());
         let (waiting, aims) = waits.fold((0.0, 0.0), |(n, aims), r| (n + 1.0, aims + r.aim));
         // Guards against a burst after idle time: that nothing began while nobody asked tells of no queue.
-        if waiting > 0.0 {
-            self.waited = now;
-        } else if now.saturating_sub(self.waited) as f64 > DELAY_QUEUE {
-            self.waits_since = now;
-        }
-        let over = DELAY_QUEUE.min(now.saturating_sub(self.waits_since) as f64);
+        let over = DELAY_QUEUE.min(now.saturating_sub(self.since) as f64);
         let time = f64::max(waiting - 1.0, 0.0) * over / (self.begun.left(now, DELAY_QUEUE).1 + 1.0);
         let queue = time * waiting / f64::max(aims, 1.0);
         self.shed = (self.shed + (mean.max(queue) - DELAY_TARGET) * span / 1e6).clamp(0.0, SHED_MOST);
