--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -359,6 +359,19 @@
         self.present = present;
     }
 
+    /// The part of its capacity that it most likely has: that at its start is told as the least, the time
+    /// until it is warm as the most. What all send is shared out by this, what each may send by the other.
+    fn likely_share(&self, entry: &ServerEntry, now: Micros) -> f64 {
+        let (age, warm) = (now.saturating_sub(entry.started) as f64, self.cfg.warm_after as f64);
+        let (told, start) = (self.capacity_share(entry, now), self.cfg.start_capacity.min(1.0));
+        let likely = start + (1.0 - start) * (0.1 + age / (0.75 * warm).max(1.0));
+        if told < 1.0 {
+            likely.min(1.0)
+        } else {
+            1.0
+        }
+    }
+
     /// Guards a cold server: this node's part of the told budget, with what its kind does for it by present
     /// capacity as the guide. Retries and later turns spend it too. A part under one send becomes a chance
     /// of one send a window, drawn by lot, so that many nodes that each see little keep the budget together;
@@ -415,7 +428,7 @@
     }
 
     fn effective_weight(&self, server: &Server, now: Micros) -> f64 {
-        self.size(&server.entry) * self.capacity_share(&server.entry, now) / server.slow(now)
+        self.size(&server.entry) * self.likely_share(&server.entry, now) / server.slow(now)
     }
 
     fn expected(&self, now: Micros, server: &Server, op: Op, work: f64, aim: f64) -> f64 {
@@ -469,8 +482,7 @@
             // Nothing learned here: all nodes (of a zone) are to name the same homes.
             let far = s.entry.zone != self.cfg.zone && self.cfg.cross_zone_price > 0.0;
             let near = if far { FAR_PLACE } else { 1.0 };
-            let weight =
-                near * self.size(&s.entry) * self.capacity_share(&s.entry, now) * self.pull(&s.entry);
+            let weight = near * self.size(&s.entry) * self.likely_share(&s.entry, now) * self.pull(&s.entry);
             -(unit(mix(key) ^ mix(s.entry.id.0)) + 1e-16).ln() / weight
         };
         ring.sort_by_cached_key(|s| (place(s, key).to_bits(), s.entry.id));
@@ -488,7 +500,7 @@
         let cost = |(i, s): (usize, &&Server)| {
             let work = if i < homes { r.new } else { r.a.prompt_tokens };
             // A cold one got its smaller place in the ring; only what waits there weighs more than elsewhere.
-            let waits = s.waiting_tokens().max(s.oldest(now) * rate) / self.capacity_share(&s.entry, now);
+            let waits = s.waiting_tokens().max(s.oldest(now) * rate) / self.likely_share(&s.entry, now);
             let filled = (norm.work.mean() + work + waits) * s.slow(now) / self.size(&s.entry);
             filled * times[usize::from(self.pull(&s.entry) >= 1.0)]
         };
