Peers: a probe that fails is repeated while relays ask; the periodic page is one page

Cause: a probe fails by chance in 7 of 100 cases there, 178 a second over all, each doubt told to all and answered by all, more than messages carry; and every ten seconds each node took the whole view, 16 pages. Change: further pings while relays ask, and one page at a time.

--- a/crates/ivyward-core/src/peers/gossip.rs
+++ b/crates/ivyward-core/src/peers/gossip.rs
@@ -79,12 +79,14 @@
     Ask {
         /// Names after this one; from the first if there is none.
         after: Option<PeerId>,
+        /// The next parts are wanted as well.
+        whole: bool,
     },
     /// A part of the whole view.
     Page {
         /// Nodes that are here.
         claims: Vec<Claim>,
-        /// Where the rest begins.
+        /// Where the rest begins, if that is wanted.
         next: Option<PeerId>,
     },
     /// The sender leaves.
--- a/crates/ivyward-core/src/peers/mod.rs
+++ b/crates/ivyward-core/src/peers/mod.rs
@@ -192,7 +192,7 @@
     /// A record of the store names a node. It is a hint where to look, and no evidence of life.
     pub fn record(&mut self, now: Micros, card: Card, out: &mut Vec<Out>) {
         if card.id != self.me.id && self.members.get(card.id).is_none() {
-            self.send(now, card.address, Body::Ask { after: None }, out);
+            self.send(now, card.address, Body::Ask { after: None, whole: true }, out);
         }
     }
 
@@ -237,14 +237,15 @@
                     probe.mute = probe.mute.saturating_sub(1);
                 }
             }
-            Body::Ask { after } => {
+            Body::Ask { after, whole } => {
                 let (page, next) = self.page(now, after);
+                let next = next.filter(|_| whole);
                 self.send(now, from.address, Body::Page { claims: page, next }, out);
             }
             Body::Page { claims, next } => {
                 claims.into_iter().for_each(|claim| self.on_claim(now, from, claim, out));
                 if next.is_some() {
-                    self.send(now, from.address, Body::Ask { after: next }, out);
+                    self.send(now, from.address, Body::Ask { after: next, whole: true }, out);
                 }
             }
             Body::Leave => self.left(from, out),
@@ -329,7 +330,7 @@
                 }
                 if again && was == Standing::Dead && by.is_none() {
                     // We were apart: what each half knows is compared whole.
-                    self.send(now, peer.card.address, Body::Ask { after: None }, out);
+                    self.send(now, peer.card.address, Body::Ask { after: None, whole: true }, out);
                 }
             }
         }
@@ -393,7 +394,7 @@
             let here: Vec<PeerId> = self.members.here().map(|p| p.card.id).collect();
             if let Some(to) = self.some_peer() {
                 let after = here[self.lot(here.len())];
-                self.send(now, to, Body::Ask { after: Some(after) }, out);
+                self.send(now, to, Body::Ask { after: Some(after), whole: false }, out);
             }
         }
     }
@@ -429,7 +430,10 @@
                 if let Some(probe) = self.probes.get_mut(&seq) {
                     (probe.relayed, probe.mute) = (true, asked);
                 }
-            } else if probe.relayed && since >= 3 * wait {
+            } else if probe.relayed && since < 3 * wait {
+                // Guards against doubts by chance: of a lossy network each would be told to all and answered by all.
+                self.send(now, target.card.address, Body::Ping { seq }, out);
+            } else if probe.relayed {
                 self.probes.remove(&seq);
                 // Relays that say nothing at all tell of me as much as of the one probed.
                 if probe.mute > 0 {
@@ -503,7 +507,7 @@
         away.extend(self.seeds.iter().filter(|s| **s != self.me.address && !here.contains(s)));
         if !away.is_empty() {
             let to = away[self.lot(away.len())];
-            self.send(now, to, Body::Ask { after: None }, out);
+            self.send(now, to, Body::Ask { after: None, whole: true }, out);
         }
     }
 
