Tests: new writers beside old readers, and a rack all new, as a hundred nodes meet them

Two of the hard cases of new fleets: one role replaced and the other not, and a rack that comes back cold as a whole.

--- a/crates/ivyward-core/tests/cold_fleet.rs
+++ b/crates/ivyward-core/tests/cold_fleet.rs
@@ -181,15 +181,58 @@
                 "{nodes} nodes, {role}: {new} beside {kept}"
             );
         }
-        // A server that does twice the usual 5 a second: 2.5 times 0.3 of that in any window.
-        let bound = 2.5 * 0.3 * 10.0 * 3.0;
         for server in (21..=32).flat_map(|n| [n, 100 + n]) {
             let most = crowd.most_in_a_window(server, START + 15 * SECOND);
-            assert!(most as f64 <= bound, "{nodes} nodes: {most} to {server} in a window");
+            assert!(most as f64 <= BOUND, "{nodes} nodes: {most} to {server} in a window");
         }
     }
 }
 
+/// A server that does twice the usual 5 a second: 2.5 times 0.3 of that in any window of 3 s.
+const BOUND: f64 = 2.5 * 0.3 * 10.0 * 3.0;
+
+/// Writers are replaced and readers are not: each role is measured by itself.
+#[test]
+fn new_writers_beside_old_readers_carry_their_part() {
+    let mut crowd = Crowd::new(100, SECOND, &both(1..=20, 0));
+    let at = START + 15 * SECOND;
+    crowd.play(at, SECOND);
+    let mut changed: Vec<ServerEntry> = (101..=112).map(|id| started(id, 1, 0)).collect();
+    changed.iter_mut().for_each(|e| e.condition = Condition::Draining);
+    changed.extend((121..=132).map(|id| started(id, 1, at)));
+    crowd.list(at, ListKind::Changes, &changed);
+    let old = (crowd.refused, crowd.arrived);
+    crowd.play(at + 5 * SECOND, SECOND);
+    assert!(crowd.refused - old.0 <= (crowd.arrived - old.1) / 50);
+    let count = |servers| crowd.sent_between(servers, at, at + 5 * SECOND) as f64;
+    let (new, kept) = (count(121..=132), count(113..=120));
+    assert!((0.15..0.6).contains(&(new / (new + kept))), "{new} beside {kept}");
+    assert_eq!(count(101..=112), 0.0, "nothing to those that drain");
+    assert!((121..=132).all(|s| crowd.most_in_a_window(s, at) as f64 <= BOUND));
+}
+
+/// A rack comes back cold as a whole: it is used from the first second on, by less than its size, and others go on.
+#[test]
+fn a_rack_all_new_is_used_by_less_than_its_size() {
+    let at = START + 15 * SECOND;
+    let rack = |since: Micros| -> Vec<ServerEntry> {
+        both(1..=5, since).into_iter().map(|e| ServerEntry { cell: 1, ..e }).collect()
+    };
+    let rest = both(6..=20, 0).into_iter().map(|e| ServerEntry { cell: 2, ..e });
+    let mut crowd = Crowd::new(100, SECOND, &rack(0).into_iter().chain(rest).collect::<Vec<_>>());
+    crowd.play(at, SECOND);
+    crowd.list(at, ListKind::Changes, &rack(at));
+    let old = (crowd.refused, crowd.arrived);
+    crowd.play(at + 5 * SECOND, SECOND);
+    assert!(crowd.refused - old.0 <= (crowd.arrived - old.1) / 50);
+    for (role, mine, all) in [("readers", 1..=5, 1..=20), ("writers", 101..=105, 101..=120)] {
+        let count = |servers| crowd.sent_between(servers, at, at + 5 * SECOND) as f64;
+        let part = count(mine) / count(all);
+        assert!((0.03..0.22).contains(&part), "{role}: {part}");
+    }
+    assert!((1..=5).flat_map(|n| [n, 100 + n]).all(|s| crowd.most_in_a_window(s, at) as f64 <= BOUND));
+}
+
 /// Guards against taking an idle time for a stopped fleet: of 60 requests at once at an idle node, half were refused.
 #[test]
 fn a_burst_after_idle_time_is_no_overload() {
