Test of a new fleet: an engine whose port was taken meanwhile is replaced by another

Seen: one of three runs failed with 'address already in use' where an engine comes back under its port; the other test of the file binds free ports at the same time.

--- a/crates/ivywardd/tests/new_fleet.rs
+++ b/crates/ivywardd/tests/new_fleet.rs
@@ -94,13 +94,16 @@
     };
     let specs: Vec<Spec> = (1..=8).map(spec).collect();
     let store = Store::start(&host, 1).unwrap();
-    let mut engines: Vec<Engine> =
-        specs.iter().map(|s| Engine::start(&host, &log, s.clone()).unwrap()).collect();
-    for engine in &mut engines {
+    // It comes back cold under its address, unless another socket took that meanwhile; then another one is tried.
+    let cold_one = |spec: &Spec| loop {
+        let mut engine = Engine::start(&host, &log, spec.clone()).unwrap();
         engine.die();
-        engine.come_up(true).unwrap();
-        keep(engine, vec![store.address()], 60, world.unix_micros() / 1_000, |_| {});
-    }
+        if engine.come_up(true).is_ok() {
+            keep(&engine, vec![store.address()], 60, world.unix_micros() / 1_000, |_| {});
+            return engine;
+        }
+    };
+    let engines: Vec<Engine> = specs.iter().map(cold_one).collect();
     let mut settings = ivyward::NodeSettings { rules: rules.clone(), ..settings() };
     for class in &mut settings.classes {
         class.settings.deadline = 20 * SECOND;
