--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -194,6 +194,8 @@
     /// What they can do now, as so many warm ones of mean size; when that is looked at again.
     present: Vec<f64>,
     next_look: Micros,
+    /// Whether any of them is cold.
+    cold: bool,
     /// For each rack its share of writers over its share of readers, within bounds.
     racks: BTreeMap<u16, f64>,
     rows: BTreeMap<(bool, u64), Row>,
@@ -356,6 +358,8 @@
         for s in self.listed() {
             present[usize::from(s.entry.kind)] += self.size(&s.entry) * self.capacity_share(&s.entry, now);
         }
+        let cold = self.listed().any(|s| self.capacity_share(&s.entry, now) < 1.0);
+        self.cold = cold;
         self.present = present;
     }
 
@@ -394,7 +398,11 @@
     }
 
     /// What this node is to send in a window to each unit of present capacity among those it may use.
+    /// Nobody asks for it while all are warm.
     fn spread(&self, now: Micros, readers: bool, r: &Request) -> f64 {
+        if !self.cold {
+            return 0.0;
+        }
         let usable = self
             .pool(readers)
             .filter(|s| s.grade(now, r.a.tenant, false) < 2 && !r.tried.contains(&s.entry.id));
