Datagrams in the world: on sockets, and in virtual time with loss, repeats and overtaking

Nodes are to speak to each other by datagrams. The virtual network loses and repeats a part of them, lets a later one overtake by its jitter, heeds one-sided cuts, and holds 256 a socket; one more is lost.

--- a/crates/ivyward-sim/src/lib.rs
+++ b/crates/ivyward-sim/src/lib.rs
@@ -13,7 +13,7 @@
 pub use net::Net;
 pub use tasks::Stuck;
 
-use ivyward_world::{BoxFuture, Conn, Listener, Micros, World, WorldRef};
+use ivyward_world::{BoxFuture, Conn, Datagrams, Listener, Micros, World, WorldRef};
 use net::Network;
 use rand::rngs::SmallRng;
 use rand::{Rng, RngExt, SeedableRng};
@@ -274,6 +274,9 @@
     fn listen(&self, at: SocketAddr) -> std::io::Result<Box<dyn Listener>> {
         net::listen(self.inner.clone(), self.id, at)
     }
+    fn datagrams(&self, at: SocketAddr) -> std::io::Result<Box<dyn Datagrams>> {
+        net::datagrams(self.inner.clone(), self.id, at)
+    }
     fn random(&self) -> u64 {
         self.inner.lock().hosts[self.id].random.next_u64()
     }
--- a/crates/ivyward-sim/src/net.rs
+++ b/crates/ivyward-sim/src/net.rs
@@ -2,7 +2,7 @@
 
 use crate::{HostId, Inner, State};
 use futures_lite::{AsyncRead, AsyncWrite};
-use ivyward_world::{BorrowedFuture, BoxFuture, Conn, Connection, Listener, Micros};
+use ivyward_world::{BorrowedFuture, BoxFuture, Conn, Connection, Datagrams, Listener, Micros};
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::poll_fn;
@@ -25,11 +25,15 @@
     pub buffer: usize,
     /// The part of reads and writes that take only some of the bytes, down to one.
     pub pieces: f64,
+    /// The part of datagrams that are lost.
+    pub lose: f64,
+    /// The part of them that come twice.
+    pub repeat: f64,
 }
 
 impl Default for Net {
     fn default() -> Net {
-        Net { latency: 200, jitter: 100, rate: 0, buffer: 64 << 10, pieces: 0.0 }
+        Net { latency: 200, jitter: 100, rate: 0, buffer: 64 << 10, pieces: 0.0, lose: 0.0, repeat: 0.0 }
     }
 }
 
@@ -38,6 +42,9 @@
 /// Connections that may wait to be accepted; one more is refused.
 const BACKLOG: usize = 1_024;
 
+/// Datagrams that wait at a socket; one more is lost.
+const POST: usize = 256;
+
 /// Bytes on their way from one side of a connection to the other.
 #[derive(Default)]
 struct Way {
@@ -73,8 +80,18 @@
     waker: Option<Waker>,
 }
 
+/// A socket for datagrams.
+struct Post {
+    host: HostId,
+    /// By when they arrive: a later one may overtake.
+    waiting: BTreeMap<(Micros, u64), (Vec<u8>, SocketAddr)>,
+    waker: Option<Waker>,
+}
+
 pub(crate) struct Network {
     pub(crate) ways: Net,
+    posts: BTreeMap<SocketAddr, Post>,
+    next_datagram: u64,
     doors: BTreeMap<SocketAddr, Door>,
     pairs: BTreeMap<u64, Pair>,
     cuts: BTreeSet<(HostId, HostId)>,
@@ -88,6 +105,8 @@
     pub(crate) fn new(ways: Net) -> Network {
         Network {
             ways,
+            posts: BTreeMap::new(),
+            next_datagram: 0,
             doors: BTreeMap::new(),
             pairs: BTreeMap::new(),
             cuts: BTreeSet::new(),
@@ -110,6 +129,7 @@
     /// A host ends. With a word, its peers' connections are reset; without, they hear nothing.
     pub(crate) fn die(&mut self, host: HostId, word: bool, now: Micros) -> Vec<Waker> {
         self.doors.retain(|_, door| door.host != host);
+        self.posts.retain(|_, post| post.host != host);
         let mut wakers = Vec::new();
         let after = now + self.ways.latency;
         for pair in self.pairs.values_mut() {
@@ -236,6 +256,92 @@
     }
 }
 
+pub(crate) fn datagrams(inner: Arc<Inner>, host: HostId, at: SocketAddr) -> Result<Box<dyn Datagrams>> {
+    let mut state = inner.lock();
+    let mut address = at;
+    if at.port() == 0 {
+        let port = state.net.next_port;
+        state.net.next_port = port.checked_add(1).ok_or(ErrorKind::AddrNotAvailable)?;
+        address.set_port(port);
+    }
+    if state.net.posts.contains_key(&address) {
+        return Err(ErrorKind::AddrInUse.into());
+    }
+    state.net.posts.insert(address, Post { host, waiting: BTreeMap::new(), waker: None });
+    drop(state);
+    Ok(Box::new(Mail { inner, host, address }))
+}
+
+struct Mail {
+    inner: Arc<Inner>,
+    host: HostId,
+    address: SocketAddr,
+}
+
+impl Datagrams for Mail {
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> Result<()> {
+        let mut state = self.inner.lock();
+        let (now, ways) = (state.now, state.net.ways);
+        let Some(host) = state.net.posts.get(&to).map(|p| p.host) else { return Ok(()) };
+        if state.net.cuts.contains(&(self.host, host)) || state.random.random_bool(ways.lose.clamp(0.0, 1.0))
+        {
+            return Ok(());
+        }
+        let copies = 1 + usize::from(state.random.random_bool(ways.repeat.clamp(0.0, 1.0)));
+        for _ in 0..copies {
+            let jitter = if ways.jitter > 0 { state.random.random_range(0..=ways.jitter) } else { 0 };
+            state.net.next_datagram += 1;
+            let key = (now + ways.latency + jitter, state.net.next_datagram);
+            if let Some(post) = state.net.posts.get_mut(&to).filter(|p| p.waiting.len() < POST) {
+                post.waiting.insert(key, (bytes.to_vec(), self.address));
+            }
+        }
+        let waker = state.net.posts.get_mut(&to).and_then(|p| p.waker.take());
+        drop(state);
+        waker.into_iter().for_each(Waker::wake);
+        Ok(())
+    }
+    fn receive<'a>(&'a mut self, into: &'a mut [u8]) -> BorrowedFuture<'a, Result<(usize, SocketAddr)>> {
+        Box::pin(poll_fn(move |cx| {
+            let mut state = self.inner.lock();
+            let now = state.now;
+            let Some(post) = state.net.posts.get_mut(&self.address) else {
+                return Poll::Ready(Err(ErrorKind::NotConnected.into()));
+            };
+            match post.waiting.first_key_value().map(|(key, _)| key.0) {
+                Some(at) if at <= now => {
+                    let Some((_, (bytes, from))) = post.waiting.pop_first() else { return Poll::Pending };
+                    let got = bytes.len().min(into.len());
+                    into[..got].copy_from_slice(&bytes[..got]);
+                    state.note(6, u64::from(from.port()), &into[..got]);
+                    Poll::Ready(Ok((got, from)))
+                }
+                next => {
+                    post.waker = Some(cx.waker().clone());
+                    if let Some(at) = next {
+                        state.at(at, cx.waker().clone());
+                    }
+                    Poll::Pending
+                }
+            }
+        }))
+    }
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Mail {
+    fn drop(&mut self) {
+        let mut state = self.inner.lock();
+        if state.net.posts.get(&self.address).is_some_and(|p| p.host == self.host) {
+            let post = state.net.posts.remove(&self.address);
+            drop(state);
+            drop(post);
+        }
+    }
+}
+
 /// One side of a connection.
 struct Stream {
     inner: Arc<Inner>,
--- a/crates/ivyward-world/src/lib.rs
+++ b/crates/ivyward-world/src/lib.rs
@@ -41,6 +41,25 @@
     fn address(&self) -> SocketAddr;
 }
 
+/// Longest datagram that is sent or taken, in bytes: it fits any path without being split.
+pub const MOST_DATAGRAM: usize = 1_200;
+
+/// A socket for datagrams. Each may be lost, repeated or overtaken. Dropping it frees its port.
+pub trait Datagrams: Send {
+    /// Sends one; where there is no room for it now it is lost, as it may be anywhere on its way.
+    ///
+    /// # Errors
+    /// What the system says against it.
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> std::io::Result<()>;
+    /// The next one: its length, and where it seems to come from. What is longer than `into` is cut off.
+    fn receive<'a>(
+        &'a mut self,
+        into: &'a mut [u8],
+    ) -> BorrowedFuture<'a, std::io::Result<(usize, SocketAddr)>>;
+    /// The address it is bound to, with the port that was really taken.
+    fn address(&self) -> SocketAddr;
+}
+
 /// A connection as the rest of the program holds it.
 pub type Conn = Box<dyn Connection>;
 
@@ -58,6 +77,8 @@
     fn connect(&self, to: SocketAddr) -> BoxFuture<std::io::Result<Conn>>;
     /// Listens at an address; port 0 takes a free one.
     fn listen(&self, at: SocketAddr) -> std::io::Result<Box<dyn Listener>>;
+    /// A socket for datagrams at an address; port 0 takes a free one.
+    fn datagrams(&self, at: SocketAddr) -> std::io::Result<Box<dyn Datagrams>>;
     /// A random number.
     fn random(&self) -> u64;
 }
--- a/crates/ivyward-world/src/smol.rs
+++ b/crates/ivyward-world/src/smol.rs
@@ -1,7 +1,7 @@
 //! The real surroundings, on async-io and async-executor.
 #![allow(clippy::disallowed_methods, clippy::disallowed_types)] // The one place that may ask the system.
 
-use crate::{BorrowedFuture, BoxFuture, Conn, Connection, Listener, Micros, World};
+use crate::{BorrowedFuture, BoxFuture, Conn, Connection, Datagrams, Listener, Micros, World};
 use async_executor::Executor;
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
@@ -158,6 +158,11 @@
         let socket = TcpListener::from(async_io::Async::new(socket)?);
         Ok(Box::new(TcpDoor { socket, address }))
     }
+    fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn Datagrams>> {
+        let socket = async_io::Async::<std::net::UdpSocket>::bind(at)?;
+        let address = socket.get_ref().local_addr()?;
+        Ok(Box::new(Udp { socket, address }))
+    }
     fn random(&self) -> u64 {
         lock(&self.random).next_u64()
     }
@@ -180,6 +185,26 @@
     }
 }
 
+struct Udp {
+    socket: async_io::Async<std::net::UdpSocket>,
+    address: SocketAddr,
+}
+
+impl Datagrams for Udp {
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        match self.socket.get_ref().send_to(bytes, to) {
+            Err(e) if e.kind() != io::ErrorKind::WouldBlock => Err(e),
+            _ => Ok(()),
+        }
+    }
+    fn receive<'a>(&'a mut self, into: &'a mut [u8]) -> BorrowedFuture<'a, io::Result<(usize, SocketAddr)>> {
+        Box::pin(self.socket.recv_from(into))
+    }
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
 struct Tcp {
     stream: TcpStream,
 }
