Peers: views compared by digest, whole views in pages, proof by one's own question

Seen: after 300 joined within a second three pairs did not know each other 15 s later, for what is said a few times does not reach all and periodic pages compare a part of a view each 10 s. Messages now carry a digest of the runs that may be here; who hears no equal one for 2 s takes in a whole view page by page, one at a time, asking again elsewhere where a page is lost.

Also: - A repeat of what one said before it died brought it back: a direct word counts only with a later beat, and one 2 s behind is dropped. - A row of small lies could move a node's beat by 2 s each: beats are held against the first one heard. An answer to one's own question, by a number that is not guessed, is proof whatever the beat, so that a machine that slept is not locked out. - An answer by whoever took over an address ended the question to its former owner. - A node that starts in one half counts the other; the count does not fall below what the owner said before a whole view was seen; records of the store and their ends count as well. - A start lower than the known one (a clock that went back) is raised by a young node, and told to an old one. - What comes back from others is said less often. Up to three that are away are looked for each second, so that a zone that is not heard goes on hearing the others (one of them was dead to it at times).

--- a/crates/ivyward-core/src/peers/gossip.rs
+++ b/crates/ivyward-core/src/peers/gossip.rs
@@ -84,10 +84,12 @@
     },
     /// A part of the whole view.
     Page {
-        /// Nodes that are here.
+        /// Nodes that are here, or may be.
         claims: Vec<Claim>,
         /// Where the rest begins, if that is wanted.
         next: Option<PeerId>,
+        /// The whole was wanted, and this was the end of it.
+        last: bool,
     },
     /// The sender leaves.
     Leave,
@@ -102,14 +104,17 @@
     pub from: Card,
     /// The sender's uptime in milliseconds.
     pub beat: u64,
+    /// A digest of the runs that may be here to the sender's knowledge; 0 if it does not say.
+    pub view: u32,
     /// What for.
     pub body: Body,
     /// What is passed on beside it.
     pub claims: Vec<Claim>,
 }
 
-/// Most claims in a message: with its head and seal it stays under 1,200 bytes (46 bytes a claim at most, 110 for the rest).
-pub const MOST_CLAIMS: usize = 23;
+/// Most claims in a message: with its head and seal it stays under 1,200 bytes, by addresses of any kind (66 bytes a claim
+/// at most, 145 for the rest).
+pub const MOST_CLAIMS: usize = 15;
 
 /// What the decider wants done or made known.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -135,6 +140,14 @@
 /// What is new is worth so many messages of its own: enough to reach nearly all, if each who hears it does the same.
 const URGENT: u32 = 6;
 
+/// What comes back from another counts as so many times that it was said.
+const HUSH: u32 = 2;
+
+/// So often a rumour is passed on where it does not come back: reaches nearly all over a network that loses much.
+fn times(nodes: usize) -> u32 {
+    3 * (usize::BITS - nodes.leading_zeros() + 1)
+}
+
 /// What is being passed on: of each node the last thing, each so many times as reaches all with near certainty.
 #[derive(Default)]
 pub(super) struct Rumours {
@@ -150,6 +163,20 @@
         self.remove(id);
         self.put(0, id);
     }
+    /// The same for what is in no haste, and found by comparing pages where it is missed: half as often, behind the rest.
+    pub(super) fn add_quietly(&mut self, id: PeerId, nodes: usize) {
+        self.remove(id);
+        self.put(times(nodes) / 2, id);
+    }
+    /// Another says the same: it has spread so far that it comes back, and needs to be said less often here.
+    pub(super) fn heard(&mut self, id: PeerId, nodes: usize) {
+        if let Some(key) = self.at.get(&id).copied() {
+            self.remove(id);
+            if key.0 + HUSH < times(nodes) {
+                self.put(key.0 + HUSH, id);
+            }
+        }
+    }
     pub(super) fn remove(&mut self, id: PeerId) {
         if let Some(key) = self.at.remove(&id) {
             self.queue.remove(&key);
@@ -173,7 +200,7 @@
         nodes: usize,
         of: impl Fn(PeerId) -> Option<Claim>,
     ) -> Vec<Claim> {
-        let most = 3 * (usize::BITS - nodes.leading_zeros() + 1);
+        let most = times(nodes);
         let keys: Vec<(u32, u64)> = self.queue.keys().take(room).copied().collect();
         let mut claims = Vec::with_capacity(keys.len());
         for key in keys {
--- a/crates/ivyward-core/src/peers/mod.rs
+++ b/crates/ivyward-core/src/peers/mod.rs
@@ -12,9 +12,10 @@
 //!   later one passes that on. A pair that cannot hear each other while others can is a fact of a link ([`Peer::unheard`]).
 //! - A node that slept, seen by its own clock, doubts itself first: its time away is no silence of the others. One that
 //!   hears nobody waits several times as long.
-//! - A beat ahead of what the time since the last one allows is a lie or a broken clock, and is dropped.
+//! - A beat ahead of what the time since the first one allows is a lie or a broken clock, and is dropped; one far behind
+//!   the last is a repeat of something old. The answer to this node's own question is proof in itself.
 //! - The count of nodes that may still be sending ([`Peers::count`]) falls for those who said that they leave, were started
-//!   again, or whose lease is told to be over; never for silence.
+//!   again, or are silent and their lease and its grace are over; never for silence alone.
 //! - Answers go to the address a node announces; the source of a message is never seen here.
 
 mod gossip;
@@ -26,9 +27,9 @@
 use crate::interface::Micros;
 use crate::state::mix;
 use gossip::Rumours;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use view::{Members, WITNESSES};
+use view::{By, Members, WITNESSES};
 
 /// Claims in one page of an exchange of the whole view.
 const PAGE: usize = MOST_CLAIMS - 4;
@@ -36,8 +37,21 @@
 const MOST_STRAIN: u32 = 8;
 /// A node that slept says so to so many at once.
 const WAKE: usize = 8;
+/// So many that are away are looked for at once: whoever hears us, and is not heard, is to go on hearing us.
+const REACH: usize = 3;
+/// An answer to so many of the last questions to them is known for one.
+const CALLS: usize = 64;
 /// A node that hears nobody waits so many times as long before it takes others for dead.
 const ALONE: u64 = 4;
+/// A page that did not come is asked for again after this.
+const PAGE_WAIT: Micros = 300_000;
+/// Views that differ for so long do not come to agree by what is passed on.
+const DIFFER: Micros = 2_000_000;
+/// A node that started so short a time ago and hears of a later start of its name has a clock that went back: it takes
+/// a start after that. Later on, another process has taken its name.
+const YOUNG: Micros = 10_000_000;
+/// A start is taken over from others only if it is no more than this ahead of one's own, in the unit of starts.
+const FAR_START: u64 = 10 * 366 * 86_400 * 1_000_000;
 
 /// The decider's spans and bounds.
 #[derive(Clone, Copy, Debug)]
@@ -60,6 +74,8 @@
     pub page_every: Micros,
     /// The dead are forgotten after this time.
     pub keep_dead: Micros,
+    /// A run whose lease is over goes on sending for no longer than this.
+    pub lease_grace: Micros,
     /// Most peers that are remembered; later ones are not taken.
     pub most: usize,
 }
@@ -76,6 +92,7 @@
             reach_out: 1_000_000,
             page_every: 10_000_000,
             keep_dead: 3_600_000_000,
+            lease_grace: 5_000_000,
             most: 4_096,
         }
     }
@@ -88,6 +105,8 @@
     pub stale: u64,
     /// Beats ahead of what time allows.
     pub implausible: u64,
+    /// Messages from far behind what their sender said since: repeats, and what lay somewhere.
+    pub old: u64,
     /// Peers beyond the bound.
     pub over: u64,
 }
@@ -124,6 +143,8 @@
     seq: u64,
     probes: BTreeMap<u64, Probe>,
     errands: BTreeMap<u64, Errand>,
+    /// Numbers of the last questions to those who are away.
+    calls: VecDeque<u64>,
     next_probe: Micros,
     next_reach: Micros,
     next_page: Micros,
@@ -132,6 +153,24 @@
     heard_any: Micros,
     strain: u32,
     superseded: bool,
+    /// Nodes that may be sending where a view was not seen whole.
+    floor: u32,
+    whole: bool,
+    /// A whole view that is being taken in.
+    paging: Option<Paging>,
+    paged: Micros,
+    /// When somebody was heard last who knows the same nodes, and who it was that did not.
+    same: Micros,
+    differs: Option<SocketAddr>,
+    /// Runs that hold a lease at the store, whether they are heard or not.
+    leased: BTreeMap<PeerId, u64>,
+}
+
+/// How far the taking in of a whole view has come, and from whom.
+struct Paging {
+    from: SocketAddr,
+    after: Option<PeerId>,
+    asked: Micros,
 }
 
 impl Peers {
@@ -149,6 +188,7 @@
             seq: 0,
             probes: BTreeMap::new(),
             errands: BTreeMap::new(),
+            calls: VecDeque::new(),
             next_probe: now,
             next_reach: now,
             next_page: now,
@@ -157,6 +197,13 @@
             heard_any: now,
             strain: 0,
             superseded: false,
+            floor: 1,
+            whole: false,
+            paging: None,
+            paged: now,
+            same: now,
+            differs: None,
+            leased: BTreeMap::new(),
         }
     }
 
@@ -172,9 +219,29 @@
     pub fn peer(&self, id: PeerId) -> Option<&Peer> {
         self.members.get(id)
     }
+    /// Says how many nodes there are at most by what the owner was told. It holds until a whole view was seen.
+    pub fn expect(&mut self, nodes: u32) {
+        self.floor = nodes;
+    }
     /// Nodes that may still be sending, this one among them. Falls only when one is certainly gone.
     pub fn count(&self) -> u32 {
-        1 + self.members.all().filter(|p| !p.certain).count() as u32
+        let known = self.members.all().filter(|p| !p.certain).count();
+        // The store knows of some whom nobody here hears.
+        let unknown = self.leased.keys().filter(|id| self.members.get(**id).is_none()).count();
+        let count = 1 + (known + unknown) as u32;
+        if self.whole {
+            count
+        } else {
+            count.max(self.floor)
+        }
+    }
+    /// How this node announces itself.
+    pub fn me(&self) -> Card {
+        self.me
+    }
+    /// Whether somebody's whole view was taken in.
+    pub fn joined(&self) -> bool {
+        self.whole
     }
     /// Whether nobody has been heard for long although others are known.
     pub fn alone(&self, now: Micros) -> bool {
@@ -191,15 +258,24 @@
 
     /// A record of the store names a node. It is a hint where to look, and no evidence of life.
     pub fn record(&mut self, now: Micros, card: Card, out: &mut Vec<Out>) {
-        if card.id != self.me.id && self.members.get(card.id).is_none() {
-            self.send(now, card.address, Body::Ask { after: None, whole: true }, out);
+        if card.id == self.me.id {
+            return;
+        }
+        if self.leased.len() < self.settings.most || self.leased.contains_key(&card.id) {
+            self.leased.insert(card.id, card.start);
+        }
+        match self.members.get_mut(card.id) {
+            Some(peer) if peer.card.start == card.start => peer.lease_over = None,
+            Some(peer) if peer.card.start > card.start => {}
+            _ => self.call_on(now, card.address, out),
         }
     }
 
-    /// The store says that the lease of a run is over, with its grace: it can be sending no more.
-    pub fn lease_over(&mut self, id: PeerId, start: u64) {
+    /// The store's record of a node is gone: its lease is over. After the grace it is certainly gone, if it is silent.
+    pub fn record_gone(&mut self, now: Micros, id: PeerId) {
+        let Some(start) = self.leased.remove(&id) else { return };
         if let Some(peer) = self.members.get_mut(id).filter(|p| p.card.start == start) {
-            peer.certain = matches!(peer.standing, Standing::Dead | Standing::Left);
+            peer.lease_over = Some(now + self.settings.lease_grace);
         }
     }
 
@@ -211,25 +287,38 @@
 
     /// Takes in a message.
     pub fn hear(&mut self, now: Micros, message: Message, out: &mut Vec<Out>) {
-        let Message { from, beat, body, claims } = message;
+        let Message { from, beat, view, body, claims } = message;
         if from.id == self.me.id {
-            self.superseded |= from.start > self.me.start;
+            self.hear_of_me(now, from.start);
             return;
         }
-        if !self.learn(now, Claim { card: from, beat, ago: 0, about: About::Here }, None, out) {
+        // Only who got the question knows its number: whatever was thought of its clock, that was now.
+        let proof = matches!(body, Body::Ack { seq, of }
+            if of == from.id && (self.probes.get(&seq).is_some_and(|p| p.of == of) || self.calls.contains(&seq)));
+        let by = if proof { By::Proof } else { By::Itself };
+        if !self.learn(now, Claim { card: from, beat, ago: 0, about: About::Here }, by, out) {
+            if let Some(peer) = self.members.get(from.id).filter(|p| p.card.start > from.start).copied() {
+                // It does not know that it is over, or that its clock went back.
+                self.send_with(now, from.address, Body::Gossip, Some(peer.claim(now)), out);
+            }
             return;
         }
         self.heard_any = now;
+        if view == self.view() {
+            self.same = now;
+        } else if view != 0 {
+            self.differs = Some(from.address);
+        }
         match body {
             Body::Ping { seq } => self.send(now, from.address, Body::Ack { seq, of: self.me.id }, out),
             Body::Ack { seq, of } => self.on_ack(now, seq, of, out),
             Body::Relay { seq, to } => {
-                self.seq += 1;
+                let mine = self.next_seq();
                 let errand = Errand { of: to.id, sent: now, back: from.address, seq };
                 // As many as come in before they are over; one node's probes ask a few others each.
                 if self.errands.len() < self.settings.most {
-                    self.errands.insert(self.seq, errand);
-                    self.send(now, to.address, Body::Ping { seq: self.seq }, out);
+                    self.errands.insert(mine, errand);
+                    self.send(now, to.address, Body::Ping { seq: mine }, out);
                 }
             }
             Body::Nack { seq } => {
@@ -239,14 +328,12 @@
             }
             Body::Ask { after, whole } => {
                 let (page, next) = self.page(now, after);
-                let next = next.filter(|_| whole);
-                self.send(now, from.address, Body::Page { claims: page, next }, out);
+                let (next, last) = (next.filter(|_| whole), whole && next.is_none());
+                self.send(now, from.address, Body::Page { claims: page, next, last }, out);
             }
-            Body::Page { claims, next } => {
+            Body::Page { claims, next, last } => {
+                self.on_page(now, from.address, next, last, out);
                 claims.into_iter().for_each(|claim| self.on_claim(now, from, claim, out));
-                if next.is_some() {
-                    self.send(now, from.address, Body::Ask { after: next, whole: true }, out);
-                }
             }
             Body::Leave => self.left(from, out),
             Body::Gossip => {}
@@ -259,7 +346,9 @@
             self.errands.remove(&seq);
             self.send(now, errand.back, Body::Ack { seq: errand.seq, of }, out);
         }
-        if let Some(probe) = self.probes.remove(&seq).filter(|p| p.of == of) {
+        // Guards against an answer by whoever took over its address ending the question to it.
+        if let Some(probe) = self.probes.get(&seq).copied().filter(|p| p.of == of) {
+            self.probes.remove(&seq);
             self.strain = self.strain.saturating_sub(1);
             if let Some(peer) = self.members.get_mut(of) {
                 // Not by me but by others: a fact of the link between us.
@@ -268,9 +357,22 @@
         }
     }
 
+    /// Somebody knows of a run of this node's name that began so.
+    fn hear_of_me(&mut self, now: Micros, start: u64) {
+        if start <= self.me.start {
+            return;
+        }
+        if now.saturating_sub(self.began) >= YOUNG {
+            self.superseded = true;
+        } else if start - self.me.start < FAR_START {
+            self.me.start = start + 1;
+        }
+    }
+
     fn on_claim(&mut self, now: Micros, from: Card, claim: Claim, out: &mut Vec<Out>) {
         let id = claim.card.id;
         if id == self.me.id {
+            self.hear_of_me(now, claim.card.start);
             if claim.card.start == self.me.start && claim.about != About::Here {
                 // Somebody cannot hear me: my own word is passed on, and I look at myself first.
                 self.rumours.add(id);
@@ -278,10 +380,13 @@
             }
             return;
         }
+        if self.members.get(id).is_some_and(|p| p.says(&claim)) {
+            self.rumours.heard(id, self.members.len());
+        }
         match claim.about {
             About::Here => {
                 let known = self.members.get(id).map(|p| p.standing);
-                let took = self.learn(now, claim, Some(from.id), out);
+                let took = self.learn(now, claim, By::Other(from.id), out);
                 let is = self.members.get(id).map(|p| p.standing);
                 // A node's own answer to a doubt is passed on though there is none here.
                 if took && id == from.id && known == is {
@@ -294,7 +399,7 @@
                 if known.is_some_and(|p| p.card.start > claim.card.start || p.learned > asked) {
                     // A refutation that is kept to oneself leaves the others with their doubt.
                     self.rumours.add(id);
-                } else if self.learn(now, claim, Some(from.id), out) {
+                } else if self.learn(now, claim, By::Other(from.id), out) {
                     self.doubt(now, id, asked, out);
                 }
             }
@@ -310,16 +415,23 @@
     }
 
     /// Whether the evidence counts (it need not be news).
-    fn learn(&mut self, now: Micros, claim: Claim, by: Option<PeerId>, out: &mut Vec<Out>) -> bool {
+    fn learn(&mut self, now: Micros, claim: Claim, by: By, out: &mut Vec<Out>) -> bool {
         let known = self.members.get(claim.card.id).map(|p| (p.standing, p.card.start));
-        if !self.members.learn(now, &claim, by, self.settings.death_after, out) {
+        let spans = (self.settings.death_after, self.settings.keep_dead);
+        if !self.members.learn(now, &claim, by, spans, out) {
             return false;
         }
         let id = claim.card.id;
         let Some(peer) = self.members.get(id).copied() else { return false };
         match known {
             None => {
-                self.rumours.add(id);
+                if by.direct() && (!self.whole || self.seeds.contains(&peer.card.address)) {
+                    self.take_whole(now, peer.card.address, out);
+                }
+                // What was dead before it was known here is no news to others.
+                if peer.standing == Standing::Alive {
+                    self.rumours.add_quietly(id, self.members.len());
+                }
                 let at = self.lot(self.ring.len() + 1);
                 self.ring.insert(at, id);
             }
@@ -328,15 +440,64 @@
                 if again || start != peer.card.start {
                     self.rumours.add(id);
                 }
-                if again && was == Standing::Dead && by.is_none() {
+                if again && was == Standing::Dead && by.direct() {
                     // We were apart: what each half knows is compared whole.
-                    self.send(now, peer.card.address, Body::Ask { after: None, whole: true }, out);
+                    self.take_whole(now, peer.card.address, out);
                 }
             }
         }
         true
     }
 
+    /// Somebody may be there: whoever answers is known by that.
+    fn call_on(&mut self, now: Micros, to: SocketAddr, out: &mut Vec<Out>) {
+        let seq = self.next_seq();
+        if self.calls.len() >= CALLS {
+            self.calls.pop_front();
+        }
+        self.calls.push_back(seq);
+        self.send(now, to, Body::Ping { seq }, out);
+    }
+
+    /// Begins to take in somebody's whole view, page by page; one at a time, for one that heals a split brings all.
+    fn take_whole(&mut self, now: Micros, from: SocketAddr, out: &mut Vec<Out>) {
+        if self.paging.is_none() {
+            self.paging = Some(Paging { from, after: None, asked: now });
+            self.send(now, from, Body::Ask { after: None, whole: true }, out);
+        }
+    }
+
+    fn on_page(&mut self, now: Micros, by: SocketAddr, next: Option<PeerId>, last: bool, out: &mut Vec<Out>) {
+        let Some(paging) = self.paging.as_mut().filter(|p| p.from == by) else { return };
+        if last {
+            (self.whole, self.paging, self.paged) = (true, None, now);
+        } else if next.is_some() && next > paging.after {
+            (paging.after, paging.asked) = (next, now);
+            self.send(now, by, Body::Ask { after: next, whole: true }, out);
+        }
+    }
+
+    /// A page that was lost is asked for again, of somebody else: names have one order everywhere.
+    fn page_on(&mut self, now: Micros, out: &mut Vec<Out>) {
+        // Nobody who is heard knows the same nodes: something was missed. Those that begin together are in nobody's whole
+        // view, and what is said a few times does not reach all.
+        if let Some(from) = self.differs.filter(|_| now >= self.same.max(self.paged) + DIFFER) {
+            self.take_whole(now, from, out);
+        }
+        if self.paging.as_ref().is_none_or(|p| now < p.asked + self.wait().max(PAGE_WAIT)) {
+            return;
+        }
+        let to = self.some_peer();
+        match (&mut self.paging, to) {
+            (Some(paging), Some(to)) => {
+                (paging.from, paging.asked) = (to, now);
+                let after = paging.after;
+                self.send(now, to, Body::Ask { after, whole: true }, out);
+            }
+            _ => self.paging = None,
+        }
+    }
+
     fn doubt(&mut self, now: Micros, id: PeerId, asked: Micros, out: &mut Vec<Out>) {
         if let Some(peer) = self.members.get_mut(id) {
             // A silence is as old as the first question in it; before that, nobody asked.
@@ -389,6 +550,7 @@
             self.next_reach = now + self.settings.reach_out / 2 + self.lot_span(self.settings.reach_out);
             self.reach_out(now, out);
         }
+        self.page_on(now, out);
         if now >= self.next_page {
             self.next_page = now + self.settings.page_every / 2 + self.lot_span(self.settings.page_every);
             let here: Vec<PeerId> = self.members.here().map(|p| p.card.id).collect();
@@ -460,7 +622,7 @@
         let (times, from) = if self.alone(now) { (ALONE, self.heard_any) } else { (1, 0) };
         let (most, from) = (self.settings.death_after * times, self.woke.max(from));
         // A doubt that comes late, from one that waits long, is known here for a while before it counts.
-        let notice = self.settings.notice;
+        let notice = self.settings.notice.min(self.settings.death_after / 2);
         let silent = |p: &&Peer| {
             let since = p.asked.max(p.learned).max(from);
             p.standing == Standing::Suspected
@@ -471,6 +633,7 @@
         for id in dead {
             self.members.set(id, Standing::Suspected, Standing::Dead, out);
         }
+        self.members.settle_leases(now);
         let keep = self.settings.keep_dead;
         for id in self.members.forget(now, keep) {
             self.rumours.remove(id);
@@ -488,12 +651,12 @@
             if matches!(peer.standing, Standing::Dead | Standing::Left) {
                 continue;
             }
-            self.seq += 1;
+            let seq = self.next_seq();
             let probe = Probe { of: id, sent: now, relayed: false, mute: 0 };
-            self.probes.insert(self.seq, probe);
+            self.probes.insert(seq, probe);
             // The one in doubt hears of it first of all.
             let extra = (peer.standing == Standing::Suspected).then(|| peer.claim(now));
-            self.send_with(now, peer.card.address, Body::Ping { seq: self.seq }, extra, out);
+            self.send_with(now, peer.card.address, Body::Ping { seq }, extra, out);
             return;
         }
     }
@@ -505,14 +668,15 @@
         let dead = self.members.all().filter(|p| p.standing == Standing::Dead && !p.certain);
         let mut away: Vec<SocketAddr> = dead.map(|p| p.card.address).collect();
         away.extend(self.seeds.iter().filter(|s| **s != self.me.address && !here.contains(s)));
-        if !away.is_empty() {
-            let to = away[self.lot(away.len())];
-            self.send(now, to, Body::Ask { after: None, whole: true }, out);
+        for _ in 0..REACH.min(away.len()) {
+            let to = away.swap_remove(self.lot(away.len()));
+            self.call_on(now, to, out);
         }
     }
 
     fn page(&self, now: Micros, after: Option<PeerId>) -> (Vec<Claim>, Option<PeerId>) {
-        let mut all = self.members.here().filter(|p| after.is_none_or(|a| p.card.id > a));
+        // The dead as well, while they may be sending: one that starts in one half is to count the other.
+        let mut all = self.members.all().filter(|p| !p.certain && after.is_none_or(|a| p.card.id > a));
         let claims: Vec<Claim> = all.by_ref().take(PAGE).map(|p| p.claim(now)).collect();
         let next = claims.last().map(|c| c.card.id).filter(|_| all.next().is_some());
         (claims, next)
@@ -533,6 +697,7 @@
         let taken = if let Body::Page { claims, .. } = &body { claims.len() } else { 0 };
         let room = MOST_CLAIMS - taken - usize::from(extra.is_some());
         let beat = now.saturating_sub(self.began) / 1_000;
+        let view = self.view();
         let (me, members) = (self.me, &self.members);
         let of = |id: PeerId| match id == me.id {
             true => Some(Claim { card: me, beat, ago: 0, about: About::Here }),
@@ -540,9 +705,20 @@
         };
         let mut claims = self.rumours.take(room, members.len(), of);
         claims.extend(extra);
-        out.push(Out::Send { to, message: Message { from: me, beat, body, claims } });
+        out.push(Out::Send { to, message: Message { from: me, beat, view, body, claims } });
     }
 
+    /// A digest of the nodes that may be here, this one among them; never 0.
+    fn view(&mut self) -> u32 {
+        let me = view::mark(&self.me);
+        ((self.members.digest() ^ me) as u32).max(1)
+    }
+    /// A number that nobody guesses who does not hear it: an answer with it is to this question.
+    fn next_seq(&mut self) -> u64 {
+        self.seq += 1;
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.random ^ self.seq)
+    }
     fn lot(&mut self, below: usize) -> usize {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
         (mix(self.random) % below.max(1) as u64) as usize
--- a/crates/ivyward-core/src/peers/view.rs
+++ b/crates/ivyward-core/src/peers/view.rs
@@ -3,11 +3,14 @@
 use super::gossip::{About, Card, Claim, Out, PeerId};
 use super::Dropped;
 use crate::interface::Micros;
+use crate::state::mix;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A beat may be ahead of what the time since the last one allows by so many milliseconds: clocks run a little apart,
-/// and what was told was on its way.
+/// A beat may be ahead of what the time since the first one allows by so many milliseconds: what was told was on its
+/// way. A message so far behind its sender's last one is a repeat.
 const AHEAD: u64 = 2_000;
+/// Clocks run apart by one part in so many.
+const APART: u64 = 1_000;
 /// So many others have to say of a run that it is over or began, if it did not say so here itself.
 pub(super) const WITNESSES: usize = 2;
 
@@ -24,6 +27,23 @@
     Left,
 }
 
+/// Whose word it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum By {
+    /// The node's own.
+    Itself,
+    /// Its answer to a question that it alone was asked.
+    Proof,
+    /// Another's.
+    Other(PeerId),
+}
+
+impl By {
+    pub(super) fn direct(self) -> bool {
+        !matches!(self, By::Other(_))
+    }
+}
+
 /// A node as this one knows it.
 #[derive(Clone, Copy, Debug)]
 pub struct Peer {
@@ -38,8 +58,13 @@
     /// The last evidence of it, and since when that is known.
     pub(super) beat: u64,
     pub(super) learned: Micros,
-    /// When it was heard by this node itself.
+    /// When it was heard by this node itself, and its beat then.
     pub(super) direct: Micros,
+    direct_beat: u64,
+    /// A beat of it and when that was: what later ones are held against. It stays, so that no row of small lies moves it.
+    anchor: (Micros, u64, bool),
+    /// Its lease at the store is over; from then on it sends no more.
+    pub(super) lease_over: Option<Micros>,
     /// While in doubt: when the first question left that it did not answer.
     pub(super) asked: Micros,
     /// And when that became known here.
@@ -47,6 +72,20 @@
 }
 
 impl Peer {
+    /// Whether it can have come so far by now.
+    fn possible(&self, now: Micros, beat: u64) -> bool {
+        let since = now.saturating_sub(self.anchor.0) / 1_000;
+        beat <= self.anchor.1 + since + since / APART + AHEAD
+    }
+    /// Whether a claim says what is known here, or later.
+    pub(super) fn says(&self, claim: &Claim) -> bool {
+        let same = match claim.about {
+            About::Here => self.standing == Standing::Alive,
+            About::Silent { .. } => matches!(self.standing, Standing::Suspected | Standing::Dead),
+            About::Left => self.standing == Standing::Left,
+        };
+        same && claim.card.start == self.card.start && claim.beat >= self.beat
+    }
     pub(super) fn claim(&self, now: Micros) -> Claim {
         let about = match self.standing {
             Standing::Alive => About::Here,
@@ -57,7 +96,14 @@
     }
 }
 
+/// A run's part of a view's digest.
+pub(super) fn mark(card: &Card) -> u64 {
+    mix(card.id.0 ^ mix(card.start))
+}
+
 pub(super) struct Members {
+    /// Over the runs that may be here; none while it is to be reckoned anew.
+    digest: Option<u64>,
     peers: BTreeMap<PeerId, Peer>,
     /// Who passed on what only one can say of itself: that its run is over, or that it began.
     witnesses: BTreeMap<(PeerId, u64, bool), BTreeSet<PeerId>>,
@@ -67,7 +113,17 @@
 
 impl Members {
     pub(super) fn new(most: usize) -> Members {
-        Members { peers: BTreeMap::new(), witnesses: BTreeMap::new(), most, dropped: Dropped::default() }
+        Members {
+            digest: None,
+            peers: BTreeMap::new(),
+            witnesses: BTreeMap::new(),
+            most,
+            dropped: Dropped::default(),
+        }
+    }
+    pub(super) fn digest(&mut self) -> u64 {
+        let all = self.peers.values().filter(|p| !p.certain);
+        *self.digest.get_or_insert_with(|| all.fold(0, |sum, p| sum ^ mark(&p.card)))
     }
     pub(super) fn len(&self) -> usize {
         self.peers.len()
@@ -86,31 +142,40 @@
         self.peers.get_mut(&id)
     }
 
-    /// Takes in evidence; false where it does not count. `fresh` is how old evidence may be that brings one back.
+    /// Takes in evidence; false where it does not count. `fresh` is how old evidence may be that brings one back, `keep`
+    /// for how long the dead are remembered.
     pub(super) fn learn(
         &mut self,
         now: Micros,
         claim: &Claim,
-        by: Option<PeerId>,
-        fresh: Micros,
+        by: By,
+        (fresh, keep): (Micros, Micros),
         out: &mut Vec<Out>,
     ) -> bool {
-        let (card, direct) = (claim.card, by.is_none());
+        let (card, direct) = (claim.card, by.direct());
         let at = now.saturating_sub(claim.ago);
+        let (standing, asked) = match claim.about {
+            About::Silent { since } if since >= fresh => (Standing::Dead, now.saturating_sub(since)),
+            About::Silent { since } => (Standing::Suspected, now.saturating_sub(since)),
+            _ => (Standing::Alive, 0),
+        };
         let new = Peer {
             card,
-            standing: Standing::Alive,
+            standing,
             unheard: false,
             certain: false,
             beat: claim.beat,
             learned: at,
             direct: if direct { now } else { 0 },
-            asked: 0,
-            doubted: 0,
+            direct_beat: if direct { claim.beat } else { 0 },
+            anchor: (at, claim.beat, direct),
+            lease_over: None,
+            asked,
+            doubted: now,
         };
         let Some(peer) = self.peers.get_mut(&card.id) else {
-            // In quiet times evidence grows old; whoever has it has no doubt either.
-            if claim.about != About::Here {
+            // A tombstone is as old as the last word of its node, through whomever it comes, and ends then.
+            if claim.about == About::Left || standing != Standing::Alive && claim.ago >= keep {
                 return false;
             }
             if self.peers.len() >= self.most {
@@ -118,7 +183,8 @@
                 return false;
             }
             self.peers.insert(card.id, new);
-            out.push(Out::Changed { card, was: None, is: Standing::Alive });
+            self.digest = None;
+            out.push(Out::Changed { card, was: None, is: standing });
             return true;
         };
         if card.start < peer.card.start {
@@ -129,31 +195,39 @@
             // Its earlier run is over for certain if the new one says so itself. Told by one other, a run that is still
             // heard stays: a liar may name any start.
             let heard = now.saturating_sub(peer.learned) < fresh;
-            if let Some(by) = by.filter(|_| heard) {
-                if self.witness(card.id, card.start, false, by) < WITNESSES {
+            if let By::Other(by) = by {
+                if heard && self.witness(card.id, card.start, false, by) < WITNESSES {
                     return false;
                 }
             }
             let Some(peer) = self.peers.get_mut(&card.id) else { return false };
             let was = (peer.card, peer.standing);
             *peer = new;
+            self.digest = None;
             self.witnesses.retain(|w, _| w.0 != card.id);
             out.push(Out::Changed { card: was.0, was: Some(was.1), is: Standing::Left });
-            out.push(Out::Changed { card, was: None, is: Standing::Alive });
+            out.push(Out::Changed { card, was: None, is: standing });
             return true;
         }
         if peer.standing == Standing::Left {
             return false;
         }
-        if direct {
-            (peer.direct, peer.unheard, peer.card) = (now, false, card);
+        if by == By::Proof || direct && !peer.anchor.2 {
+            peer.anchor = (now, claim.beat, true);
+        } else if direct && claim.beat + AHEAD < peer.direct_beat {
+            // Guards against a relay that repeats what one said before it died.
+            self.dropped.old += 1;
+            return false;
+        } else if !peer.possible(now, claim.beat) {
+            self.dropped.implausible += 1;
+            return false;
+        }
+        let news =
+            by == By::Proof || if direct { claim.beat > peer.direct_beat } else { claim.beat > peer.beat };
+        if direct && news {
+            (peer.direct, peer.direct_beat, peer.unheard, peer.card) = (now, claim.beat, false, card);
         }
-        if claim.beat > peer.beat || direct {
-            let possible = peer.beat + now.saturating_sub(peer.learned) / 1_000 + AHEAD;
-            if !direct && claim.beat > possible {
-                self.dropped.implausible += 1;
-                return false;
-            }
+        if news {
             peer.beat = peer.beat.max(claim.beat);
             peer.learned = peer.learned.max(at);
             let was = peer.standing;
@@ -161,12 +235,22 @@
             let later = direct || at > peer.asked && now.saturating_sub(at) < fresh;
             if was != Standing::Alive && later {
                 (peer.standing, peer.certain) = (Standing::Alive, false);
+                self.digest = None;
                 out.push(Out::Changed { card: peer.card, was: Some(was), is: Standing::Alive });
             }
         }
         true
     }
 
+    /// Whoever is silent and has no lease any more is certainly gone.
+    pub(super) fn settle_leases(&mut self, now: Micros) {
+        let over = |p: &&mut Peer| p.standing == Standing::Dead && p.lease_over.is_some_and(|at| at <= now);
+        self.peers.values_mut().filter(over).filter(|p| !p.certain).for_each(|p| {
+            p.certain = true;
+            self.digest = None;
+        });
+    }
+
     /// Changes what one is taken for, if it is taken for `from` now.
     pub(super) fn set(&mut self, id: PeerId, from: Standing, to: Standing, out: &mut Vec<Out>) -> bool {
         let Some(peer) = self.peers.get_mut(&id).filter(|p| p.standing == from) else { return false };
@@ -182,6 +266,7 @@
         };
         out.push(Out::Changed { card, was: Some(peer.standing), is: Standing::Left });
         (peer.standing, peer.certain) = (Standing::Left, true);
+        self.digest = None;
         true
     }
 
@@ -203,6 +288,7 @@
         let ids: Vec<PeerId> = over.map(|p| p.card.id).collect();
         for id in &ids {
             self.peers.remove(id);
+            self.digest = None;
             self.witnesses.retain(|w, _| w.0 != *id);
         }
         ids
--- a/crates/ivyward-lab/src/peernet.rs
+++ b/crates/ivyward-lab/src/peernet.rs
@@ -178,6 +178,19 @@
         self.peers[node] = self.fresh(node, self.starts[node]);
         self.at(self.now, Due::Tick(node, self.starts[node]));
     }
+    /// Starts a process in a node's place that announces itself otherwise: another name, another start.
+    pub fn restart_as(&mut self, node: usize, card: Card) {
+        self.starts[node] += 1;
+        self.life[node] = Life::Up;
+        self.peers[node] = Peers::new(
+            self.now,
+            card,
+            vec![address(0), address(1)],
+            PeerSettings::default(),
+            self.random ^ node as u64,
+        );
+        self.at(self.now, Due::Tick(node, self.starts[node]));
+    }
     /// What one takes another for.
     pub fn standing(&self, at: usize, of: usize) -> Option<Standing> {
         self.peers[at].peer(PeerId(of as u64 + 1)).map(|p| p.standing)
