A node's own peers: sealed datagrams, records in the store, the count told to the module

Messages by prost under a keyed BLAKE3 tag; without IVYWARD_PEER_KEY only loopback is taken. Records under a lease are a second way in and, with a grace, the proof that a silent node is gone. The view stands at /peers, in metrics and in a log line a change.

--- a/crates/ivyward-core/src/interface.rs
+++ b/crates/ivyward-core/src/interface.rs
@@ -311,6 +311,8 @@
         /// Its load report, if one came along.
         report: Report,
     },
+    /// So many nodes may be sending by now, this one among them: instead of [`Settings::nodes`].
+    Nodes(u32),
 }
 
 /// What a node does.
--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -269,6 +269,7 @@
             Event::ClientGone(request) => self.on_gone(now, request, out),
             Event::Timer(SUBSCRIBE) => out.push(Action::Subscribe),
             Event::Timer(TICK) => self.on_tick(now, out),
+            Event::Nodes(nodes) => self.cfg.nodes = nodes,
             Event::Timer(_) | Event::Probed { .. } => {}
         }
     }
--- a/crates/ivyward-proto/build.rs
+++ b/crates/ivyward-proto/build.rs
@@ -5,6 +5,7 @@
         "ivyward/front/v1/front.proto",
         "ivyward/engine/v1/engine.proto",
         "ivyward/record/v1/record.proto",
+        "ivyward/peers/v1/peers.proto",
         "etcd/rpc.proto",
     ];
     println!("cargo:rerun-if-changed=proto");
--- a/crates/ivyward-proto/src/lib.rs
+++ b/crates/ivyward-proto/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`front`]: what clients call.
 //! - [`engine`]: what engines serve.
 //! - [`etcd`]: etcd's public v3 API, as far as it is needed.
+//! - [`peers`]: what nodes say to each other.
 //! - [`record`]: what a node was told and did, as kept in a recording.
 #![allow(clippy::all, missing_docs)]
 
@@ -16,6 +17,11 @@
     tonic::include_proto!("ivyward.engine.v1");
 }
 
+/// `ivyward.peers.v1`: what nodes say to each other.
+pub mod peers {
+    tonic::include_proto!("ivyward.peers.v1");
+}
+
 /// `ivyward.record.v1`: what a node was told and did.
 pub mod record {
     tonic::include_proto!("ivyward.record.v1");
--- a/crates/ivyward/src/admin.rs
+++ b/crates/ivyward/src/admin.rs
@@ -14,7 +14,7 @@
 const TIME: u64 = 2_000_000;
 
 impl Node {
-    /// Serves `/healthz` (200 while the node takes requests, else 503) and `/metrics` until the world ends.
+    /// Serves `/healthz` (200 while the node takes requests, else 503), `/metrics` and, if it knows others, `/peers` until the world ends.
     pub async fn serve_admin(&self, mut listener: Box<dyn Listener>) {
         let world = self.shared.world.clone();
         let busy = Arc::new(AtomicUsize::new(0));
@@ -66,8 +66,18 @@
     match (method, path) {
         (Some("GET"), Some("/healthz")) if node.taking() => ("200 OK", "ok\n".into()),
         (Some("GET"), Some("/healthz")) => ("503 Service Unavailable", "stopping\n".into()),
-        (Some("GET"), Some("/metrics")) => ("200 OK", node.metrics().text(node.open())),
-        (Some("GET"), _) => ("404 Not Found", "there are /healthz and /metrics\n".into()),
+        (Some("GET"), Some("/metrics")) => {
+            let mut text = node.metrics().text(node.open());
+            if let Some(peers) = node.known_peers() {
+                peers.metrics(&mut text);
+            }
+            ("200 OK", text)
+        }
+        (Some("GET"), Some("/peers")) => match node.known_peers() {
+            Some(peers) => ("200 OK", peers.text()),
+            None => ("404 Not Found", "this node knows no peers: see --peer-listen\n".into()),
+        },
+        (Some("GET"), _) => ("404 Not Found", "there are /healthz, /metrics and /peers\n".into()),
         _ => ("405 Method Not Allowed", "only GET\n".into()),
     }
 }
--- a/crates/ivyward/src/lib.rs
+++ b/crates/ivyward/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`request`]: the way of a request; the final answers, the door, the driver, the attempts.
 //! - [`engines`]: the seam between the driver and the protocols that engines speak, and the links of one of them.
 //! - [`membership`]: which engines there are.
+//! - [`peers`]: other nodes, by datagrams and by records in the store.
 //! - [`record`]: recordings of what the module was told and did, and their replay.
 //! - [`metrics`]: counters; [`admin`]: health and metrics over HTTP.
 //!
@@ -19,6 +20,7 @@
 pub mod membership;
 pub mod metrics;
 mod node;
+pub mod peers;
 pub mod record;
 pub mod request;
 pub mod settings;
@@ -27,6 +29,7 @@
 pub use engines::Engine;
 pub use membership::{follow, registration, snapshot};
 pub use node::{Answer, Node, StartError};
+pub use peers::{PeerError, PeerOptions, PeerStore, PeersHandle};
 pub use request::answer::{Failure, Final, Part, Refusal, Run};
 pub use request::{answer, door};
 pub use settings::{Class, NodeSettings, SettingsError, Tenant, KINDS};
--- a/crates/ivyward/src/metrics.rs
+++ b/crates/ivyward/src/metrics.rs
@@ -68,6 +68,16 @@
     pub module_us: Counter,
     /// Most tokens that ever waited for one client.
     pub buffered_most: Counter,
+    /// Datagrams sent to peers, and their bytes.
+    pub peer_datagrams_sent: Counter,
+    /// See `peer_datagrams_sent`.
+    pub peer_bytes_sent: Counter,
+    /// Datagrams that came, and those of them that could not be read.
+    pub peer_datagrams_taken: Counter,
+    /// See `peer_datagrams_taken`.
+    pub peer_datagrams_unread: Counter,
+    /// Changes of the view of the peers.
+    pub peer_changes: Counter,
     /// Client connections turned away at the door's bound.
     pub clients_turned_away: Counter,
 }
@@ -108,6 +118,11 @@
             ("ivyward_releases_total", self.releases.get()),
             ("ivyward_releases_dropped_total", self.releases_dropped.get()),
             ("ivyward_clients_turned_away_total", self.clients_turned_away.get()),
+            ("ivyward_peer_datagrams_sent_total", self.peer_datagrams_sent.get()),
+            ("ivyward_peer_bytes_sent_total", self.peer_bytes_sent.get()),
+            ("ivyward_peer_datagrams_taken_total", self.peer_datagrams_taken.get()),
+            ("ivyward_peer_datagrams_unread_total", self.peer_datagrams_unread.get()),
+            ("ivyward_peer_changes_total", self.peer_changes.get()),
             ("ivyward_list_stale", self.list_stale.get()),
             ("ivyward_list_revision", self.list_revision.get()),
             ("ivyward_list_gaps_total", self.list_gaps.get()),
--- a/crates/ivyward/src/node.rs
+++ b/crates/ivyward/src/node.rs
@@ -78,6 +78,7 @@
             stop_told: Event::new(),
             releases: AtomicUsize::new(0),
             metrics: Metrics::default(),
+            peers: std::sync::OnceLock::new(),
         });
         let (finished, done) = async_channel::bounded::<()>(1);
         let driver = Driver::new(shared.clone(), protocol, (inbox.clone(), told), recorder);
@@ -248,6 +249,14 @@
         self.inbox.tell(Notice::Stop { by: self.shared.world.now().saturating_add(within) });
         // Ends with an error when the driver is done.
         let _ = self.done.recv().await;
+        // Only now: until then it was still sending, and counts.
+        if let Some(peers) = self.shared.peers.get() {
+            peers.leave().await;
+        }
+    }
+
+    pub(crate) fn tell(&self, notice: Notice) {
+        self.inbox.tell(notice);
     }
 
     /// Writes what was recorded so far through to its file.
--- /dev/null
+++ b/crates/ivyward/src/peers/mod.rs
@@ -0,0 +1,428 @@
+//! A node's peers: the datagrams, ticks and records that its decider is told of, and what it makes known.
+//!
+//! It decides nothing: whom to probe, whom to believe and how many there are is [`ivyward_core::peers`]'s. Off unless
+//! the owner begins it ([`Node::peers`]).
+
+mod records;
+mod wire;
+
+pub use records::{NodeRecord, RecordError, NODES};
+pub use wire::{Seal, Unread};
+
+use crate::node::Node;
+use crate::request::notices::Notice;
+use crate::settings::SettingsError;
+use futures_lite::future::or;
+use ivyward_core::interface::Micros;
+use ivyward_core::peers::{Card, Out, PeerId, PeerSettings, Peers, Standing};
+use ivyward_etcd::EtcdOptions;
+use ivyward_world::{Datagrams, WorldExt, MOST_DATAGRAM};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tracing::{error, info, warn};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Shortest words that a key is made of.
+const LEAST_KEY: usize = 16;
+/// Orders and records that wait for the task; one more waits with who tells it.
+const ORDERS: usize = 64;
+
+/// How a node knows others, as its owner says it. Field names stand for flags: `listen` is `--peer-listen`.
+#[derive(Clone, Debug)]
+pub struct PeerOptions {
+    /// Where datagrams are taken; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// The address by which others reach it; the one listened at if there is none.
+    pub announce: Option<SocketAddr>,
+    /// Addresses of some others.
+    pub peers: Vec<SocketAddr>,
+    /// The node's name, the same after a restart; the announced address if there is none.
+    pub name: Option<String>,
+    /// What the seal's key is made of. Without one only loopback addresses are taken.
+    pub key: Option<String>,
+    /// The store in which nodes write their records, if there is one.
+    pub store: Option<PeerStore>,
+    /// The decider's spans and bounds.
+    pub spans: PeerSettings,
+}
+
+/// Where nodes write their records.
+#[derive(Clone, Debug)]
+pub struct PeerStore {
+    /// The store's endpoints.
+    pub endpoints: Vec<SocketAddr>,
+    /// Records stand below this prefix, each under its node's name as a number.
+    pub prefix: String,
+    /// Seconds that a record outlives its node.
+    pub lease: i64,
+    /// How the store is spoken to.
+    pub etcd: EtcdOptions,
+}
+
+impl PeerOptions {
+    /// Listens at an address, with nobody to ask.
+    pub fn at(listen: SocketAddr) -> PeerOptions {
+        PeerOptions {
+            listen,
+            announce: None,
+            peers: Vec::new(),
+            name: None,
+            key: None,
+            store: None,
+            spans: PeerSettings::default(),
+        }
+    }
+
+    /// Looks for options that could not work.
+    ///
+    /// # Errors
+    /// The first one found.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let bad = |flag: &str, value: &dyn ToString, reason: &str| {
+            Err(SettingsError::new(flag, value.to_string(), reason))
+        };
+        if let Some(key) = &self.key {
+            if key.len() < LEAST_KEY {
+                return bad(
+                    "IVYWARD_PEER_KEY",
+                    &format!("({} bytes)", key.len()),
+                    "at least 16 bytes are needed",
+                );
+            }
+        } else {
+            let announce = self.announce.map(|a| ("--peer-announce", a));
+            let peers = self.peers.iter().map(|p| ("--peer", *p));
+            let mut all = [("--peer-listen", self.listen)].into_iter().chain(announce).chain(peers);
+            if let Some((flag, address)) = all.find(|(_, a)| !a.ip().is_loopback()) {
+                return bad(
+                    flag,
+                    &address,
+                    "beyond this machine a key is needed: set IVYWARD_PEER_KEY at all nodes",
+                );
+            }
+        }
+        let death_after = self.spans.death_after;
+        if !(500_000..=600_000_000).contains(&death_after) {
+            let value = format!("{}ms", death_after / 1_000);
+            return bad("--peer-death-after", &value, "from 500ms to 10m: probes need a few tries");
+        }
+        if let Some(announce) = self.announce.filter(|a| a.port() == 0 || a.ip().is_unspecified()) {
+            return bad("--peer-announce", &announce, "nobody can be reached there");
+        }
+        if self.announce.is_none() && self.listen.ip().is_unspecified() {
+            return bad(
+                "--peer-listen",
+                &self.listen,
+                "with it --peer-announce says where others reach this node",
+            );
+        }
+        if let Some(peer) = self.peers.iter().find(|p| p.port() == 0 || p.ip().is_unspecified()) {
+            return bad("--peer", peer, "nobody can be reached there");
+        }
+        if self.peers.len() > 64 {
+            return bad("--peer", &self.peers.len(), "64 at most; a few that are up are enough");
+        }
+        if let Some(store) = self.store.as_ref().filter(|s| !(2..=3_600).contains(&s.lease)) {
+            return bad("--peer-lease", &store.lease, "from 2 to 3600 seconds");
+        }
+        Ok(())
+    }
+}
+
+/// Why a node does not get to know others.
+#[derive(Debug, thiserror::Error)]
+pub enum PeerError {
+    /// An option cannot hold.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// The port cannot be taken.
+    #[error("--peer-listen {address}: {error}")]
+    Listen {
+        /// Where.
+        address: SocketAddr,
+        /// What the system said.
+        error: std::io::Error,
+    },
+}
+
+/// What the task is told.
+pub(crate) enum Order {
+    /// A record of the store names a node.
+    Record(Card),
+    /// The record of a node is gone.
+    Gone(PeerId),
+    /// The node ends: all are told, then this is dropped.
+    Leave { done: async_channel::Sender<()> },
+}
+
+/// A node's peers as the rest of the node sees them.
+#[derive(Clone)]
+pub struct PeersHandle {
+    decider: Arc<Mutex<Peers>>,
+    orders: async_channel::Sender<Order>,
+    address: SocketAddr,
+}
+
+fn lock(decider: &Mutex<Peers>) -> MutexGuard<'_, Peers> {
+    decider.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn word(standing: Standing, unheard: bool) -> &'static str {
+    match standing {
+        Standing::Alive if unheard => "unheard",
+        Standing::Alive => "alive",
+        Standing::Suspected => "suspected",
+        Standing::Dead => "dead",
+        Standing::Left => "left",
+    }
+}
+
+impl PeersHandle {
+    /// Where datagrams are taken.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+    /// Looks at the decider.
+    pub fn look<T>(&self, at: impl FnOnce(&Peers) -> T) -> T {
+        at(&lock(&self.decider))
+    }
+    pub(crate) async fn leave(&self) {
+        let (done, wait) = async_channel::bounded(1);
+        if self.orders.send(Order::Leave { done }).await.is_ok() {
+            // Ends with an error when all were told.
+            let _ = wait.recv().await;
+        }
+    }
+    /// The view as text: this node, then a line for each other.
+    pub fn text(&self) -> String {
+        use std::fmt::Write;
+        self.look(|peers| {
+            let me = peers.me();
+            let mut out = String::new();
+            // Writing to a String cannot fail.
+            let _ = writeln!(
+                out,
+                "self id={:016x} start={} zone={} address={} count={} joined={}",
+                me.id.0,
+                me.start,
+                me.zone,
+                me.address,
+                peers.count(),
+                peers.joined()
+            );
+            for peer in peers.peers() {
+                let (card, state) = (peer.card, word(peer.standing, peer.unheard));
+                let _ = writeln!(
+                    out,
+                    "peer id={:016x} start={} zone={} address={} state={state} certain={}",
+                    card.id.0, card.start, card.zone, card.address, peer.certain
+                );
+            }
+            out
+        })
+    }
+    pub(crate) fn metrics(&self, out: &mut String) {
+        use std::fmt::Write;
+        self.look(|peers| {
+            let states = ["alive", "unheard", "suspected", "dead", "left"];
+            for state in states {
+                let count = peers.peers().filter(|p| word(p.standing, p.unheard) == state).count();
+                let _ = writeln!(out, "ivyward_peers{{state=\"{state}\"}} {count}");
+            }
+            let _ = writeln!(out, "ivyward_nodes {}", peers.count());
+            let dropped = peers.dropped();
+            let reasons = [
+                ("stale", dropped.stale),
+                ("implausible", dropped.implausible),
+                ("old", dropped.old),
+                ("over", dropped.over),
+            ];
+            for (reason, count) in reasons {
+                let _ = writeln!(out, "ivyward_peer_words_dropped_total{{reason=\"{reason}\"}} {count}");
+            }
+        });
+    }
+}
+
+struct Speaker {
+    node: Node,
+    decider: Arc<Mutex<Peers>>,
+    socket: Box<dyn Datagrams>,
+    seal: Seal,
+    orders: async_channel::Receiver<Order>,
+    /// What the module was told last.
+    told: u32,
+}
+
+/// What happened to the speaker.
+enum Came {
+    Datagram(std::io::Result<(usize, SocketAddr)>),
+    Tick,
+    Order(Order),
+    End,
+}
+
+impl Node {
+    /// Begins to know others. `--nodes` of the settings holds as the least count until a whole view was seen.
+    ///
+    /// # Errors
+    /// [`PeerError`].
+    pub fn peers(&self, options: PeerOptions) -> Result<PeersHandle, PeerError> {
+        options.check()?;
+        let world = self.shared.world.clone();
+        let listen = options.listen;
+        let socket = world.datagrams(listen).map_err(|error| PeerError::Listen { address: listen, error })?;
+        let address = socket.address();
+        let announce = options.announce.unwrap_or(address);
+        let name = options.name.clone().unwrap_or_else(|| announce.to_string());
+        let rules = &self.settings().rules;
+        let me = Card {
+            id: PeerId(xxh3_64(name.as_bytes())),
+            start: world.unix_micros(),
+            zone: rules.zone,
+            address: announce,
+        };
+        let mut decider = Peers::new(world.now(), me, options.peers.clone(), options.spans, world.random());
+        decider.expect(rules.nodes);
+        let decider = Arc::new(Mutex::new(decider));
+        let (orders, told) = async_channel::bounded(ORDERS);
+        let handle = PeersHandle { decider: decider.clone(), orders: orders.clone(), address };
+        info!(id = %format_args!("{:016x}", me.id.0), address = %announce, name, "peers are listened for");
+        let speaker = Speaker {
+            node: self.clone(),
+            decider,
+            socket,
+            seal: Seal::new(options.key.as_deref()),
+            orders: told,
+            told: rules.nodes,
+        };
+        world.run(speaker.run());
+        if let Some(store) = options.store {
+            records::begin(self, &store, me, orders);
+        }
+        let _ = self.shared.peers.set(handle.clone());
+        Ok(handle)
+    }
+
+    /// Its peers, if it was told to know any.
+    pub fn known_peers(&self) -> Option<&PeersHandle> {
+        self.shared.peers.get()
+    }
+}
+
+impl Speaker {
+    async fn run(mut self) {
+        let world = self.node.shared.world.clone();
+        let mut bytes = [0u8; MOST_DATAGRAM + 1];
+        let mut tick_at = world.now();
+        let mut last_refused = 0;
+        loop {
+            let came = or(
+                or(async { Came::Datagram(self.socket.receive(&mut bytes).await) }, async {
+                    self.orders.recv().await.map_or(Came::End, Came::Order)
+                }),
+                async {
+                    world.sleep_until(tick_at).await;
+                    Came::Tick
+                },
+            )
+            .await;
+            let now = world.now();
+            // Datagrams that come without end must not keep the ticks from their turn.
+            let came = if now >= tick_at && !matches!(came, Came::Order(_)) {
+                self.tick(now, &mut tick_at);
+                came
+            } else {
+                came
+            };
+            match came {
+                Came::Datagram(Ok((got, source))) => self.datagram(now, &bytes[..got], source),
+                Came::Datagram(Err(e)) => {
+                    // One that failed says nothing of the next; a socket that only fails must not spin.
+                    if now.saturating_sub(last_refused) > 1_000_000 {
+                        warn!(error = %e, "datagrams of peers cannot be taken; tried again");
+                    }
+                    last_refused = now;
+                    world.sleep(10_000).await;
+                }
+                Came::Tick => {}
+                Came::Order(Order::Record(card)) => self.decide(|peers, out| peers.record(now, card, out)),
+                Came::Order(Order::Gone(id)) => self.decide(|peers, _| peers.record_gone(now, id)),
+                Came::Order(Order::Leave { done }) => {
+                    self.decide(|peers, out| peers.leave(now, out));
+                    drop(done);
+                    return;
+                }
+                Came::End => return,
+            }
+            if self.decider_superseded() {
+                error!("another process has taken this node's name: it speaks to its peers no more. Stop one of them");
+                return;
+            }
+        }
+    }
+
+    fn decider_superseded(&self) -> bool {
+        lock(&self.decider).superseded()
+    }
+
+    fn tick(&mut self, now: Micros, tick_at: &mut Micros) {
+        self.decide(|peers, out| peers.tick(now, out));
+        *tick_at = now + lock(&self.decider).tick_span();
+    }
+
+    fn datagram(&mut self, now: Micros, bytes: &[u8], source: SocketAddr) {
+        let metrics = self.node.metrics();
+        metrics.peer_datagrams_taken.add(1);
+        match self.seal.open(bytes, source) {
+            Ok(message) => self.decide(|peers, out| peers.hear(now, message, out)),
+            Err(why) => {
+                metrics.peer_datagrams_unread.add(1);
+                // The first one says what is wrong; a flood of them says no more.
+                if metrics.peer_datagrams_unread.get() == 1 {
+                    warn!(%source, %why, "a datagram is dropped; others like it are only counted");
+                }
+            }
+        }
+    }
+
+    /// Asks the decider and does what it says.
+    fn decide(&mut self, ask: impl FnOnce(&mut Peers, &mut Vec<Out>)) {
+        let mut out = Vec::new();
+        let count = {
+            let mut decider = lock(&self.decider);
+            ask(&mut decider, &mut out);
+            decider.count()
+        };
+        let metrics = self.node.metrics();
+        for one in out {
+            match one {
+                Out::Send { to, message } => {
+                    let bytes = self.seal.close(&message);
+                    metrics.peer_datagrams_sent.add(1);
+                    metrics.peer_bytes_sent.add(bytes.len() as u64);
+                    // What cannot be sent is lost, as it may be anywhere on its way.
+                    let _ = self.socket.send(&bytes, to);
+                }
+                Out::Changed { card, was, is } => {
+                    metrics.peer_changes.add(1);
+                    let was = was.map_or("unknown", |was| word(was, false));
+                    info!(
+                        peer = %format_args!("{:016x}", card.id.0),
+                        address = %card.address,
+                        zone = card.zone,
+                        start = card.start,
+                        was,
+                        is = word(is, false),
+                        "a peer changed"
+                    );
+                }
+            }
+        }
+        if count != self.told {
+            info!(was = self.told, is = count, "nodes that may be sending");
+            self.told = count;
+            self.node.tell(Notice::Nodes(count));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ivyward/src/peers/wire.rs
@@ -0,0 +1,307 @@
+//! Messages between nodes as datagrams: a version, a keyed BLAKE3 tag, and the message by prost.
+
+use ivyward_core::peers::{About, Body, Card, Claim, Message, PeerId, MOST_CLAIMS};
+use ivyward_proto::peers as pb;
+use prost::Message as _;
+use std::net::{IpAddr, SocketAddr};
+
+/// Version of the datagrams that this program sends and takes.
+const VERSION: u8 = 1;
+/// Bytes before the message.
+const HEAD: usize = 33;
+/// What a key is derived for; another use of the same words gives another key.
+const CONTEXT: &str = "ivyward 2026-12 seal of datagrams between nodes";
+
+/// Seals and opens datagrams.
+#[derive(Clone)]
+pub struct Seal {
+    key: [u8; 32],
+    /// Without a key of the owner: only what stays on this machine is taken.
+    pub(crate) loopback_only: bool,
+}
+
+/// Why a datagram is dropped.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unread {
+    /// Cut off, of another version or no message at all.
+    #[error("it is no message: {0}")]
+    Malformed(String),
+    /// Its tag does not belong to it: another key, or it was changed.
+    #[error("its seal does not hold: is IVYWARD_PEER_KEY the same at all nodes?")]
+    Seal,
+    /// It names addresses beyond this machine, and there is no key.
+    #[error("it names {0}, which needs a key: set IVYWARD_PEER_KEY at all nodes")]
+    Foreign(SocketAddr),
+}
+
+impl Seal {
+    /// By the words of the owner, or without any.
+    pub fn new(words: Option<&str>) -> Seal {
+        let key = blake3::derive_key(CONTEXT, words.unwrap_or_default().as_bytes());
+        Seal { key, loopback_only: words.is_none() }
+    }
+
+    /// A message as a datagram.
+    pub fn close(&self, message: &Message) -> Vec<u8> {
+        let body = message_out(message).encode_to_vec();
+        let mut bytes = Vec::with_capacity(HEAD + body.len());
+        bytes.push(VERSION);
+        bytes.extend_from_slice(blake3::keyed_hash(&self.key, &body).as_bytes());
+        bytes.extend_from_slice(&body);
+        bytes
+    }
+
+    /// Reads a datagram that seems to come from there.
+    ///
+    /// # Errors
+    /// [`Unread`].
+    pub fn open(&self, bytes: &[u8], source: SocketAddr) -> Result<Message, Unread> {
+        let malformed = |what: &str| Unread::Malformed(what.to_owned());
+        if bytes.len() < HEAD || bytes[0] != VERSION {
+            return Err(malformed("another version, or cut off"));
+        }
+        let (head, body) = bytes.split_at(HEAD);
+        let tag: [u8; 32] = head[1..].try_into().map_err(|_| malformed("cut off"))?;
+        // Compared in constant time.
+        if blake3::keyed_hash(&self.key, body) != blake3::Hash::from(tag) {
+            return Err(Unread::Seal);
+        }
+        let message = pb::Message::decode(body).map_err(|e| malformed(&e.to_string()))?;
+        let message = message_in(message).map_err(malformed)?;
+        if self.loopback_only {
+            let named = message.claims.iter().map(|c| c.card.address);
+            let paged = match &message.body {
+                Body::Page { claims, .. } => claims.as_slice(),
+                _ => &[],
+            };
+            let relayed = match &message.body {
+                Body::Relay { to, .. } => Some(to.address),
+                _ => None,
+            };
+            let all = [source, message.from.address].into_iter().chain(named).chain(relayed);
+            let mut all = all.chain(paged.iter().map(|c| c.card.address));
+            if let Some(foreign) = all.find(|a| !a.ip().is_loopback()) {
+                return Err(Unread::Foreign(foreign));
+            }
+        }
+        Ok(message)
+    }
+}
+
+fn card_out(card: &Card) -> pb::Card {
+    let mut address = match card.address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    address.extend_from_slice(&card.address.port().to_be_bytes());
+    pb::Card { id: card.id.0, start: card.start, zone: u32::from(card.zone), address }
+}
+
+fn card_in(card: Option<pb::Card>) -> Result<Card, &'static str> {
+    let card = card.ok_or("no card")?;
+    let at = card.address.len().checked_sub(2).ok_or("a short address")?;
+    let (ip, port) = card.address.split_at(at);
+    let ip = match (<[u8; 4]>::try_from(ip), <[u8; 16]>::try_from(ip)) {
+        (Ok(ip), _) => IpAddr::from(ip),
+        (_, Ok(ip)) => IpAddr::from(ip),
+        _ => return Err("no address of 4 or 16 bytes"),
+    };
+    let address = SocketAddr::new(ip, u16::from_be_bytes([port[0], port[1]]));
+    if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+        return Err("an address that nobody has");
+    }
+    let zone = u8::try_from(card.zone).map_err(|_| "a zone over 255")?;
+    Ok(Card { id: PeerId(card.id), start: card.start, zone, address })
+}
+
+fn claim_out(claim: &Claim) -> pb::Claim {
+    let (about, since) = match claim.about {
+        About::Here => (0, 0),
+        About::Silent { since } => (1, since / 1_000),
+        About::Left => (2, 0),
+    };
+    let ago = claim.ago.div_ceil(1_000);
+    pb::Claim { card: Some(card_out(&claim.card)), beat: claim.beat, ago, about, since }
+}
+
+fn claim_in(claim: pb::Claim) -> Result<Claim, &'static str> {
+    let about = match claim.about {
+        0 => About::Here,
+        1 => About::Silent { since: claim.since.saturating_mul(1_000) },
+        2 => About::Left,
+        _ => return Err("a claim of an unknown kind"),
+    };
+    let ago = claim.ago.saturating_mul(1_000);
+    Ok(Claim { card: card_in(claim.card)?, beat: claim.beat, ago, about })
+}
+
+fn claims_in(claims: Vec<pb::Claim>) -> Result<Vec<Claim>, &'static str> {
+    if claims.len() > MOST_CLAIMS {
+        return Err("too many claims");
+    }
+    claims.into_iter().map(claim_in).collect()
+}
+
+fn message_out(message: &Message) -> pb::Message {
+    use pb::message::Body as Out;
+    let body = match &message.body {
+        Body::Ping { seq } => Out::Ping(*seq),
+        Body::Ack { seq, of } => Out::Ack(pb::Ack { seq: *seq, of: of.0 }),
+        Body::Relay { seq, to } => Out::Relay(pb::Relay { seq: *seq, to: Some(card_out(to)) }),
+        Body::Nack { seq } => Out::Nack(*seq),
+        Body::Ask { after, whole } => Out::Ask(pb::Ask { after: after.map(|a| a.0), whole: *whole }),
+        Body::Page { claims, next, last } => {
+            let claims = claims.iter().map(claim_out).collect();
+            Out::Page(pb::Page { claims, next: next.map(|n| n.0), last: *last })
+        }
+        Body::Leave => Out::Leave(true),
+        Body::Gossip => Out::Gossip(true),
+    };
+    pb::Message {
+        from: Some(card_out(&message.from)),
+        beat: message.beat,
+        view: message.view,
+        claims: message.claims.iter().map(claim_out).collect(),
+        body: Some(body),
+    }
+}
+
+fn message_in(message: pb::Message) -> Result<Message, &'static str> {
+    use pb::message::Body as In;
+    let body = match message.body.ok_or("no body, or one of a later version")? {
+        In::Ping(seq) => Body::Ping { seq },
+        In::Ack(ack) => Body::Ack { seq: ack.seq, of: PeerId(ack.of) },
+        In::Relay(relay) => Body::Relay { seq: relay.seq, to: card_in(relay.to)? },
+        In::Nack(seq) => Body::Nack { seq },
+        In::Ask(ask) => Body::Ask { after: ask.after.map(PeerId), whole: ask.whole },
+        In::Page(page) => {
+            let claims = claims_in(page.claims)?;
+            Body::Page { claims, next: page.next.map(PeerId), last: page.last }
+        }
+        In::Leave(_) => Body::Leave,
+        In::Gossip(_) => Body::Gossip,
+    };
+    let (from, claims) = (card_in(message.from)?, claims_in(message.claims)?);
+    Ok(Message { from, beat: message.beat, view: message.view, body, claims })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use ivyward_world::MOST_DATAGRAM;
+
+    fn card(address: &str) -> Card {
+        Card { id: PeerId(u64::MAX), start: u64::MAX, zone: 255, address: address.parse().unwrap() }
+    }
+    fn claim(address: &str) -> Claim {
+        // A beat of centuries, evidence of an hour.
+        let about = About::Silent { since: 3_600_000_000 };
+        Claim { card: card(address), beat: 1 << 42, ago: 3_600_000_000, about }
+    }
+    const FAR: &str = "[2001:db8::1]:65535";
+
+    #[test]
+    fn the_longest_messages_fit_a_datagram_and_come_back_as_they_were() {
+        let seal = Seal::new(Some("a key of the owner"));
+        let taken = MOST_CLAIMS - 4;
+        let page = |n: usize| Body::Page { claims: vec![claim(FAR); n], next: Some(PeerId(1)), last: true };
+        let bodies = [
+            (page(taken), 4),
+            (Body::Relay { seq: u64::MAX, to: card(FAR) }, MOST_CLAIMS),
+            (Body::Ask { after: Some(PeerId(u64::MAX)), whole: true }, MOST_CLAIMS),
+            (Body::Ack { seq: u64::MAX, of: PeerId(u64::MAX) }, MOST_CLAIMS),
+            (Body::Ping { seq: 0 }, 0),
+            (Body::Nack { seq: 3 }, 1),
+            (Body::Leave, 2),
+            (Body::Gossip, MOST_CLAIMS),
+        ];
+        for (body, claims) in bodies {
+            let message =
+                Message { view: 0, from: card(FAR), beat: 1 << 42, body, claims: vec![claim(FAR); claims] };
+            let bytes = seal.close(&message);
+            assert!(bytes.len() <= MOST_DATAGRAM, "{}: {message:?}", bytes.len());
+            assert_eq!(seal.open(&bytes, message.from.address), Ok(message));
+        }
+    }
+
+    #[test]
+    fn what_was_changed_cut_off_or_sealed_otherwise_is_not_read() {
+        let here = "127.0.0.1:7000";
+        let (seal, other) = (Seal::new(Some("a key of the owner")), Seal::new(Some("another of somebody")));
+        let message = Message {
+            view: 0,
+            from: card(here),
+            beat: 7,
+            body: Body::Ping { seq: 1 },
+            claims: vec![claim(here)],
+        };
+        let bytes = seal.close(&message);
+        let source = message.from.address;
+        assert_eq!(other.open(&bytes, source), Err(Unread::Seal));
+        assert_eq!(Seal::new(None).open(&bytes, source), Err(Unread::Seal));
+        for at in 0..bytes.len() {
+            assert!(seal.open(&bytes[..at], source).is_err(), "cut off at {at}");
+            for bit in 0..8 {
+                let mut changed = bytes.clone();
+                changed[at] ^= 1 << bit;
+                assert!(seal.open(&changed, source).is_err(), "bit {bit} of {at}");
+            }
+        }
+    }
+
+    #[test]
+    fn without_a_key_nothing_beyond_this_machine_is_taken() {
+        let (here, far) = ("127.0.0.1:7000", "192.0.2.1:7000");
+        let seal = Seal::new(None);
+        let local: SocketAddr = here.parse().unwrap();
+        let ping = Body::Ping { seq: 1 };
+        let of = |from: &str, body, claims| Message { view: 0, from: card(from), beat: 7, body, claims };
+        let good = of(here, ping.clone(), vec![claim(here)]);
+        assert_eq!(seal.open(&seal.close(&good), local), Ok(good.clone()));
+        assert!(matches!(seal.open(&seal.close(&good), far.parse().unwrap()), Err(Unread::Foreign(_))));
+        let page = Body::Page { claims: vec![claim(far)], next: None, last: false };
+        let bad = [
+            of(far, ping.clone(), vec![]),
+            of(here, ping, vec![claim(far)]),
+            of(here, Body::Relay { seq: 1, to: card(far) }, vec![]),
+            of(here, page, vec![]),
+        ];
+        for message in bad {
+            assert!(
+                matches!(seal.open(&seal.close(&message), local), Err(Unread::Foreign(_))),
+                "{message:?}"
+            );
+        }
+    }
+
+    #[test]
+    fn addresses_that_nobody_has_and_unknown_kinds_are_refused() {
+        let seal = Seal::new(Some("a key of the owner"));
+        let local: SocketAddr = "127.0.0.1:7000".parse().unwrap();
+        let good =
+            Message { view: 0, from: card("127.0.0.1:7000"), beat: 1, body: Body::Leave, claims: vec![] };
+        let sealed = |message: pb::Message| {
+            let body = message.encode_to_vec();
+            let mut bytes = vec![VERSION];
+            bytes.extend_from_slice(blake3::keyed_hash(&seal.key, &body).as_bytes());
+            bytes.extend(body);
+            bytes
+        };
+        let changes: [fn(&mut pb::Message); 6] = [
+            |m| m.body = None,
+            |m| m.from = None,
+            |m| m.from.as_mut().unwrap().address = vec![0, 0, 0, 0, 1, 1],
+            |m| m.from.as_mut().unwrap().address = vec![127, 0, 0, 1, 0, 0],
+            |m| m.from.as_mut().unwrap().address = vec![1],
+            |m| m.from.as_mut().unwrap().zone = 256,
+        ];
+        assert!(seal.open(&sealed(message_out(&good)), local).is_ok());
+        for change in changes {
+            let mut message = message_out(&good);
+            change(&mut message);
+            assert!(matches!(seal.open(&sealed(message), local), Err(Unread::Malformed(_))));
+        }
+        let many = Message { claims: vec![claim("127.0.0.1:7000"); MOST_CLAIMS + 1], ..good };
+        assert!(matches!(seal.open(&seal.close(&many), local), Err(Unread::Malformed(_))));
+    }
+}
--- a/crates/ivyward/src/record/mod.rs
+++ b/crates/ivyward/src/record/mod.rs
@@ -420,6 +420,7 @@
         Event::Probed { server, alive, report } => {
             Out::Probed(pb::Probed { engine: server.0, alive: *alive, report: report_out(report) })
         }
+        Event::Nodes(nodes) => Out::Nodes(*nodes),
     };
     pb::Event { event: Some(event) }
 }
@@ -464,6 +465,7 @@
         In::Probed(p) => {
             Event::Probed { server: ServerId(p.engine), alive: p.alive, report: report_in(&p.report)? }
         }
+        In::Nodes(nodes) => Event::Nodes(nodes),
     })
 }
 
@@ -539,6 +541,7 @@
             Event::ClientGone(request),
             Event::Timer(1 << 63),
             Event::Probed { server, alive: false, report },
+            Event::Nodes(300),
         ];
         for event in events {
             assert_eq!(event_in(event_out(&event)), Ok(event));
--- a/crates/ivyward/src/request/driver.rs
+++ b/crates/ivyward/src/request/driver.rs
@@ -213,6 +213,7 @@
                 // The one who told may have left.
                 let _ = done.try_send(());
             }
+            Notice::Nodes(nodes) => self.tell(Event::Nodes(nodes)),
             Notice::Stop { by } => self.stop_by = Some(self.stop_by.map_or(by, |before| before.min(by))),
             Notice::Flush(done) => {
                 self.flush();
--- a/crates/ivyward/src/request/notices.rs
+++ b/crates/ivyward/src/request/notices.rs
@@ -26,10 +26,28 @@
     Gone(u64),
     First(u64, u16),
     Ended(Ended),
-    Place { request: u64, attempt: u16, link: LinkRef, call: Arc<dyn Call>, held: Held },
-    Probed { server: ServerId, alive: bool, report: Report },
-    Fleet { kind: ListKind, engines: Vec<Engine>, done: async_channel::Sender<()> },
-    Stop { by: Micros },
+    Place {
+        request: u64,
+        attempt: u16,
+        link: LinkRef,
+        call: Arc<dyn Call>,
+        held: Held,
+    },
+    Probed {
+        server: ServerId,
+        alive: bool,
+        report: Report,
+    },
+    Fleet {
+        kind: ListKind,
+        engines: Vec<Engine>,
+        done: async_channel::Sender<()>,
+    },
+    /// So many nodes may be sending.
+    Nodes(u32),
+    Stop {
+        by: Micros,
+    },
     Flush(async_channel::Sender<()>),
 }
 
--- a/crates/ivyward/src/shared.rs
+++ b/crates/ivyward/src/shared.rs
@@ -19,6 +19,8 @@
     pub(crate) stop_told: event_listener::Event,
     pub(crate) releases: AtomicUsize,
     pub(crate) metrics: Metrics,
+    /// Set once, if the node is to know others. Its own task is behind it; this is only the way to look.
+    pub(crate) peers: std::sync::OnceLock<crate::peers::PeersHandle>,
 }
 
 impl Shared {
--- a/crates/ivywardd/src/flags.rs
+++ b/crates/ivywardd/src/flags.rs
@@ -7,8 +7,9 @@
     ClassSettings, Condition, Effect, Micros, RepeatGroup, ReportField, ServerEntry, ServerId, Settings,
     TenantSettings,
 };
+use ivyward::core::peers::PeerSettings;
 use ivyward::follow::{EtcdOptions, Follow};
-use ivyward::{Class, Engine, NodeSettings, SettingsError, Tenant};
+use ivyward::{Class, Engine, NodeSettings, PeerOptions, PeerStore, SettingsError, Tenant};
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::net::SocketAddr;
@@ -73,7 +74,45 @@
     #[arg(long = "tenant", env = "IVYWARD_TENANTS", value_name = "TENANT", value_delimiter = ';', value_parser = tenant)]
     pub tenants: Vec<Tenant>,
 
-    /// Nodes that front the service, this one among them.
+    /// Where datagrams of other nodes are taken; other nodes are not known if left out. Port 0 takes a free one.
+    #[arg(long, env = "IVYWARD_PEER_LISTEN", value_name = "ADDRESS")]
+    pub peer_listen: Option<SocketAddr>,
+    /// The address at which other nodes reach this one; the one listened at if left out.
+    #[arg(long, env = "IVYWARD_PEER_ANNOUNCE", value_name = "IP:PORT", requires = "peer_listen")]
+    pub peer_announce: Option<SocketAddr>,
+    /// Announced address of another node; may be given several times. One that is up is enough.
+    #[arg(
+        long = "peer",
+        env = "IVYWARD_PEERS",
+        value_name = "IP:PORT",
+        value_delimiter = ';',
+        requires = "peer_listen"
+    )]
+    pub peers: Vec<SocketAddr>,
+    /// This node's name, the same after a restart; the announced address if left out.
+    #[arg(long, env = "IVYWARD_PEER_NAME", value_name = "NAME", requires = "peer_listen")]
+    pub peer_name: Option<String>,
+    /// Seals what nodes say to each other; the same at all. Without it only loopback addresses are taken. Better given by
+    /// the environment.
+    #[arg(long, env = "IVYWARD_PEER_KEY", hide_env_values = true, requires = "peer_listen")]
+    pub peer_key: Option<String>,
+    /// A node that nobody hears for this is taken for dead; what stops for less is not.
+    #[arg(long, env = "IVYWARD_PEER_DEATH_AFTER", value_name = "SPAN", default_value = "2400ms", value_parser = span)]
+    pub peer_death_after: Micros,
+    /// Nodes' records stand in the store, under a lease of so many seconds; not written and not read if left out.
+    #[arg(
+        long,
+        env = "IVYWARD_PEER_LEASE",
+        value_name = "SECONDS",
+        requires = "peer_listen",
+        requires = "etcd_endpoints"
+    )]
+    pub peer_lease: Option<i64>,
+    /// Nodes' records stand below this prefix.
+    #[arg(long, env = "IVYWARD_PEER_PREFIX", default_value = ivyward::peers::NODES)]
+    pub peer_prefix: String,
+
+    /// Nodes that front the service, this one among them; with --peer-listen, until the view of them is whole.
     #[arg(long, env = "IVYWARD_NODES", default_value_t = 1)]
     pub nodes: u32,
     /// The zone of this node.
@@ -411,6 +450,26 @@
         }
     }
 
+    /// How other nodes are known; without --peer-listen they are not.
+    pub fn peers(&self) -> Option<PeerOptions> {
+        let listen = self.peer_listen?;
+        let store = self.peer_lease.map(|lease| PeerStore {
+            endpoints: self.etcd_endpoints.clone(),
+            prefix: self.peer_prefix.clone(),
+            lease,
+            etcd: self.follow().etcd,
+        });
+        Some(PeerOptions {
+            announce: self.peer_announce,
+            peers: self.peers.clone(),
+            name: self.peer_name.clone(),
+            key: self.peer_key.clone(),
+            store,
+            spans: PeerSettings { death_after: self.peer_death_after, ..PeerSettings::default() },
+            ..PeerOptions::at(listen)
+        })
+    }
+
     fn settings(&self) -> Result<NodeSettings, SettingsError> {
         let settings = NodeSettings {
             seed: self.seed.unwrap_or(0),
@@ -474,6 +533,7 @@
             ));
         }
         self.follow().check()?;
+        self.peers().map_or(Ok(()), |peers| peers.check())?;
         for (i, engine) in self.servers.iter().enumerate() {
             let before = &self.servers[..i];
             if before.iter().any(|e| e.entry.id == engine.entry.id) {
--- a/crates/ivywardd/src/main.rs
+++ b/crates/ivywardd/src/main.rs
@@ -86,6 +86,9 @@
             world.run(async move { node.follow(follow).await });
         }
     }
+    if let Some(options) = flags.peers() {
+        node.peers(options).map_err(|e| e.to_string())?;
+    }
     let door = world.listen(flags.listen).map_err(|e| format!("--listen {}: {e}", flags.listen))?;
     let address = door.address();
     if let Some(at) = flags.admin {
@@ -98,7 +101,8 @@
     world.run(async move { serving.serve(door).await });
     // Scripts wait for this line.
     println!("listening on {address}");
-    info!(%address, engines = flags.servers.len(), threads, seed, "taking requests");
+    let run = format!("{:x}", node.incarnation());
+    info!(%address, engines = flags.servers.len(), threads, seed, run, "taking requests");
     smol.block_on(async {
         loop {
             let tick = async {
