A rig of daemons as processes, with a relay on each directed link and faults on it

ivyward-lab cluster starts ivywardd processes, engines and a store, leads each directed link (datagrams between nodes, streams to store and engines) through a relay that loses, delays, repeats, reorders, cuts and breaks, kills, stops (SIGSTOP), continues and restarts processes, plays a plan drawn from a seed or read from JSON, and checks views, counts, false deaths and the five rules.

--- /dev/null
+++ b/crates/ivyward-lab/src/cluster/play.rs
@@ -0,0 +1,289 @@
+//! Plays a plan on a rig under a load, and reports what came of it.
+
+use crate::cluster::links::{End, Fault};
+use crate::cluster::plan::{Plan, Trouble};
+use crate::cluster::{id, Cluster, ClusterError};
+use ivyward_proto::front::GenerateRequest;
+use ivyward_standins::sight::{Effect, Heard};
+use ivyward_standins::{Ask, Client, Habit};
+use ivyward_world::{Micros, World, WorldExt, WorldRef};
+use serde::Serialize;
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+
+/// Views that do not agree so long after a fault ended will not.
+const MOST_HEALING: Micros = 120_000_000;
+/// A client's patience, and its pause between two calls.
+const PATIENCE: Micros = 5_000_000;
+const PAUSE: Micros = 100_000;
+
+/// What came of one episode.
+#[derive(Clone, Debug, Serialize)]
+pub struct Came {
+    /// What was wrong.
+    pub fault: Trouble,
+    /// For so long.
+    pub lasted_ms: u64,
+    /// Milliseconds from its end until all views agreed.
+    pub agreed_ms: u64,
+    /// Milliseconds until all survivors knew of a kill, where there was one.
+    pub known_ms: Option<u64>,
+    /// Somebody was taken for dead whose process was there, and the fault was one that is to be borne.
+    pub false_deaths: usize,
+    /// Counts below the number of processes that were there, in words.
+    pub miscounts: Vec<String>,
+}
+
+/// What came of a plan.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The plan.
+    pub plan: Plan,
+    /// Its episodes.
+    pub came: Vec<Came>,
+    /// Milliseconds until all knew each other at the start.
+    pub joined_ms: u64,
+    /// Datagrams and bytes that a node sent a second, on the mean of the whole run.
+    pub datagrams_s: f64,
+    /// See `datagrams_s`.
+    pub bytes_s: f64,
+    /// Datagrams from nobody, and those that went to their source.
+    pub astray: (u64, u64),
+    /// Calls that were made, and those that were served.
+    pub calls: (u64, u64),
+    /// Of the five rules, those that were kept, and what broke the others.
+    pub rules_kept: usize,
+    /// See `rules_kept`.
+    pub broken: Vec<String>,
+}
+
+impl Report {
+    /// What must not be, in words.
+    pub fn wrong(&self) -> Vec<String> {
+        let mut wrong = self.broken.clone();
+        for (i, came) in self.came.iter().enumerate() {
+            wrong.extend(came.miscounts.iter().map(|m| format!("episode {i}: {m}")));
+            if came.false_deaths > 0 {
+                wrong.push(format!("episode {i}: {} false deaths under {:?}", came.false_deaths, came.fault));
+            }
+        }
+        if self.astray.1 > 0 {
+            wrong.push(format!("{} datagrams were answers to their source", self.astray.1));
+        }
+        wrong
+    }
+}
+
+/// A load on nodes whose processes the plan leaves alone.
+struct Load {
+    over: Arc<AtomicBool>,
+    made: Arc<AtomicU64>,
+    served: Arc<AtomicU64>,
+    at_work: Arc<()>,
+}
+
+impl Load {
+    fn begin(cluster: &Cluster, nodes: impl Iterator<Item = usize>) -> Load {
+        let load = Load {
+            over: Arc::default(),
+            made: Arc::default(),
+            served: Arc::default(),
+            at_work: Arc::new(()),
+        };
+        let world: WorldRef = cluster.world().clone();
+        for node in nodes {
+            let Some(door) = cluster.process(node).map(|p| p.door) else { continue };
+            let (world, log) = (world.clone(), cluster.log().clone());
+            let (over, made, served) = (load.over.clone(), load.made.clone(), load.served.clone());
+            let place = load.at_work.clone();
+            world.clone().run(async move {
+                let mut client: Option<Client> = None;
+                while !over.load(Ordering::SeqCst) {
+                    if client.as_ref().is_none_or(|c| !c.usable()) {
+                        client = Client::connect(&world, &log, door).await.ok();
+                    }
+                    if let Some(client) = &client {
+                        let call = made.fetch_add(1, Ordering::SeqCst) + 1;
+                        let end = client.ask(&ask(node, call)).await;
+                        served.fetch_add(u64::from(end.how == Heard::Served), Ordering::SeqCst);
+                    }
+                    world.sleep(PAUSE).await;
+                }
+                drop(place);
+            });
+        }
+        load
+    }
+    fn end(&self, cluster: &Cluster) {
+        self.over.store(true, Ordering::SeqCst);
+        while Arc::strong_count(&self.at_work) > 1 {
+            cluster.rest(10_000);
+        }
+    }
+}
+
+fn ask(node: usize, call: u64) -> Ask {
+    Ask {
+        request: GenerateRequest {
+            prompt: (0..80).map(|t| t ^ ((call as u32) << 8)).collect(),
+            max_output_tokens: 6,
+            session: format!("s{}", call / 3),
+            call_id: call,
+            ..GenerateRequest::default()
+        },
+        operation: call,
+        effect: Effect::Safe,
+        node,
+        habit: Habit { patience: PATIENCE, ..Habit::default() },
+    }
+}
+
+/// Plays a plan to its end.
+///
+/// # Errors
+/// When views do not come to agree, or a process does not start.
+pub fn play(cluster: &mut Cluster, plan: &Plan, mut told: impl FnMut(&Came)) -> Result<Report, ClusterError> {
+    let began = cluster.world().now();
+    let joined = cluster.until_agreed(MOST_HEALING)?;
+    let touched: BTreeSet<usize> = plan.episodes.iter().flat_map(|e| e.fault.processes()).collect();
+    let load = Load::begin(cluster, (0..plan.nodes).filter(|n| !touched.contains(n)));
+    let mut came = Vec::new();
+    for episode in &plan.episodes {
+        let one = one(cluster, &episode.fault, episode.lasts_ms)?;
+        told(&one);
+        came.push(one);
+    }
+    load.end(cluster);
+    // What engines keep for a while is let go by then, or pinned.
+    cluster.rest(1_000_000);
+    let seconds = (cluster.world().now() - began) as f64 / 1e6;
+    let (datagrams, bytes) = cluster.links().total();
+    let a_node = seconds * plan.nodes as f64;
+    let audit = cluster.audit();
+    Ok(Report {
+        plan: plan.clone(),
+        came,
+        joined_ms: joined / 1_000,
+        datagrams_s: datagrams as f64 / a_node,
+        bytes_s: bytes as f64 / a_node,
+        astray: cluster.links().astray(),
+        calls: (load.made.load(Ordering::SeqCst), load.served.load(Ordering::SeqCst)),
+        rules_kept: audit.kept(),
+        broken: audit.broken(),
+    })
+}
+
+/// Deaths that nodes logged of those whose processes are there.
+fn deaths(cluster: &Cluster, of: &BTreeSet<usize>) -> usize {
+    let running = cluster.running();
+    let named = |n: &usize| format!("{:016x}", id(*n));
+    let names: Vec<String> = of.iter().map(named).collect();
+    let said = |node: &usize| {
+        let process = cluster.process(*node);
+        let of_one = |name: &String| {
+            process.map_or(0, |p| {
+                p.said(&["a peer changed", &format!("\"peer\":\"{name}\""), "\"is\":\"dead\""])
+            })
+        };
+        names.iter().map(of_one).sum::<usize>()
+    };
+    running.iter().map(said).sum()
+}
+
+fn one(cluster: &mut Cluster, fault: &Trouble, lasts_ms: u64) -> Result<Came, ClusterError> {
+    let all: Vec<usize> = (0..cluster.size.nodes).collect();
+    let hit: BTreeSet<usize> = fault.processes().into_iter().collect();
+    let spared: BTreeSet<usize> = match fault {
+        // Those that only stop for a moment are to be borne as well.
+        Trouble::Stop(_) => all.iter().copied().collect(),
+        _ => all.iter().copied().filter(|n| !hit.contains(n)).collect(),
+    };
+    let before = deaths(cluster, &spared);
+    let links = cluster.links().clone();
+    let node = |n: usize| End::Node(n);
+    let cut = Fault { cut: true, ..Fault::default() };
+    let mut known_ms = None;
+    let mut miscounts = Vec::new();
+    match fault {
+        Trouble::Kill(nodes) => {
+            nodes.iter().for_each(|n| cluster.kill(*n));
+            known_ms = Some(cluster.until_agreed(MOST_HEALING)? / 1_000);
+        }
+        Trouble::Roll(nodes) => {
+            for n in nodes {
+                if !cluster.end(*n) {
+                    miscounts.push(format!("node {n} did not end well"));
+                }
+                cluster.begin(*n)?;
+            }
+        }
+        Trouble::Stop(nodes) => nodes.iter().for_each(|n| cluster.stop(*n, true)),
+        Trouble::Split(groups) => {
+            for (i, some) in groups.iter().enumerate() {
+                groups[i + 1..].iter().for_each(|others| links.part(some, others));
+            }
+        }
+        Trouble::Mute(nodes) | Trouble::Deaf(nodes) => {
+            let mute = matches!(fault, Trouble::Mute(_));
+            for (n, other) in nodes.iter().flat_map(|n| all.iter().map(move |o| (*n, *o))) {
+                let (from, to) = if mute { (n, other) } else { (other, n) };
+                links.set(node(from), node(to), cut);
+            }
+        }
+        Trouble::Link(from, to) | Trouble::Flap(from, to, _) => links.set(node(*from), node(*to), cut),
+        Trouble::Everywhere(fault) => links.everywhere(*fault),
+        Trouble::Around(n, fault) => {
+            for other in &all {
+                links.set(node(*n), node(*other), *fault);
+                links.set(node(*other), node(*n), *fault);
+            }
+        }
+        Trouble::NoStore(nodes) => {
+            for n in nodes {
+                links.set(node(*n), End::Store, cut);
+                links.set(End::Store, node(*n), cut);
+            }
+        }
+    }
+    let began = cluster.world().now();
+    let (mut on, mut turned) = (true, began);
+    while cluster.world().now() < began + lasts_ms * 1_000 {
+        let now = cluster.world().now();
+        if let Trouble::Flap(from, to, each) = fault {
+            if now >= turned + each * 1_000 {
+                (on, turned) = (!on, now);
+                links.set(node(*from), node(*to), Fault { cut: on, ..Fault::default() });
+            }
+        }
+        // Counts hold at every moment, not only where all is well.
+        let views = cluster.views();
+        miscounts.extend(cluster.miscounts(&views));
+        cluster.rest(20_000);
+    }
+    links.mend();
+    for n in &hit {
+        match fault {
+            Trouble::Kill(_) => cluster.begin(*n)?,
+            Trouble::Stop(_) => cluster.stop(*n, false),
+            _ => {}
+        }
+    }
+    let agreed = cluster.until_agreed(MOST_HEALING)?;
+    let views = cluster.views();
+    miscounts.extend(cluster.miscounts(&views));
+    miscounts.dedup();
+    miscounts.truncate(8);
+    let false_deaths = match fault.bears(lasts_ms) {
+        true => deaths(cluster, &spared).saturating_sub(before),
+        false => 0,
+    };
+    Ok(Came {
+        fault: fault.clone(),
+        lasted_ms: lasts_ms,
+        agreed_ms: agreed / 1_000,
+        known_ms,
+        false_deaths,
+        miscounts,
+    })
+}
--- a/crates/ivyward-lab/src/lib.rs
+++ b/crates/ivyward-lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`load`]: sessions and their turns.
 //! - [`badday`]: plays a plan under a load and reports.
 //! - [`byhand`]: a fleet to try a daemon with, and one request.
+//! - [`cluster`]: daemons as processes, a relay on each directed link, faults between them.
 //! - [`drains`]: how soon a node follows a notice, and what a change costs.
 //! - [`enlist`]: writes engines' records into etcd.
 //! - [`peernet`]: many peers on a network of datagrams in virtual time, and what is measured there.
@@ -12,6 +13,7 @@
 
 pub mod badday;
 pub mod byhand;
+pub mod cluster;
 pub mod drains;
 pub mod enlist;
 pub mod load;
--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -3,6 +3,7 @@
 use clap::{Parser, Subcommand};
 use ivyward_lab::badday::{self, Day};
 use ivyward_lab::byhand;
+use ivyward_lab::cluster;
 use ivyward_lab::drains;
 use ivyward_lab::enlist;
 use ivyward_lab::peernet;
@@ -121,6 +122,33 @@
         #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=600))]
         minutes: u64,
     },
+    /// Plays a plan of faults on daemons as processes, with a relay on each directed link, and says what came of it.
+    Cluster {
+        /// The daemon's program.
+        #[arg(long, value_name = "PATH")]
+        daemon: PathBuf,
+        /// Draws the plan.
+        #[arg(long, env = "IVYWARD_LAB_SEED", default_value_t = 1)]
+        seed: u64,
+        /// Node processes.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(2..=300))]
+        nodes: u64,
+        /// Stand-in engines.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(0..=32))]
+        engines: u64,
+        /// Episodes of the plan.
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u64).range(0..=1_000))]
+        episodes: u64,
+        /// Plays this plan instead of a drawn one; nodes and seed are its own.
+        #[arg(long, value_name = "FILE")]
+        plan: Option<PathBuf>,
+        /// Nodes learn of each other and of engines by a store.
+        #[arg(long)]
+        store: bool,
+        /// Keeps the plan and what came of it in this file.
+        #[arg(long, value_name = "FILE")]
+        keep: Option<PathBuf>,
+    },
     /// Plays scenes in a virtual world, one a seed, under faults drawn from it, and checks the rules.
     Seeds {
         /// The first seed.
@@ -276,6 +304,53 @@
     prefix: String,
 }
 
+/// Plays a plan on processes. A line for each episode, and the whole as JSON where it is kept.
+fn play_cluster(
+    mut size: cluster::Size,
+    episodes: usize,
+    file: Option<PathBuf>,
+    keep: Option<PathBuf>,
+) -> Result<ExitCode, String> {
+    use cluster::plan::Plan;
+    let plan = match file {
+        Some(path) => {
+            let text =
+                std::fs::read_to_string(&path).map_err(|e| format!("--plan {}: {e}", path.display()))?;
+            Plan::read(&text).map_err(|e| format!("--plan {}: {e}", path.display()))?
+        }
+        None => Plan::draw(size.seed, size.nodes, episodes),
+    };
+    (size.nodes, size.seed) = (plan.nodes, plan.seed);
+    println!("{}", serde_json::to_string(&plan).unwrap_or_default());
+    let mut rig = cluster::Cluster::start(size).map_err(|e| e.to_string())?;
+    println!(
+        "| fault | lasted, ms | all agree after, ms | kill known to all, ms | false deaths | miscounts |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    let told = |came: &cluster::play::Came| {
+        let fault = serde_json::to_string(&came.fault).unwrap_or_default();
+        let known = came.known_ms.map_or("-".into(), |ms| ms.to_string());
+        let (lasted, agreed) = (came.lasted_ms, came.agreed_ms);
+        println!(
+            "| {fault} | {lasted} | {agreed} | {known} | {} | {} |",
+            came.false_deaths,
+            came.miscounts.len()
+        );
+    };
+    let report = cluster::play::play(&mut rig, &plan, told).map_err(|e| e.to_string())?;
+    println!(
+        "joined after {} ms; {:.1} datagrams and {:.0} bytes a second a node; {} of {} calls served; {} of 5 rules kept",
+        report.joined_ms, report.datagrams_s, report.bytes_s, report.calls.1, report.calls.0, report.rules_kept
+    );
+    let wrong = report.wrong();
+    wrong.iter().for_each(|w| println!("wrong: {w}"));
+    if let Some(path) = keep {
+        let text = serde_json::to_string_pretty(&report).unwrap_or_default();
+        std::fs::write(&path, text).map_err(|e| format!("--keep {}: {e}", path.display()))?;
+    }
+    Ok(if wrong.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 fn main() -> ExitCode {
     let result = match Flags::parse().what {
         What::BadDay {
@@ -336,6 +411,19 @@
             }
             Ok(ExitCode::SUCCESS)
         }
+        What::Cluster { daemon, seed, nodes, engines, episodes, plan, store, keep } => {
+            let size = cluster::Size {
+                nodes: nodes as usize,
+                engines: engines as usize,
+                store,
+                seeds: if store { 0 } else { 2 },
+                death_after: 2_400_000,
+                lease: 5,
+                daemon,
+                seed,
+            };
+            play_cluster(size, episodes as usize, plan, keep)
+        }
         What::Seeds { from, count, jobs, faults, rough } => {
             let size = Size { faults: faults as usize, rough, ..Size::default() };
             Ok(play_seeds(from, count, jobs, &size))
