Peers: a wrong doubt is answered at once, relays are those who are heard

Seen in a scene where one node hears only four of fifteen others: it took one of them for dead, for the word of those four reached it by lot and the relays that it asked could not answer it. Who knows better than a doubt tells the doubter at once, in a message of its own; relays are taken from those who are heard.

--- a/crates/ivyward-core/src/peers/gossip.rs
+++ b/crates/ivyward-core/src/peers/gossip.rs
@@ -165,12 +165,6 @@
         self.remove(id);
         self.put(0, id);
     }
-    /// The same, unless it is being passed on already.
-    pub(super) fn keep(&mut self, id: PeerId) {
-        if !self.at.contains_key(&id) {
-            self.put(0, id);
-        }
-    }
     /// The same for what is in no haste, and found by comparing pages where it is missed.
     pub(super) fn add_quietly(&mut self, id: PeerId) {
         self.remove(id);
--- a/crates/ivyward-core/src/peers/mod.rs
+++ b/crates/ivyward-core/src/peers/mod.rs
@@ -45,6 +45,8 @@
 const LAST_ASKED: usize = 64;
 /// And so often it asks at least, with time for an answer to each but the last.
 const LAST_ASKS: u8 = 5;
+/// A node that doubts wrongly is told so of so many at once.
+const TOLD_BETTER: usize = 4;
 /// An answer to so many of the last questions to them is known for one.
 const CALLS: usize = 64;
 /// A node that hears nobody waits so many times as long before it takes others for dead.
@@ -347,12 +349,12 @@
             }
             Body::Page { claims, next, last } => {
                 self.on_page(now, from.address, next, last, out);
-                claims.into_iter().for_each(|claim| self.on_claim(now, from, claim, out));
+                self.on_claims(now, from, claims, out);
             }
             Body::Leave => self.left(from, out),
             Body::Gossip => {}
         }
-        claims.into_iter().for_each(|claim| self.on_claim(now, from, claim, out));
+        self.on_claims(now, from, claims, out);
     }
 
     fn on_ack(&mut self, now: Micros, seq: u64, of: PeerId, out: &mut Vec<Out>) {
@@ -383,7 +385,28 @@
         }
     }
 
-    fn on_claim(&mut self, now: Micros, from: Card, claim: Claim, out: &mut Vec<Out>) {
+    fn on_claims(&mut self, now: Micros, from: Card, claims: Vec<Claim>, out: &mut Vec<Out>) {
+        let better: Vec<PeerId> =
+            claims.into_iter().filter_map(|claim| self.on_claim(now, from, claim, out)).collect();
+        if better.is_empty() {
+            return;
+        }
+        // Who doubts is told at once, not when it comes up by lot: it may hear few, and has little time.
+        let known =
+            better.into_iter().take(TOLD_BETTER).filter_map(|id| self.members.get(id)).map(|p| p.claim(now));
+        let known: Vec<Claim> = known.collect();
+        let message = Message {
+            from: self.me,
+            beat: self.beat(now),
+            view: self.view(),
+            body: Body::Gossip,
+            claims: known,
+        };
+        out.push(Out::Send { to: from.address, message });
+    }
+
+    /// Of whom more is known here than the sender knows, if it doubts somebody wrongly.
+    fn on_claim(&mut self, now: Micros, from: Card, claim: Claim, out: &mut Vec<Out>) -> Option<PeerId> {
         let id = claim.card.id;
         if id == self.me.id {
             self.hear_of_me(now, claim.card.start);
@@ -391,8 +414,9 @@
                 // Somebody cannot hear me: my own word is passed on, and I look at myself first.
                 self.rumours.add(id);
                 self.strain = (self.strain + 1).min(MOST_STRAIN);
+                return Some(id);
             }
-            return;
+            return None;
         }
         if self.members.get(id).is_some_and(|p| p.says(&claim)) {
             let doubt = matches!(claim.about, About::Silent { .. });
@@ -414,7 +438,7 @@
                 if known.is_some_and(|p| p.card.start > claim.card.start || p.learned > asked) {
                     // A refutation that is kept to oneself leaves the others with their doubt.
                     if !planted::is(Defect::RefutationKept) {
-                        self.rumours.keep(id);
+                        return Some(id);
                     }
                 } else if self.learn(now, claim, By::Other(from.id), out) {
                     self.doubt(now, id, asked, out);
@@ -429,6 +453,7 @@
                 }
             }
         }
+        None
     }
 
     /// Whether the evidence counts (it need not be news).
@@ -604,8 +629,13 @@
                 continue;
             };
             if !probe.relayed && since >= wait {
-                let others: Vec<SocketAddr> =
-                    self.members.here().filter(|p| p.card.id != probe.of).map(|p| p.card.address).collect();
+                // Rather those who are heard here: another's answer would not come back.
+                let here = || self.members.here().filter(|p| p.card.id != probe.of);
+                let heard = here().filter(|p| p.standing == Standing::Alive && !p.unheard);
+                let mut others: Vec<SocketAddr> = heard.map(|p| p.card.address).collect();
+                if others.len() < self.settings.relays {
+                    others = here().map(|p| p.card.address).collect();
+                }
                 let mut asked = 0;
                 for _ in 0..self.settings.relays.min(others.len()) {
                     let to = others[self.lot(others.len())];
@@ -646,7 +676,10 @@
         let (most, from) = (self.settings.death_after * times, self.woke.max(from));
         // A doubt that comes late, from one that waits long, is known here for a while before it counts.
         let healthy = self.healthy();
-        let notice = self.settings.notice.min(self.settings.death_after / 2);
+        let notice = match planted::is(Defect::NeverDoubtsItself) {
+            true => 0,
+            false => self.settings.notice.min(self.settings.death_after / 2),
+        };
         let silent = |p: &&Peer| {
             let since = p.asked.max(p.learned).max(from);
             p.standing == Standing::Suspected
@@ -728,12 +761,13 @@
         now: Micros,
         to: SocketAddr,
         body: Body,
-        extra: Option<Claim>,
+        extra: impl IntoIterator<Item = Claim>,
         out: &mut Vec<Out>,
     ) {
+        let extra: Vec<Claim> = extra.into_iter().collect();
         let taken = if let Body::Page { claims, .. } = &body { claims.len() } else { 0 };
-        let room = MOST_CLAIMS - taken - usize::from(extra.is_some());
-        let beat = now.saturating_sub(self.began) / 1_000;
+        let room = (MOST_CLAIMS - taken).saturating_sub(extra.len());
+        let beat = self.beat(now);
         let view = self.view();
         let (me, members) = (self.me, &self.members);
         let of = |id: PeerId| match id == me.id {
@@ -745,6 +779,11 @@
         out.push(Out::Send { to, message: Message { from: me, beat, view, body, claims } });
     }
 
+    /// This node's uptime in milliseconds.
+    fn beat(&self, now: Micros) -> u64 {
+        now.saturating_sub(self.began) / 1_000
+    }
+
     /// A digest of the nodes that may be here, this one among them; never 0.
     fn view(&mut self) -> u32 {
         let me = view::mark(&self.me);
