Whole scenes with peers; a view is whole by who is sure of it

Whole scenes of the virtual world play nodes that know each other (--peers): each announces a forwarder's address, links between nodes are cut, datagrams lost and repeated; counts are checked as the scene goes on, views at its end, and that nothing is answered to where a datagram seemed to come from.

Nodes that start together took each other's few for the whole view, and let go of the owner's number.

--- a/crates/ivyward-core/src/peers/gossip.rs
+++ b/crates/ivyward-core/src/peers/gossip.rs
@@ -90,6 +90,8 @@
         next: Option<PeerId>,
         /// The whole was wanted, and this was the end of it.
         last: bool,
+        /// The sender's own view is whole.
+        sure: bool,
     },
     /// The sender leaves.
     Leave,
--- a/crates/ivyward-core/src/peers/mod.rs
+++ b/crates/ivyward-core/src/peers/mod.rs
@@ -70,6 +70,8 @@
     pub ack_after: Micros,
     /// How many are asked.
     pub relays: usize,
+    /// Nodes that started together take what they know for all after this, if the owner said a higher number.
+    pub settle: Micros,
     /// A silence is told to others after this.
     pub doubt_after: Micros,
     /// Silence towards everybody that is a death.
@@ -99,6 +101,7 @@
             period: 125_000,
             ack_after: 80_000,
             relays: 3,
+            settle: 60_000_000,
             doubt_after: 900_000,
             death_after: 2_400_000,
             notice: 1_000_000,
@@ -171,6 +174,8 @@
     /// Nodes that may be sending where a view was not seen whole.
     floor: u32,
     whole: bool,
+    /// Somebody's whole view was taken in, whether that one was sure of it or not.
+    joined: bool,
     /// A whole view that is being taken in.
     paging: Option<Paging>,
     paged: Micros,
@@ -214,6 +219,7 @@
             superseded: false,
             floor: 1,
             whole: false,
+            joined: false,
             paging: None,
             paged: now,
             same: now,
@@ -255,7 +261,7 @@
     pub fn me(&self) -> Card {
         self.me
     }
-    /// Whether somebody's whole view was taken in.
+    /// Whether the view is whole, and its count therefore good.
     pub fn joined(&self) -> bool {
         self.whole
     }
@@ -345,10 +351,11 @@
             Body::Ask { after, whole } => {
                 let (page, next) = self.page(now, after);
                 let (next, last) = (next.filter(|_| whole), whole && next.is_none());
-                self.send(now, from.address, Body::Page { claims: page, next, last }, out);
+                let body = Body::Page { claims: page, next, last, sure: self.whole };
+                self.send(now, from.address, body, out);
             }
-            Body::Page { claims, next, last } => {
-                self.on_page(now, from.address, next, last, out);
+            Body::Page { claims, next, last, sure } => {
+                self.on_page(now, from.address, next, (last, sure), out);
                 self.on_claims(now, from, claims, out);
             }
             Body::Leave => self.left(from, out),
@@ -509,10 +516,18 @@
         }
     }
 
-    fn on_page(&mut self, now: Micros, by: SocketAddr, next: Option<PeerId>, last: bool, out: &mut Vec<Out>) {
+    fn on_page(
+        &mut self,
+        now: Micros,
+        by: SocketAddr,
+        next: Option<PeerId>,
+        (last, sure): (bool, bool),
+        out: &mut Vec<Out>,
+    ) {
         let Some(paging) = self.paging.as_mut().filter(|p| p.from == by) else { return };
         if last {
-            (self.whole, self.paging, self.paged) = (true, None, now);
+            (self.paging, self.paged, self.joined) = (None, now, true);
+            self.whole |= sure;
         } else if next.is_some() && next > paging.after {
             (paging.after, paging.asked) = (next, now);
             self.send(now, by, Body::Ask { after: next, whole: true }, out);
@@ -526,6 +541,17 @@
         if let Some(from) = self.differs.filter(|_| now >= self.same.max(self.paged) + DIFFER) {
             self.take_whole(now, from, out);
         }
+        // Guards against nodes that start together taking each other's few for all: whole is what comes from one that is
+        // sure, or as many as the owner said, or what there is after a while.
+        if !self.whole && self.joined {
+            let known = 1 + self.members.len() as u32;
+            self.whole = known >= self.floor || now >= self.began + self.settings.settle;
+        }
+        if !self.whole && self.paging.is_none() && now >= self.paged + DIFFER {
+            if let Some(to) = self.some_peer() {
+                self.take_whole(now, to, out);
+            }
+        }
         if self.paging.as_ref().is_none_or(|p| now < p.asked + self.wait().max(PAGE_WAIT)) {
             return;
         }
--- a/crates/ivyward-lab/src/lib.rs
+++ b/crates/ivyward-lab/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`drains`]: how soon a node follows a notice, and what a change costs.
 //! - [`enlist`]: writes engines' records into etcd.
 //! - [`peernet`]: many peers on a network of datagrams in virtual time, and what is measured there.
+//! - [`peerscene`]: peers in the whole scenes of `seeds`.
 //! - [`relay`]: what a node adds to a stream.
 
 pub mod badday;
@@ -18,6 +19,7 @@
 pub mod enlist;
 pub mod load;
 pub mod peernet;
+pub mod peerscene;
 pub mod plan;
 pub mod relay;
 pub mod scene;
--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -169,6 +169,9 @@
         /// How rough they are: spans, shares and slowness grow with it.
         #[arg(long, default_value_t = 1.0, value_parser = rough)]
         rough: f64,
+        /// Nodes know each other, with faults between them.
+        #[arg(long)]
+        peers: bool,
     },
     /// Plays one seed, prints its plan and what came of it.
     Seed {
@@ -180,6 +183,9 @@
         /// How rough they are, as the seed was played.
         #[arg(long, default_value_t = 1.0, value_parser = rough)]
         rough: f64,
+        /// Nodes know each other, with faults between them.
+        #[arg(long)]
+        peers: bool,
         /// Cuts a plan under which something is wrong down to the faults that it takes.
         #[arg(long)]
         shrink: bool,
@@ -354,6 +360,15 @@
     Ok(if wrong.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Nodes of a scene: more where they know each other.
+fn nodes(peers: bool) -> usize {
+    if peers {
+        4
+    } else {
+        Size::default().nodes
+    }
+}
+
 fn main() -> ExitCode {
     let result = match Flags::parse().what {
         What::BadDay {
@@ -429,12 +444,12 @@
             };
             play_cluster(size, episodes as usize, plan, keep)
         }
-        What::Seeds { from, count, jobs, faults, rough } => {
-            let size = Size { faults: faults as usize, rough, ..Size::default() };
+        What::Seeds { from, count, jobs, faults, rough, peers } => {
+            let size = Size { faults: faults as usize, rough, peers, nodes: nodes(peers), ..Size::default() };
             Ok(play_seeds(from, count, jobs, &size))
         }
-        What::Seed { seed, faults, rough, shrink, keep, trace } => {
-            let size = Size { faults: faults as usize, rough, ..Size::default() };
+        What::Seed { seed, faults, rough, peers, shrink, keep, trace } => {
+            let size = Size { faults: faults as usize, rough, peers, nodes: nodes(peers), ..Size::default() };
             play_seed(seed, &size, shrink, keep, trace)
         }
         #[cfg(planted)]
@@ -585,9 +600,12 @@
     let jobs = if jobs > 0 { jobs } else { std::thread::available_parallelism().map_or(1, |n| n.get()) };
     let mut all = true;
     println!("| defect | seeds | found by |\n| --- | --- | --- |");
-    for defect in ivyward_core::planted::ALL {
+    let with_peers = Size { peers: true, nodes: nodes(true), ..Size::default() };
+    let usual = ivyward_core::planted::ALL.map(|d| (d, Size::default()));
+    let peers = ivyward_core::planted::PEERS.map(|d| (d, with_peers));
+    for (defect, size) in usual.into_iter().chain(peers) {
         ivyward_core::planted::plant(Some(defect));
-        let found = seeds::first_wrong(1, count, jobs, &Size::default());
+        let found = seeds::first_wrong(1, count, jobs, &size);
         all &= found.is_some();
         match found {
             Some((seed, line)) => println!("| {defect:?} | {seed} | {line} |"),
--- /dev/null
+++ b/crates/ivyward-lab/src/peerscene.rs
@@ -0,0 +1,90 @@
+//! Peers in whole scenes of the virtual world: each node announces the address of a forwarder, and views and counts are
+//! checked as the scene goes on.
+
+use ivyward::core::peers::Standing;
+use ivyward::{Node, PeerOptions, PeersHandle};
+use ivyward_world::{Datagrams, WorldExt, WorldRef, MOST_DATAGRAM};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+/// Where nodes announce themselves and where they really are.
+#[derive(Default)]
+pub struct Addresses {
+    announced: Vec<SocketAddr>,
+    real: Vec<SocketAddr>,
+    /// Datagrams that a node sent to its own forwarder: answers that went to where a datagram seemed to come from.
+    pub astray: Arc<AtomicU64>,
+}
+
+impl Addresses {
+    /// Opens a forwarder for each node, in a world of their own.
+    ///
+    /// # Errors
+    /// When a port cannot be taken.
+    pub fn open(world: &WorldRef, nodes: usize) -> std::io::Result<Addresses> {
+        let mut addresses = Addresses::default();
+        for node in 0..nodes {
+            let door = world.datagrams(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+            let real = SocketAddr::from(([127, 0, 0, 1], 10_000 + node as u16));
+            addresses.announced.push(door.address());
+            addresses.real.push(real);
+            let (as_ref, astray) = (world.clone(), addresses.astray.clone());
+            world.run(async move { forward(&as_ref, door, real, &astray).await });
+        }
+        Ok(addresses)
+    }
+
+    /// A node begins to know the others.
+    ///
+    /// # Errors
+    /// What the node says.
+    pub fn begin(&self, node: &Node, i: usize) -> Result<PeersHandle, String> {
+        let peers = self.announced.iter().copied().filter(|a| *a != self.announced[i]).collect();
+        let options = PeerOptions {
+            announce: Some(self.announced[i]),
+            peers,
+            name: Some(i.to_string()),
+            ..PeerOptions::at(self.real[i])
+        };
+        node.peers(options).map_err(|e| e.to_string())
+    }
+}
+
+async fn forward(world: &WorldRef, mut door: Box<dyn Datagrams>, to: SocketAddr, astray: &AtomicU64) {
+    let mut bytes = [0u8; MOST_DATAGRAM + 1];
+    loop {
+        match door.receive(&mut bytes).await {
+            Ok((_, from)) if from == to => drop(astray.fetch_add(1, Ordering::SeqCst)),
+            Ok((got, _)) => {
+                let _ = door.send(&bytes[..got], to);
+            }
+            Err(_) => world.sleep(1_000).await,
+        }
+    }
+}
+
+/// What is wrong with the views of these nodes: each is to know all others alive, and to count them.
+pub fn disagreements(nodes: &[Option<Node>]) -> Vec<String> {
+    let mut wrong = Vec::new();
+    let all = nodes.len() as u32;
+    for (i, node) in nodes.iter().enumerate() {
+        let Some(peers) = node.as_ref().and_then(Node::known_peers) else { continue };
+        let (alive, count) = peers.look(|p| {
+            let alive = p.peers().filter(|peer| peer.standing == Standing::Alive).count() as u32;
+            (alive + 1, p.count())
+        });
+        if (alive, count) != (all, all) {
+            wrong.push(format!("node {i} takes {alive} of {all} nodes for alive and counts {count}"));
+        }
+    }
+    wrong
+}
+
+/// Counts below the number of nodes that are there, each of which may be sending.
+pub fn miscounts(nodes: &[Option<Node>]) -> Option<String> {
+    let there = nodes.iter().flatten().count() as u32;
+    let counts = nodes.iter().enumerate().filter_map(|(i, node)| Some((i, node.as_ref()?.known_peers()?)));
+    let mut low = counts.map(|(i, peers)| (i, peers.look(|p| p.count()))).filter(|c| c.1 < there);
+    low.next().map(|(i, count)| format!("node {i} counts {count} of {there} nodes that may be sending"))
+}
--- a/crates/ivyward-lab/src/seeds.rs
+++ b/crates/ivyward-lab/src/seeds.rs
@@ -4,6 +4,7 @@
 //! The nodes' and the stand-ins' code is the same as on sockets; only their world differs.
 
 use crate::enlist;
+use crate::peerscene::{disagreements, miscounts, Addresses};
 use crate::scene::{classes, fleet, limits, notices, seen_effect, settings, Memory};
 use futures_lite::future::or;
 use ivyward::core::interface::{Action, Condition, Event, ListKind, Micros, ServerEntry};
@@ -109,6 +110,18 @@
     StoreCompacts,
     /// What watches tell is late, for one node more than for the others.
     StoreLags,
+    /// The way from one node to another's datagrams is cut, or to all of them and back.
+    PeerCut {
+        /// Whose.
+        from: usize,
+        /// To whom; all if it is the same.
+        to: usize,
+    },
+    /// Datagrams are lost, repeated and overtake one another.
+    PeersRough {
+        /// How many are lost.
+        lose: f64,
+    },
 }
 
 /// One fault of a plan.
@@ -147,13 +160,15 @@
     pub requests: usize,
     /// Faults.
     pub faults: usize,
+    /// Nodes know each other, and faults are between them as well.
+    pub peers: bool,
     /// How rough they are: spans, shares and slowness grow with it. 1 as a scene is by itself.
     pub rough: f64,
 }
 
 impl Default for Size {
     fn default() -> Size {
-        Size { racks: 2, nodes: 2, requests: 60, faults: 8, rough: 1.0 }
+        Size { racks: 2, nodes: 2, requests: 60, faults: 8, peers: false, rough: 1.0 }
     }
 }
 
@@ -181,6 +196,8 @@
 const LAST_PATIENCE: Micros = 5_000_000;
 /// When all is over and everything had this time, what each node tries it reaches.
 const QUIET: Micros = 3_000_000;
+/// And so much longer views may take to agree.
+const PEERS_AGREE: Micros = 10_000_000;
 /// Leases of engines that register themselves, in seconds.
 const LEASE: i64 = 1;
 
@@ -194,7 +211,7 @@
         let engine = random.random_range(0..engines);
         let node = random.random_range(0..size.nodes);
         let rough = size.rough.max(0.1);
-        let fault = match random.random_range(0..20) {
+        let fault = match random.random_range(0..if size.peers { 26 } else { 20 }) {
             0 | 1 => Fault::Die { engine, word: random.random_bool(0.6) },
             2 | 3 => Fault::Drain { engine },
             4 => Fault::Leave { engine },
@@ -212,6 +229,9 @@
                 let how = random.random_range(0..TWISTS.len());
                 Fault::Odd { engine, share: random.random_range(0.05..(0.5 * rough).min(0.95)), how }
             }
+            20 | 21 => Fault::NodeKill { node },
+            22 | 23 => Fault::PeerCut { from: node, to: random.random_range(0..size.nodes) },
+            24 | 25 => Fault::PeersRough { lose: random.random_range(0.0..(0.3 * rough).min(0.9)) },
             // Those with even numbers register themselves.
             _ => Fault::Lone { engine: engine & !1 },
         };
@@ -220,7 +240,7 @@
         last = at;
         let (longest, ever) = match fault {
             Fault::Cut { .. } => LONGEST_CUT,
-            Fault::Lone { .. } => LONGEST_LONE,
+            Fault::Lone { .. } | Fault::PeerCut { .. } => LONGEST_LONE,
             _ => LONGEST,
         };
         let most = ((longest as f64 * rough) as Micros).clamp(30_000, ever);
@@ -339,6 +359,8 @@
 }
 
 struct Stage {
+    /// If nodes know each other: where, and the forwarders' process.
+    addresses: Option<(Addresses, HostId)>,
     sim: Sim,
     hosts: Arc<Hosts>,
     log: Log,
@@ -387,6 +409,9 @@
         let record = Memory::default();
         let node = Node::start(world.clone(), settings, Some(Box::new(record.clone())));
         let node = node.map_err(|e| e.to_string())?;
+        if let Some((addresses, _)) = &self.addresses {
+            addresses.begin(&node, i)?;
+        }
         let mut place = lock(&self.places[i]);
         let listener = world.listen(place.address).map_err(|e| e.to_string())?;
         place.address = listener.address();
@@ -421,6 +446,10 @@
         lock(&self.shown)[i].clear();
     }
 
+    fn nodes(&self) -> Vec<Option<Node>> {
+        (0..self.places.len()).map(|i| self.node(i).map(|n| n.1)).collect()
+    }
+
     fn node(&self, i: usize) -> Option<(HostId, Node)> {
         lock(&self.places[i]).node.clone()
     }
@@ -551,6 +580,24 @@
                 // It cannot fail but for a port that another fault's node has taken again.
                 let _ = self.start_node(node, salt);
             }
+            Fault::PeerCut { from, to } => {
+                let (Some((_, host)), Some((a, _)), Some((b, _))) =
+                    (&self.addresses, self.node(from), self.node(to))
+                else {
+                    return;
+                };
+                // Its datagrams leave towards the forwarders, and come from them.
+                let ways =
+                    if from == to { vec![(a, *host), (*host, a)] } else { vec![(a, *host), (*host, b)] };
+                ways.iter().for_each(|(from, to)| self.sim.cut(*from, *to, true));
+                world.sleep(len).await;
+                ways.iter().for_each(|(from, to)| self.sim.cut(*from, *to, false));
+            }
+            Fault::PeersRough { lose } => {
+                self.sim.net(|n| (n.lose, n.repeat) = (lose, lose / 2.0));
+                world.sleep(len).await;
+                self.sim.net(|n| (n.lose, n.repeat) = (0.0, 0.0));
+            }
             Fault::Pieces => {
                 self.sim.net(|n| (n.pieces, n.jitter) = (0.5, 4_000));
                 world.sleep(len).await;
@@ -596,6 +643,17 @@
     async fn come_back(&self) -> Vec<String> {
         self.world.sleep(QUIET).await;
         let mut wrong = Vec::new();
+        if let Some((addresses, _)) = &self.addresses {
+            let until = self.world.now() + PEERS_AGREE;
+            while !disagreements(&self.nodes()).is_empty() && self.world.now() < until {
+                self.world.sleep(50_000).await;
+            }
+            wrong.extend(disagreements(&self.nodes()));
+            let astray = addresses.astray.load(Ordering::SeqCst);
+            if astray > 0 {
+                wrong.push(format!("{astray} datagrams were answers to where one seemed to come from"));
+            }
+        }
         // Every fault ends with its engine ready again: what a node's module was told last must say so.
         let all: BTreeSet<u64> = self.engines.iter().map(|e| lock(e).0.spec().id).collect();
         for i in 0..self.places.len() {
@@ -879,9 +937,18 @@
         },
         ..base
     };
+    let addresses = match size.peers {
+        false => None,
+        true => {
+            let host = sim.host(seed);
+            let opened = Addresses::open(&host.world(), size.nodes).map_err(|e| e.to_string())?;
+            Some((opened, host.id()))
+        }
+    };
     let free = SocketAddr::from(([127, 0, 0, 1], 0));
     let place = |_| Mutex::new(Place { node: None, address: free, client: None });
     let stage = Arc::new(Stage {
+        addresses,
         sim,
         hosts,
         log: log.clone(),
@@ -960,10 +1027,16 @@
     // And what breaks by time alone.
     {
         let (log, limits, clock) = (log.clone(), limits.clone(), world.clone());
+        let stage = Arc::downgrade(&stage);
         world.run(async move {
             loop {
                 clock.sleep(AUDIT_EVERY).await;
                 let seen = log.all();
+                let low =
+                    stage.upgrade().filter(|s| s.addresses.is_some()).and_then(|s| miscounts(&s.nodes()));
+                if let Some(low) = low {
+                    return note(log.now(), seen.len(), low);
+                }
                 let found = audit_so_far(&seen, &limits, log.now()).broken();
                 if let Some(rule) = found.into_iter().next() {
                     return note(log.now(), seen.len(), rule);
--- a/crates/ivyward-lab/tests/peers.rs
+++ b/crates/ivyward-lab/tests/peers.rs
@@ -373,6 +373,18 @@
     let mut net = Net::new(6, 22, easy());
     net.peers.iter_mut().for_each(|p| p.expect(40));
     net.run(10 * SECOND);
+    assert!(net.peers.iter().all(|p| !p.joined() && p.count() == 40));
+    // A while later it is what there is, and whoever comes then is told so at once.
+    net.run(65 * SECOND);
+    assert!(net.peers.iter().all(|p| p.joined() && p.count() == 6));
+    net.restart(4);
+    net.peers[4].expect(40);
+    net.run(70 * SECOND);
+    assert!(net.peers[4].joined() && net.peers[4].count() == 6);
+    // As many as were said are enough.
+    let mut net = Net::new(6, 23, easy());
+    net.peers.iter_mut().for_each(|p| p.expect(6));
+    net.run(10 * SECOND);
     assert!(net.peers.iter().all(|p| p.joined() && p.count() == 6));
 }
 
--- a/crates/ivyward-lab/tests/seeds.rs
+++ b/crates/ivyward-lab/tests/seeds.rs
@@ -15,6 +15,15 @@
     }
 }
 
+/// Nodes that know each other, with their links among the faulty: views and counts hold beside the rules.
+#[test]
+fn seeds_with_peers_keep_all_rules() {
+    let size = Size { peers: true, nodes: 4, ..Size::default() };
+    let tally = many(1, 200, 4, &size, &|_| {});
+    assert_eq!(tally.wrong, Default::default());
+    assert_eq!(tally.faults.len(), 17, "{:?}", tally.faults);
+}
+
 /// Seeds that once found something, what, and their plans as they were.
 const FOUND: &[(u64, &str, &str)] = &[
     (
--- a/crates/ivyward/src/peers/wire.rs
+++ b/crates/ivyward/src/peers/wire.rs
@@ -150,9 +150,9 @@
         Body::Relay { seq, to } => Out::Relay(pb::Relay { seq: *seq, to: Some(card_out(to)) }),
         Body::Nack { seq } => Out::Nack(*seq),
         Body::Ask { after, whole } => Out::Ask(pb::Ask { after: after.map(|a| a.0), whole: *whole }),
-        Body::Page { claims, next, last } => {
+        Body::Page { claims, next, last, sure } => {
             let claims = claims.iter().map(claim_out).collect();
-            Out::Page(pb::Page { claims, next: next.map(|n| n.0), last: *last })
+            Out::Page(pb::Page { claims, next: next.map(|n| n.0), last: *last, sure: *sure })
         }
         Body::Leave => Out::Leave(true),
         Body::Gossip => Out::Gossip(true),
@@ -176,7 +176,7 @@
         In::Ask(ask) => Body::Ask { after: ask.after.map(PeerId), whole: ask.whole },
         In::Page(page) => {
             let claims = claims_in(page.claims)?;
-            Body::Page { claims, next: page.next.map(PeerId), last: page.last }
+            Body::Page { claims, next: page.next.map(PeerId), last: page.last, sure: page.sure }
         }
         In::Leave(_) => Body::Leave,
         In::Gossip(_) => Body::Gossip,
@@ -204,7 +204,12 @@
     fn the_longest_messages_fit_a_datagram_and_come_back_as_they_were() {
         let seal = Seal::new(Some("a key of the owner"));
         let taken = MOST_CLAIMS - 4;
-        let page = |n: usize| Body::Page { claims: vec![claim(FAR); n], next: Some(PeerId(1)), last: true };
+        let page = |n: usize| Body::Page {
+            claims: vec![claim(FAR); n],
+            next: Some(PeerId(1)),
+            last: true,
+            sure: true,
+        };
         let bodies = [
             (page(taken), 4),
             (Body::Relay { seq: u64::MAX, to: card(FAR) }, MOST_CLAIMS),
@@ -259,7 +264,7 @@
         let good = of(here, ping.clone(), vec![claim(here)]);
         assert_eq!(seal.open(&seal.close(&good), local), Ok(good.clone()));
         assert!(matches!(seal.open(&seal.close(&good), far.parse().unwrap()), Err(Unread::Foreign(_))));
-        let page = Body::Page { claims: vec![claim(far)], next: None, last: false };
+        let page = Body::Page { claims: vec![claim(far)], next: None, last: false, sure: false };
         let bad = [
             of(far, ping.clone(), vec![]),
             of(here, ping, vec![claim(far)]),
