Peers: the last questions go through another too, and its answer is evidence

The last questions before a death also go through somebody who is heard, whose answer carries that it heard the one in doubt.

--- a/crates/ivyward-core/src/peers/mod.rs
+++ b/crates/ivyward-core/src/peers/mod.rs
@@ -175,7 +175,7 @@
     floor: u32,
     whole: bool,
     /// Somebody's whole view was taken in, whether that one was sure of it or not.
-    joined: bool,
+    paged_once: bool,
     /// A whole view that is being taken in.
     paging: Option<Paging>,
     paged: Micros,
@@ -219,7 +219,7 @@
             superseded: false,
             floor: 1,
             whole: false,
-            joined: false,
+            paged_once: false,
             paging: None,
             paged: now,
             same: now,
@@ -367,7 +367,9 @@
     fn on_ack(&mut self, now: Micros, seq: u64, of: PeerId, out: &mut Vec<Out>) {
         if let Some(errand) = self.errands.get(&seq).copied().filter(|e| e.of == of) {
             self.errands.remove(&seq);
-            self.send(now, errand.back, Body::Ack { seq: errand.seq, of }, out);
+            // With the word that it was heard, which is evidence.
+            let heard = self.members.get(of).map(|p| p.claim(now));
+            self.send_with(now, errand.back, Body::Ack { seq: errand.seq, of }, heard, out);
         }
         // Guards against an answer by whoever took over its address ending the question to it.
         if let Some(probe) = self.probes.get(&seq).copied().filter(|p| p.of == of) {
@@ -526,7 +528,7 @@
     ) {
         let Some(paging) = self.paging.as_mut().filter(|p| p.from == by) else { return };
         if last {
-            (self.paging, self.paged, self.joined) = (None, now, true);
+            (self.paging, self.paged, self.paged_once) = (None, now, true);
             self.whole |= sure;
         } else if next.is_some() && next > paging.after {
             (paging.after, paging.asked) = (next, now);
@@ -543,7 +545,7 @@
         }
         // Guards against nodes that start together taking each other's few for all: whole is what comes from one that is
         // sure, or as many as the owner said, or what there is after a while.
-        if !self.whole && self.joined {
+        if !self.whole && self.paged_once {
             let known = 1 + self.members.len() as u32;
             self.whole = known >= self.floor || now >= self.began + self.settings.settle;
         }
@@ -655,13 +657,7 @@
                 continue;
             };
             if !probe.relayed && since >= wait {
-                // Rather those who are heard here: another's answer would not come back.
-                let here = || self.members.here().filter(|p| p.card.id != probe.of);
-                let heard = here().filter(|p| p.standing == Standing::Alive && !p.unheard);
-                let mut others: Vec<SocketAddr> = heard.map(|p| p.card.address).collect();
-                if others.len() < self.settings.relays {
-                    others = here().map(|p| p.card.address).collect();
-                }
+                let others = self.relays(probe.of);
                 let mut asked = 0;
                 for _ in 0..self.settings.relays.min(others.len()) {
                     let to = others[self.lot(others.len())];
@@ -721,10 +717,18 @@
         {
             if last.len() < LAST_ASKED {
                 peer.last_asks = peer.last_asks.saturating_add(1);
-                last.push(peer.card.address);
+                last.push((peer.card, peer.last_asks % 2 == 1));
+            }
+        }
+        for (card, through) in last {
+            self.call_on(now, card.address, out);
+            // Through another as well: its answer may not reach us.
+            let others = if through { self.relays(card.id) } else { Vec::new() };
+            if !others.is_empty() {
+                let (seq, to) = (self.next_seq(), others[self.lot(others.len())]);
+                self.send(now, to, Body::Relay { seq, to: card }, out);
             }
         }
-        last.into_iter().for_each(|to| self.call_on(now, to, out));
         let dead: Vec<PeerId> = self.members.all().filter(silent).map(|p| p.card.id).collect();
         for id in dead {
             self.members.set(id, Standing::Suspected, Standing::Dead, out);
@@ -757,6 +761,17 @@
         }
     }
 
+    /// Who may be asked to probe another: rather those who are heard here, for another's answer would not come back.
+    fn relays(&self, of: PeerId) -> Vec<SocketAddr> {
+        let here = || self.members.here().filter(|p| p.card.id != of);
+        let heard = here().filter(|p| p.standing == Standing::Alive && !p.unheard);
+        let others: Vec<SocketAddr> = heard.map(|p| p.card.address).collect();
+        match others.len() < self.settings.relays {
+            true => here().map(|p| p.card.address).collect(),
+            false => others,
+        }
+    }
+
     /// Looks for one that is dead, and for given addresses at which nobody is known: halves that were apart find each
     /// other again by this.
     fn reach_out(&mut self, now: Micros, out: &mut Vec<Out>) {
