Peers: views compared by who is dead as well, and said to those who are alive

What is new goes to those who are alive and not in doubt, and the digest in each message covers who is dead, so that views that differ for 2 s are compared whole, with a pause that doubles where that brings nothing new. One that hears nobody speaks to more of the others. The rig holds the ports that it found until all are found.

--- a/crates/ivyward-core/src/peers/mod.rs
+++ b/crates/ivyward-core/src/peers/mod.rs
@@ -55,6 +55,8 @@
 const PAGE_WAIT: Micros = 300_000;
 /// Views that differ for so long do not come to agree by what is passed on.
 const DIFFER: Micros = 2_000_000;
+/// Each time that comparing them whole does not help, that span doubles, up to this.
+const MOST_DIFFER: Micros = 32_000_000;
 /// A node that started so short a time ago and hears of a later start of its name has a clock that went back: it takes
 /// a start after that. Later on, another process has taken its name.
 const YOUNG: Micros = 10_000_000;
@@ -182,6 +184,9 @@
     /// When somebody was heard last who knows the same nodes, and who it was that did not.
     same: Micros,
     differs: Option<SocketAddr>,
+    differ_wait: Micros,
+    /// The digest when they were compared whole last.
+    compared: u32,
     /// Runs that hold a lease at the store, whether they are heard or not.
     leased: BTreeMap<PeerId, u64>,
 }
@@ -224,6 +229,8 @@
             paged: now,
             same: now,
             differs: None,
+            differ_wait: DIFFER,
+            compared: 0,
             leased: BTreeMap::new(),
         }
     }
@@ -327,7 +334,7 @@
         }
         self.heard_any = now;
         if view == self.view() {
-            self.same = now;
+            (self.same, self.differ_wait) = (now, DIFFER);
         } else if view != 0 {
             self.differs = Some(from.address);
         }
@@ -540,7 +547,14 @@
     fn page_on(&mut self, now: Micros, out: &mut Vec<Out>) {
         // Nobody who is heard knows the same nodes: something was missed. Those that begin together are in nobody's whole
         // view, and what is said a few times does not reach all.
-        if let Some(from) = self.differs.filter(|_| now >= self.same.max(self.paged) + DIFFER) {
+        if let Some(from) = self.differs.filter(|_| now >= self.same.max(self.paged) + self.differ_wait) {
+            if self.paging.is_none() {
+                // One that is cut off on one side sees other things than the rest, for as long as that lasts.
+                let view = self.view();
+                let helped = self.compared != view;
+                self.differ_wait = if helped { DIFFER } else { (2 * self.differ_wait).min(MOST_DIFFER) };
+                self.compared = view;
+            }
             self.take_whole(now, from, out);
         }
         // Guards against nodes that start together taking each other's few for all: whole is what comes from one that is
@@ -632,9 +646,12 @@
     }
 
     fn some_peer(&mut self) -> Option<SocketAddr> {
-        let count = self.members.here().count();
-        let at = self.lot(count);
-        self.members.here().nth(at).map(|p| p.card.address)
+        // Guards against most of what is said going to the dead, where many died at once.
+        let alive = self.members.here().filter(|p| p.standing == Standing::Alive).count();
+        let any = alive == 0;
+        let at = self.lot(if any { self.members.here().count() } else { alive });
+        let mut those = self.members.here().filter(|p| any || p.standing == Standing::Alive);
+        those.nth(at).map(|p| p.card.address)
     }
 
     fn healthy(&self) -> bool {
@@ -783,7 +800,9 @@
         let dead = self.members.all().filter(|p| p.standing == Standing::Dead && !p.certain);
         let mut away: Vec<SocketAddr> = dead.map(|p| p.card.address).collect();
         away.extend(self.seeds.iter().filter(|s| **s != self.me.address && !here.contains(s)));
-        for _ in 0..REACH.min(away.len()) {
+        // One that hears nobody may still be heard, if it speaks.
+        let most = if self.alone(now) { WAKE } else { REACH };
+        for _ in 0..most.min(away.len()) {
             let to = away.swap_remove(self.lot(away.len()));
             self.call_on(now, to, out);
         }
@@ -829,7 +848,7 @@
         now.saturating_sub(self.began) / 1_000
     }
 
-    /// A digest of the nodes that may be here, this one among them; never 0.
+    /// A digest of the nodes that may be here, this one among them, and of who is dead; never 0.
     fn view(&mut self) -> u32 {
         let me = view::mark(&self.me);
         ((self.members.digest() ^ me) as u32).max(1)
--- a/crates/ivyward-core/src/peers/view.rs
+++ b/crates/ivyward-core/src/peers/view.rs
@@ -108,7 +108,7 @@
 }
 
 pub(super) struct Members {
-    /// Over the runs that may be here; none while it is to be reckoned anew.
+    /// Over the runs that may be here, and which of them are dead; none while it is to be reckoned anew.
     digest: Option<u64>,
     peers: BTreeMap<PeerId, Peer>,
     /// Who passed on what only one can say of itself: that its run is over, or that it began.
@@ -129,7 +129,11 @@
     }
     pub(super) fn digest(&mut self) -> u64 {
         let all = self.peers.values().filter(|p| !p.certain);
-        *self.digest.get_or_insert_with(|| all.fold(0, |sum, p| sum ^ mark(&p.card)))
+        *self.digest.get_or_insert_with(|| {
+            all.fold(0, |sum, p| {
+                sum ^ mark(&p.card) ^ if p.standing == Standing::Dead { mix(p.card.id.0) } else { 0 }
+            })
+        })
     }
     pub(super) fn len(&self) -> usize {
         self.peers.len()
@@ -265,6 +269,7 @@
     pub(super) fn set(&mut self, id: PeerId, from: Standing, to: Standing, out: &mut Vec<Out>) -> bool {
         let Some(peer) = self.peers.get_mut(&id).filter(|p| p.standing == from) else { return false };
         peer.standing = to;
+        self.digest = None;
         out.push(Out::Changed { card: peer.card, was: Some(from), is: to });
         true
     }
--- a/crates/ivyward-lab/src/cluster/mod.rs
+++ b/crates/ivyward-lab/src/cluster/mod.rs
@@ -166,9 +166,13 @@
             doors.push(world.datagrams(local()).map_err(io("opening a relay"))?);
         }
         let announced: Vec<SocketAddr> = doors.iter().map(|d| d.address()).collect();
+        let mut held = Vec::new();
         for (node, door) in doors.into_iter().enumerate() {
             // A port that was free a moment ago; the node takes it.
-            let real = world.datagrams(local()).map_err(io("finding a port"))?.address();
+            let socket = world.datagrams(local()).map_err(io("finding a port"))?;
+            let real = socket.address();
+            // Held until all are found: one that is free again is found twice.
+            held.push(socket);
             self.links.source(real, node);
             world.run(links::datagrams(world.clone(), self.links.clone(), door, node, real));
             let mut listed = Vec::new();
