--- a/crates/ivywardd/src/main.rs
+++ b/crates/ivywardd/src/main.rs
@@ -64,9 +64,11 @@
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
     let threads = if start.flags.threads == 0 { cores } else { start.flags.threads };
-    let seed = start.flags.seed.unwrap_or_else(|| u64::from(std::process::id()) << 32 ^ clock());
+    let own = u64::from(std::process::id()) << 32 ^ clock();
+    let seed = start.flags.seed.unwrap_or(own);
     start.settings.seed = seed;
-    let smol = SmolWorld::start(threads, seed);
+    // Guards against nodes that are given one seed taking one name for their runs: engines could not tell them apart.
+    let smol = SmolWorld::start(threads, own);
     let world: WorldRef = smol.clone();
     let record = match &start.flags.record {
         None => None,
--- a/crates/ivywardd/tests/cluster.rs
+++ b/crates/ivywardd/tests/cluster.rs
@@ -9,7 +9,7 @@
 use ivyward_lab::cluster::process::View;
 use ivyward_lab::cluster::{id, Cluster, Size};
 use ivyward_world::WorldRef;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const SECOND: u64 = 1_000_000;
 /// For what never comes about.
@@ -58,6 +58,9 @@
 #[test]
 fn a_kill_is_known_to_all_and_a_restarted_one_is_new_at_once() {
     let mut cluster = rig(size(5));
+    // They are given one seed, and engines are to tell them apart all the same.
+    let runs: BTreeSet<u64> = (0..5).map(|n| cluster.process(n).unwrap().run).collect();
+    assert_eq!(runs.len(), 5);
     cluster.until(NEVER, |_, views| counted(views, 5)).unwrap();
     let before = cluster.views()[&0].peers[&id(3)].start;
     cluster.kill(3);
