--- a/crates/ivywardd/tests/cluster.rs
+++ b/crates/ivywardd/tests/cluster.rs
@@ -158,6 +158,28 @@
     assert_eq!(cluster.links().astray(), (0, 0));
 }
 
+/// What some nodes send reaches none of the others, and all reaches them: dead to those, to whom they are not dead.
+#[test]
+fn a_part_that_nobody_beyond_it_hears_is_back_when_it_is_mended() {
+    let cluster = rig(size(5));
+    let (mute, others) = ([0, 1], [2, 3, 4]);
+    let cut = Fault { cut: true, ..Fault::default() };
+    for (from, to) in mute.iter().flat_map(|m| others.iter().map(move |o| (*m, *o))) {
+        cluster.links().set(End::Node(from), End::Node(to), cut);
+    }
+    let apart = |_: &Cluster, views: &BTreeMap<usize, View>| {
+        let pairs = others.iter().flat_map(|at| mute.iter().map(move |of| (*at, *of)));
+        let here = pairs.filter(|(at, of)| state(views, *at, *of) != "dead");
+        here.map(|(at, of)| format!("{of} is not yet dead to {at}")).collect::<Vec<String>>()
+    };
+    cluster.until(NEVER, apart).unwrap();
+    let views = cluster.views();
+    assert_eq!(counted(&views, 5), Vec::<String>::new());
+    assert_eq!((state(&views, 0, 1).as_str(), state(&views, 1, 0).as_str()), ("alive", "alive"));
+    cluster.links().mend();
+    cluster.until_agreed(NEVER).unwrap();
+}
+
 #[test]
 fn most_are_killed_at_once_and_all_are_restarted_in_turn() {
     let mut cluster = rig(size(7));
