--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -119,11 +119,14 @@
         #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=1_000))]
         seeds: u64,
         /// Minutes with pauses, each seed at each loss.
-        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=600))]
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(0..=600))]
         minutes: u64,
         /// Without what a node knows of its own health: SWIM as it was first described, for comparison.
         #[arg(long)]
         plain: bool,
+        /// Draws in this file, as SVG, how soon survivors know of a kill.
+        #[arg(long, value_name = "FILE")]
+        chart: Option<PathBuf>,
     },
     /// Plays a plan of faults on daemons as processes, with a relay on each directed link, and says what came of it.
     Cluster {
@@ -422,14 +425,19 @@
                 }
             })
         }
-        What::Peers { nodes, seeds, minutes, plain } => {
+        What::Peers { nodes, seeds, minutes, plain, chart } => {
+            let mut all = Vec::new();
             println!("{}", peernet::HEAD);
             for nodes in nodes {
                 let spans = ivyward_core::peers::PeerSettings { own_health: !plain, ..Default::default() };
                 let threads = std::thread::available_parallelism().map_or(1, usize::from);
-                println!("{}", peernet::measure(nodes as usize, seeds, minutes, spans, threads));
+                all.push(peernet::measure(nodes as usize, seeds, minutes, spans, threads));
+                all.last().into_iter().for_each(|figures| println!("{figures}"));
+            }
+            match chart.map(|path| (std::fs::write(&path, peernet::chart(&all)), path)) {
+                Some((Err(e), path)) => Err(format!("--chart {}: {e}", path.display())),
+                _ => Ok(ExitCode::SUCCESS),
             }
-            Ok(ExitCode::SUCCESS)
         }
         What::Cluster { daemon, seed, nodes, engines, episodes, plan, store, keep } => {
             let size = cluster::Size {
--- a/crates/ivyward-lab/src/peernet.rs
+++ b/crates/ivyward-lab/src/peernet.rs
@@ -236,6 +236,8 @@
     pub half: Vec<u64>,
     /// See `half`.
     pub all: Vec<u64>,
+    /// Milliseconds from a kill until each of the survivors took it for dead, all kills together, in order.
+    pub known: Vec<u64>,
     /// Milliseconds from the kill of seven in ten at once until the others agree on it.
     pub herd: Vec<u64>,
     /// Kills that not all survivors knew of after ten seconds.
@@ -320,6 +322,7 @@
         figures.half.extend(part.half);
         figures.all.extend(part.all);
         figures.late += part.late;
+        figures.known.extend(part.known);
         figures.healed.extend(part.healed);
         figures.herd.extend(part.herd);
         for (loss, hours, deaths) in part.false_deaths {
@@ -334,6 +337,7 @@
             figures.paused = part.paused;
         }
     }
+    figures.known.sort_unstable();
     figures
 }
 
@@ -355,6 +359,7 @@
                 .filter(|c| c.0 >= at && c.2 == of && c.3 == Standing::Dead)
                 .map(|c| (c.0 - at) / 1_000)
                 .collect();
+            figures.known.extend(&known);
             if known.len() + 1 >= nodes {
                 figures.half.push(known[(nodes - 1) / 2]);
                 figures.all.push(known[nodes - 2]);
@@ -419,6 +424,66 @@
     }
 }
 
+/// Colours of the lines of a chart.
+const COLOURS: [&str; 5] = ["#1f77b4", "#d62728", "#2ca02c", "#9467bd", "#8c564b"];
+
+/// A chart as SVG: which part of the survivors knows of a kill so long after it, a line for each number of nodes.
+pub fn chart(all: &[Figures]) -> String {
+    use std::fmt::Write;
+    let (left, top, width, height) = (60.0, 30.0, 560.0, 260.0);
+    let longest = all.iter().filter_map(|f| f.known.last()).max().copied().unwrap_or(0);
+    let seconds = (longest / 1_000 + 1) as f64;
+    let x = |ms: f64| left + width * ms / (1_000.0 * seconds);
+    let y = |part: f64| top + height * (1.0 - part);
+    let mut out = String::from(
+        "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"760\" height=\"350\" font-family=\"sans-serif\" font-size=\"12\">\n\
+         <rect width=\"760\" height=\"350\" fill=\"white\"/>\n\
+         <text x=\"60\" y=\"18\">Part of the survivors that take a killed node for dead, by seconds after the kill (virtual time)</text>\n",
+    );
+    // Writing to a String cannot fail.
+    for tenth in (0..=10).step_by(2) {
+        let at = y(f64::from(tenth) / 10.0);
+        let _ = writeln!(
+            out,
+            "<line x1=\"{left}\" y1=\"{at:.1}\" x2=\"{:.1}\" y2=\"{at:.1}\" stroke=\"#ddd\"/>",
+            left + width
+        );
+        let _ = writeln!(out, "<text x=\"30\" y=\"{:.1}\">{:.1}</text>", at + 4.0, f64::from(tenth) / 10.0);
+    }
+    for half in 0..=(2.0 * seconds) as u32 {
+        let at = x(f64::from(half) * 500.0);
+        let _ = writeln!(
+            out,
+            "<text x=\"{:.1}\" y=\"{:.1}\">{:.1}</text>",
+            at - 8.0,
+            top + height + 18.0,
+            f64::from(half) / 2.0
+        );
+    }
+    for (i, figures) in all.iter().enumerate() {
+        let colour = COLOURS[i % COLOURS.len()];
+        let count = figures.known.len();
+        // A few hundred points are as many as can be seen.
+        let points = (0..=400).filter_map(|p| {
+            let at = (count * p / 400).min(count.saturating_sub(1));
+            figures.known.get(at).map(|ms| format!("{:.1},{:.1}", x(*ms as f64), y(p as f64 / 400.0)))
+        });
+        let points: Vec<String> = points.collect();
+        let _ = writeln!(
+            out,
+            "<polyline fill=\"none\" stroke=\"{colour}\" stroke-width=\"1.5\" points=\"{}\"/>",
+            points.join(" ")
+        );
+        let (kills, at) = (figures.all.len() + figures.late, top + 20.0 + 18.0 * i as f64);
+        let _ = writeln!(
+            out,
+            "<text x=\"630\" y=\"{at:.1}\" fill=\"{colour}\">{} nodes, {kills} kills</text>",
+            figures.nodes
+        );
+    }
+    out + "</svg>\n"
+}
+
 /// The head of a table of [`Figures`].
 pub const HEAD: &str = "| nodes | kills | known to half / all, ms (median) | to all, most ms | healed, most ms | seven in ten killed, all agree, ms (median / most) | false deaths with pauses, by \
      loss | quiet: datagrams, bytes a second | with pauses |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |";
