--- a/crates/ivyward-sim/src/net.rs
+++ b/crates/ivyward-sim/src/net.rs
@@ -116,6 +116,16 @@
         }
     }
 
+    /// The address itself, or with a port that nobody had where it names none.
+    fn free(&mut self, mut at: SocketAddr) -> Result<SocketAddr> {
+        if at.port() == 0 {
+            let port = self.next_port;
+            self.next_port = port.checked_add(1).ok_or(ErrorKind::AddrNotAvailable)?;
+            at.set_port(port);
+        }
+        Ok(at)
+    }
+
     /// Whoever may find something changed is woken.
     pub(crate) fn cut(&mut self, from: HostId, to: HostId, on: bool) -> Vec<Waker> {
         match on {
@@ -204,12 +214,7 @@
 
 pub(crate) fn listen(inner: Arc<Inner>, host: HostId, at: SocketAddr) -> Result<Box<dyn Listener>> {
     let mut state = inner.lock();
-    let mut address = at;
-    if at.port() == 0 {
-        let port = state.net.next_port;
-        state.net.next_port = port.checked_add(1).ok_or(ErrorKind::AddrNotAvailable)?;
-        address.set_port(port);
-    }
+    let address = state.net.free(at)?;
     if state.net.doors.contains_key(&address) {
         return Err(ErrorKind::AddrInUse.into());
     }
@@ -258,12 +263,7 @@
 
 pub(crate) fn datagrams(inner: Arc<Inner>, host: HostId, at: SocketAddr) -> Result<Box<dyn Datagrams>> {
     let mut state = inner.lock();
-    let mut address = at;
-    if at.port() == 0 {
-        let port = state.net.next_port;
-        state.net.next_port = port.checked_add(1).ok_or(ErrorKind::AddrNotAvailable)?;
-        address.set_port(port);
-    }
+    let address = state.net.free(at)?;
     if state.net.posts.contains_key(&address) {
         return Err(ErrorKind::AddrInUse.into());
     }
