--- a/crates/ivywardd/src/flags.rs
+++ b/crates/ivywardd/src/flags.rs
@@ -93,8 +93,8 @@
     #[arg(long, env = "IVYWARD_PEER_NAME", value_name = "NAME", requires = "peer_listen")]
     pub peer_name: Option<String>,
     /// Seals what nodes say to each other; the same at all. Without it only loopback addresses are taken. Better given by
-    /// the environment.
-    #[arg(long, env = "IVYWARD_PEER_KEY", hide_env_values = true, requires = "peer_listen")]
+    /// the environment, where it may stand for nodes that know nobody as well.
+    #[arg(long, env = "IVYWARD_PEER_KEY", hide_env_values = true)]
     pub peer_key: Option<String>,
     /// A node that nobody hears for this is taken for dead; what stops for less is not.
     #[arg(long, env = "IVYWARD_PEER_DEATH_AFTER", value_name = "SPAN", default_value = "2400ms", value_parser = span)]
--- a/crates/ivywardd/tests/new_fleet.rs
+++ b/crates/ivywardd/tests/new_fleet.rs
@@ -1,8 +1,8 @@
 //! Several daemons, a store and a fleet in which every engine has just started, as processes and stand-ins.
 
 use futures_lite::future::block_on;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ivyward::core::interface::Settings;
+use ivyward_lab::cluster::process::Process;
 use ivyward_lab::enlist::keep;
 use ivyward_lab::scene::{ivyward_flags, limits, settings};
 use ivyward_proto::front::GenerateRequest;
@@ -11,53 +11,22 @@
 use ivyward_standins::sight::{Effect, Heard};
 use ivyward_standins::{audit, Ask, Client, Engine, Habit, Host, Log, Role, Spec};
 use ivyward_world::{SmolWorld, WorldExt, WorldRef};
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
 use std::sync::Arc;
 
 const SECOND: u64 = 1_000_000;
 
-/// A daemon that follows a store; ends with the test.
-struct Daemon(Child, SocketAddr, SocketAddr);
-
-impl Daemon {
-    fn start(flags: &[String], store: SocketAddr) -> Daemon {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_ivywardd"))
-            .env_clear()
-            .args(flags)
-            .args(["--listen=127.0.0.1:0", "--admin=127.0.0.1:0", "--threads=1", "--log-format=json"])
-            .arg(format!("--etcd-endpoint={store}"))
-            .stdout(Stdio::piped())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-        let door = line.trim().strip_prefix("listening on ").expect("its address").parse().unwrap();
-        let mut logs = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
-        let admin = logs.find(|l| l.contains("health and metrics")).expect("the admin port");
-        let at = admin.split("127.0.0.1:").nth(1).and_then(|l| l.split('"').next()).unwrap();
-        let admin = format!("127.0.0.1:{at}").parse().unwrap();
-        // What it goes on to say must not fill the pipe.
-        std::thread::spawn(move || logs.for_each(drop));
-        Daemon(child, door, admin)
-    }
-    async fn engines(&self, world: &WorldRef) -> u64 {
-        let mut admin = world.connect(self.2).await.unwrap();
-        admin.write_all(b"GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").await.unwrap();
-        let mut text = String::new();
-        admin.read_to_string(&mut text).await.unwrap();
-        let line = text.lines().find_map(|l| l.strip_prefix("ivyward_engines "));
-        line.and_then(|n| n.trim().parse().ok()).unwrap_or(0)
-    }
+/// A daemon that follows a store; ends with the test. It has a key and no peers, as where one environment is all nodes'.
+fn start(flags: &[String], store: SocketAddr) -> Process {
+    let flags: Vec<String> = flags.iter().cloned().chain([format!("--etcd-endpoint={store}")]).collect();
+    Process::start(Path::new(env!("CARGO_BIN_EXE_ivywardd")), &flags, "a key that nobody needs here").unwrap()
 }
 
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
+async fn engines(daemon: &Process, world: &WorldRef) -> u64 {
+    let text = daemon.ask(world, "/metrics").await.unwrap();
+    let line = text.lines().find_map(|l| l.strip_prefix("ivyward_engines "));
+    line.and_then(|n| n.trim().parse().ok()).unwrap_or(0)
 }
 
 fn ask(node: usize, call: u64) -> Ask {
@@ -103,20 +72,20 @@
             return engine;
         }
     };
-    let engines: Vec<Engine> = specs.iter().map(cold_one).collect();
+    let fleet: Vec<Engine> = specs.iter().map(cold_one).collect();
     let mut settings = ivyward::NodeSettings { rules: rules.clone(), ..settings() };
     for class in &mut settings.classes {
         class.settings.deadline = 20 * SECOND;
     }
     let flags = ivyward_flags(&settings, &[]);
-    let daemons: Vec<Daemon> = (0..3).map(|_| Daemon::start(&flags, store.address())).collect();
+    let daemons: Vec<Process> = (0..3).map(|_| start(&flags, store.address())).collect();
     block_on(async {
         let mut clients = Vec::new();
         for daemon in &daemons {
-            while daemon.engines(&world).await < 8 {
+            while engines(daemon, &world).await < 8 {
                 world.sleep(10_000).await;
             }
-            clients.push(Client::connect(&world, &log, daemon.1).await.unwrap());
+            clients.push(Client::connect(&world, &log, daemon.door).await.unwrap());
         }
         // Every node's first call.
         for (node, client) in clients.iter().enumerate() {
@@ -132,7 +101,7 @@
     });
     let audit = audit(&log.all(), &limits(&rules, 250_000, &specs), log.now());
     assert_eq!(audit.broken(), Vec::<String>::new());
-    assert!(engines.iter().all(Engine::up));
+    assert!(fleet.iter().all(Engine::up));
     drop(daemons);
     smol.stop();
 }
@@ -146,18 +115,18 @@
     let host: Arc<dyn Host> = Arc::new(Threads);
     let spec = |id: u64| Spec::small(id, if id <= 4 { Role::Reader } else { Role::Writer });
     let store = Store::start(&host, 1).unwrap();
-    let engines: Vec<Engine> = (1..=8).map(|id| Engine::start(&host, &log, spec(id)).unwrap()).collect();
-    engines.iter().for_each(|e| keep(e, vec![store.address()], 60, 0, |_| {}));
+    let fleet: Vec<Engine> = (1..=8).map(|id| Engine::start(&host, &log, spec(id)).unwrap()).collect();
+    fleet.iter().for_each(|e| keep(e, vec![store.address()], 60, 0, |_| {}));
     let mut settings = settings();
     for class in &mut settings.classes {
         class.settings.deadline = 20 * SECOND;
     }
-    let daemon = Daemon::start(&ivyward_flags(&settings, &[]), store.address());
+    let daemon = start(&ivyward_flags(&settings, &[]), store.address());
     let refused = block_on(async {
-        while daemon.engines(&world).await < 8 {
+        while engines(&daemon, &world).await < 8 {
             world.sleep(10_000).await;
         }
-        let client = Client::connect(&world, &log, daemon.1).await.unwrap();
+        let client = Client::connect(&world, &log, daemon.door).await.unwrap();
         let (told, ends) = std::sync::mpsc::sync_channel(60);
         for call in 1..=60u64 {
             let (client, told) = (client.clone(), told.clone());
