Peers read again: one way to say a message, no dead counters, spans asked once

Read the change as a whole: a message was put together in two places, the step of the lots stood twice, a silence's begin was reckoned in two places, the task locked the decider for its span at each tick, the rig counted starts and each link's datagrams for nobody.

--- a/crates/ivyward-core/src/peers/mod.rs
+++ b/crates/ivyward-core/src/peers/mod.rs
@@ -411,14 +411,7 @@
         let known =
             better.into_iter().take(TOLD_BETTER).filter_map(|id| self.members.get(id)).map(|p| p.claim(now));
         let known: Vec<Claim> = known.collect();
-        let message = Message {
-            from: self.me,
-            beat: self.beat(now),
-            view: self.view(),
-            body: Body::Gossip,
-            claims: known,
-        };
-        out.push(Out::Send { to: from.address, message });
+        self.say(now, from.address, Body::Gossip, known, out);
     }
 
     /// Of whom more is known here than the sender knows, if it doubts somebody wrongly.
@@ -712,31 +705,28 @@
 
     fn judge_silences(&mut self, now: Micros, out: &mut Vec<Out>) {
         // While nobody at all is heard, their silence tells of me.
-        let (times, from) = if self.healthy() && self.alone(now) { (ALONE, self.heard_any) } else { (1, 0) };
+        let healthy = self.healthy();
+        let (times, from) = if healthy && self.alone(now) { (ALONE, self.heard_any) } else { (1, 0) };
         let (most, from) = (self.settings.death_after * times, self.woke.max(from));
+        let since = |p: &Peer| p.asked.max(p.learned).max(from);
         // A doubt that comes late, from one that waits long, is known here for a while before it counts.
-        let healthy = self.healthy();
         let notice = match planted::is(Defect::NeverDoubtsItself) {
             true => 0,
             false => self.settings.notice.min(self.settings.death_after / 2),
         };
         let silent = |p: &&Peer| {
-            let since = p.asked.max(p.learned).max(from);
             p.standing == Standing::Suspected
-                && now.saturating_sub(since) >= most
+                && now.saturating_sub(since(p)) >= most
                 && now.saturating_sub(p.doubted) >= notice
                 && (p.last_asks >= LAST_ASKS || !healthy)
         };
         // Guards against a death that only came before the word of its end: whoever is about to count one asks for itself.
         // Each look asks and the next one hears: a node that could not look for a while asks first.
         let mut last = Vec::new();
-        for peer in
-            self.members.suspected().filter(|p| now + LAST_ASK >= p.asked.max(p.learned).max(from) + most)
-        {
-            if last.len() < LAST_ASKED {
-                peer.last_asks = peer.last_asks.saturating_add(1);
-                last.push((peer.card, peer.last_asks % 2 == 1));
-            }
+        let near = self.members.suspected().filter(|p| now + LAST_ASK >= since(p) + most);
+        for peer in near.take(LAST_ASKED) {
+            peer.last_asks = peer.last_asks.saturating_add(1);
+            last.push((peer.card, peer.last_asks % 2 == 1));
         }
         for (card, through) in last {
             self.call_on(now, card.address, out);
@@ -831,16 +821,20 @@
         let extra: Vec<Claim> = extra.into_iter().collect();
         let taken = if let Body::Page { claims, .. } = &body { claims.len() } else { 0 };
         let room = (MOST_CLAIMS - taken).saturating_sub(extra.len());
-        let beat = self.beat(now);
-        let view = self.view();
-        let (me, members) = (self.me, &self.members);
+        let (me, beat, members) = (self.me, self.beat(now), &self.members);
         let of = |id: PeerId| match id == me.id {
             true => Some(Claim { card: me, beat, ago: 0, about: About::Here }),
             false => members.get(id).map(|p| p.claim(now)),
         };
         let mut claims = self.rumours.take(room, members.len(), of);
         claims.extend(extra);
-        out.push(Out::Send { to, message: Message { from: me, beat, view, body, claims } });
+        self.say(now, to, body, claims, out);
+    }
+
+    /// Says this and nothing beside it.
+    fn say(&mut self, now: Micros, to: SocketAddr, body: Body, claims: Vec<Claim>, out: &mut Vec<Out>) {
+        let message = Message { from: self.me, beat: self.beat(now), view: self.view(), body, claims };
+        out.push(Out::Send { to, message });
     }
 
     /// This node's uptime in milliseconds.
@@ -856,12 +850,14 @@
     /// A number that nobody guesses who does not hear it: an answer with it is to this question.
     fn next_seq(&mut self) -> u64 {
         self.seq += 1;
+        mix(self.step() ^ self.seq)
+    }
+    fn step(&mut self) -> u64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        mix(self.random ^ self.seq)
+        self.random
     }
     fn lot(&mut self, below: usize) -> usize {
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        (mix(self.random) % below.max(1) as u64) as usize
+        (mix(self.step()) % below.max(1) as u64) as usize
     }
     fn lot_span(&mut self, below: Micros) -> Micros {
         self.lot(below.max(1) as usize) as Micros
--- a/crates/ivyward-lab/src/cluster/links.rs
+++ b/crates/ivyward-lab/src/cluster/links.rs
@@ -47,8 +47,8 @@
 struct State {
     faults: BTreeMap<(End, End), Fault>,
     everywhere: Fault,
-    /// Datagrams and bytes that came to the relay, and datagrams that went on.
-    crossed: BTreeMap<(End, End), (u64, u64, u64)>,
+    /// Datagrams and bytes that came to relays.
+    came: (u64, u64),
     /// Connections of a link are broken at each new number.
     breaks: BTreeMap<(End, End), u64>,
     /// Datagrams from nobody who was started here.
@@ -105,13 +105,9 @@
     pub fn source(&self, at: SocketAddr, node: usize) {
         self.lock().sources.insert(at, node);
     }
-    /// Datagrams and bytes that came to a link's relay, and datagrams that it passed on.
-    pub fn crossed(&self, from: End, to: End) -> (u64, u64, u64) {
-        self.lock().crossed.get(&(from, to)).copied().unwrap_or_default()
-    }
     /// Datagrams and bytes that all nodes sent each other.
     pub fn total(&self) -> (u64, u64) {
-        self.lock().crossed.values().fold((0, 0), |sum, c| (sum.0 + c.0, sum.1 + c.1))
+        self.lock().came
     }
     /// Datagrams that nobody of the rig sent, and those that a node sent to where they came from.
     pub fn astray(&self) -> (u64, u64) {
@@ -159,10 +155,8 @@
                 let lost = fault.cut || lot(fault.lose) || waiting.len() >= MOST_WAITING;
                 {
                     let mut state = links.lock();
-                    let crossed = state.crossed.entry((from, me)).or_default();
-                    crossed.0 += 1;
-                    crossed.1 += got as u64;
-                    crossed.2 += u64::from(!lost);
+                    state.came.0 += 1;
+                    state.came.1 += got as u64;
                 }
                 if lost {
                     continue;
--- a/crates/ivyward-lab/src/cluster/mod.rs
+++ b/crates/ivyward-lab/src/cluster/mod.rs
@@ -98,7 +98,6 @@
     flags: Vec<String>,
     process: Option<Process>,
     stopped: bool,
-    starts: u64,
 }
 
 /// A running rig.
@@ -207,7 +206,7 @@
             flags.push(format!("--peer-name={}", name(node)));
             flags.push(format!("--peer-death-after={}us", self.size.death_after));
             flags.extend(announced.iter().take(self.size.seeds).map(|a| format!("--peer={a}")));
-            self.places.push(Place { real, flags, process: None, stopped: false, starts: 0 });
+            self.places.push(Place { real, flags, process: None, stopped: false });
         }
         Ok(())
     }
@@ -269,7 +268,6 @@
             }
         };
         (place.process, place.stopped) = (Some(process), false);
-        place.starts += 1;
         Ok(())
     }
     /// Kills a node (SIGKILL).
--- a/crates/ivyward/src/peers/mod.rs
+++ b/crates/ivyward/src/peers/mod.rs
@@ -25,6 +25,8 @@
 
 /// Shortest words that a key is made of.
 const LEAST_KEY: usize = 16;
+/// Most addresses that are given.
+const MOST_GIVEN: usize = 64;
 /// Orders and records that wait for the task; one more waits with who tells it.
 const ORDERS: usize = 64;
 
@@ -120,7 +122,7 @@
         if let Some(peer) = self.peers.iter().find(|p| p.port() == 0 || p.ip().is_unspecified()) {
             return bad("--peer", peer, "nobody can be reached there");
         }
-        if self.peers.len() > 64 {
+        if self.peers.len() > MOST_GIVEN {
             return bad("--peer", &self.peers.len(), "64 at most; a few that are up are enough");
         }
         if let Some(store) = self.store.as_ref().filter(|s| !(2..=3_600).contains(&s.lease)) {
@@ -315,7 +317,7 @@
     async fn run(mut self) {
         let world = self.node.shared.world.clone();
         let mut bytes = [0u8; MOST_DATAGRAM + 1];
-        let mut tick_at = world.now();
+        let (mut tick_at, span) = (world.now(), lock(&self.decider).tick_span());
         let mut last_refused = 0;
         loop {
             let came = or(
@@ -330,12 +332,10 @@
             .await;
             let now = world.now();
             // Datagrams that come without end must not keep the ticks from their turn.
-            let came = if now >= tick_at && !matches!(came, Came::Order(_)) {
-                self.tick(now, &mut tick_at);
-                came
-            } else {
-                came
-            };
+            if now >= tick_at && !matches!(came, Came::Order(_)) {
+                self.decide(|peers, out| peers.tick(now, out));
+                tick_at = now + span;
+            }
             match came {
                 Came::Datagram(Ok((got, source))) => self.datagram(now, &bytes[..got], source),
                 Came::Datagram(Err(e)) => {
@@ -356,22 +356,13 @@
                 }
                 Came::End => return,
             }
-            if self.decider_superseded() {
+            if lock(&self.decider).superseded() {
                 error!("another process has taken this node's name: it speaks to its peers no more. Stop one of them");
                 return;
             }
         }
     }
 
-    fn decider_superseded(&self) -> bool {
-        lock(&self.decider).superseded()
-    }
-
-    fn tick(&mut self, now: Micros, tick_at: &mut Micros) {
-        self.decide(|peers, out| peers.tick(now, out));
-        *tick_at = now + lock(&self.decider).tick_span();
-    }
-
     fn datagram(&mut self, now: Micros, bytes: &[u8], source: SocketAddr) {
         let metrics = self.node.metrics();
         metrics.peer_datagrams_taken.add(1);
