A state waits no longer than its time while one writer after the other is dialled

An attempt counts once its last byte is at an engine, so the time of what is held runs on while it connects; the node took the attempt for out from its send (Router::step and send, Job::until alone).

Mended in the module: what may be held has a time from the last attempt that came to an engine; an attempt has to have left by a part of what is left of it (Action::Send::leave_by), and when that is over the state is let go of and the prompt is read elsewhere. The simulator counts an attempt from its send and keeps what it had (Settings::out_once_left). Tests in five_rules.rs and in the virtual world; without it the latter keeps a state for 500 ms.

Logs of attempts, holds and releases now carry the request's id as clients know it.

--- a/crates/ivyward-benchlink/src/codec.rs
+++ b/crates/ivyward-benchlink/src/codec.rs
@@ -259,7 +259,8 @@
         };
         let span = |t: &Micros| u32::try_from(*t).unwrap_or(u32::MAX).to_le_bytes();
         match action {
-            Action::Send { request, server: to, timeout } => {
+            // There an attempt is out from its send, so that nothing waits for its last byte.
+            Action::Send { request, server: to, timeout, leave_by: _ } => {
                 self.record(65, &[&id(request), &server(to), &span(timeout)]);
             }
             Action::Cancel { request, attempt } => self.record(68, &[&id(request), &attempt.to_le_bytes()]),
--- a/crates/ivyward-core/src/interface.rs
+++ b/crates/ivyward-core/src/interface.rs
@@ -122,6 +122,9 @@
     pub cross_zone_price: f64,
     /// Held state must be taken or let go within this span.
     pub release_within: Micros,
+    /// An attempt is out only once its last byte left: while it connects, that span runs on. Else it is out from its
+    /// send.
+    pub out_once_left: bool,
     /// Nothing new may be sent to a draining server after this span.
     pub drain_grace: Micros,
     /// Multiple of its present capacity at which a cold server falls over.
@@ -326,6 +329,9 @@
         server: ServerId,
         /// The attempt's time-out; 0 for until the client gives up.
         timeout: Micros,
+        /// When its last byte has to have left, as something is held meanwhile; else it ends as
+        /// [`Outcome::ConnectFailed`]. 0 for no such time.
+        leave_by: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/crates/ivyward-core/src/lib.rs
+++ b/crates/ivyward-core/src/lib.rs
@@ -18,8 +18,8 @@
 //!         worth: 1.0, late_share: 0.2, effect: Effect::Safe, group: RepeatGroup::All, repeat_window: 0,
 //!     }],
 //!     tenants: vec![], over_share_worth: 1.0, decode_may_prefill: true, hold_ahead: false,
-//!     transfer_price: 0.0, cross_zone_price: 0.0, release_within: 300_000, drain_grace: 1_000_000,
-//!     fall_multiple: 3.0, fall_window: 2_000_000, start_capacity: 0.3, warm_after: 10_000_000,
+//!     transfer_price: 0.0, cross_zone_price: 0.0, release_within: 300_000, out_once_left: true,
+//!     drain_grace: 1_000_000, fall_multiple: 3.0, fall_window: 2_000_000, start_capacity: 0.3, warm_after: 10_000_000,
 //!     must_subscribe: false, max_attempts: 4, may_cancel: true, probes: false, second_copies: false,
 //!     max_retry_after: 500_000, report_fields: vec![],
 //! };
--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -95,6 +95,11 @@
 /// A decode server reads such a turn only where it is this many times as quick; a mixed one is there to
 /// read.
 const DIRECT_MARGIN: f64 = 2.0;
+/// What is held is let go after this part of its told time if no attempt came to a server; each but the last
+/// may take this part of what is left of that, and none begins in the last part of the told time.
+const HELD_PART: f64 = 0.7;
+const HELD_DIAL: f64 = 0.5;
+const HELD_LEAST: f64 = 0.1;
 /// Multiple of the readers' time that an op without answers so far is taken to need.
 const UNSEEN: f64 = 3.0;
 /// What turns a tenant away is remembered for a quarter of the aim, twice as long each time, so many times.
@@ -631,6 +636,12 @@
 
     /// The next thing to do for a request with no attempt out: an attempt, or the final answer.
     fn step(&mut self, now: Micros, mut r: Request, out: &mut Out) {
+        let least = (self.cfg.release_within as f64 * HELD_LEAST) as Micros;
+        if self.held_until(&r).is_some_and(|until| now + least >= until) {
+            out.push(Action::Release(r.a.id));
+            // A hold that is still on its way may land later.
+            (r.state_at, r.held) = (None, r.held_at.take().map(|_| now));
+        }
         let left = (self.cfg.max_attempts as usize).saturating_sub(r.attempts.len());
         // Overload: nothing is read again for what is already late, so that retries do not keep a jam
         // alive.
@@ -757,7 +768,9 @@
         let stall = if self.cfg.may_cancel { part } else { STALL * expected };
         let timeout =
             if once || left <= 1 || part < PATIENT * expected { 0 } else { part.min(stall) as Micros };
-        out.push(Action::Send { request: r.a.id, server: to, timeout });
+        let dial = |until: Micros| if left > 1 { until.saturating_sub(now) as f64 * HELD_DIAL } else { 1e12 };
+        let leave_by = self.held_until(&r).map_or(0, |until| until.min(now + dial(until) as Micros));
+        out.push(Action::Send { request: r.a.id, server: to, timeout, leave_by });
         let window = self.cfg.fall_window;
         self.sent[usize::from(op == Op::Read)].add(now, self.cfg.fall_window as f64, 0.0);
         let server = self.at(to);
@@ -929,6 +942,10 @@
         if !matches!(outcome, Outcome::Read | Outcome::StateLost | Outcome::NotSent) {
             r.tried.push(to);
         }
+        let came = !matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent);
+        if came && (op == Op::Read || r.held.is_some()) {
+            r.held = Some(now);
+        }
         let may_run =
             matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
         if may_run && op != Op::Read && r.may_have_run.is_none() {
@@ -971,6 +988,13 @@
 
     // ---- Rule guards
 
+    /// Guards against a state that waits while one server after the other cannot be reached: each dial alone
+    /// is within its time, and all together are not. An attempt that came to its server starts it anew.
+    fn held_until(&self, r: &Request) -> Option<Micros> {
+        let span = (self.cfg.release_within as f64 * HELD_PART) as Micros;
+        r.held.filter(|_| self.cfg.out_once_left && span > 0).map(|since| since + span)
+    }
+
     /// Whether a request that may have run may be sent again at all (no effect twice).
     fn repeat_open(&self, r: &Request, now: Micros) -> bool {
         let class = &self.cfg.classes[r.a.class];
--- a/crates/ivyward-core/src/state.rs
+++ b/crates/ivyward-core/src/state.rs
@@ -148,6 +148,8 @@
     pub(crate) attempts: Vec<Attempt>,
     /// Where its read state waits.
     pub(crate) state_at: Option<ServerId>,
+    /// Since when something may be held for it without an attempt at a server, as far as is known.
+    pub(crate) held: Option<Micros>,
     /// Where a place is held ahead.
     pub(crate) held_at: Option<ServerId>,
     /// The first attempt that may have run: server and send time.
--- a/crates/ivyward-core/tests/common/mod.rs
+++ b/crates/ivyward-core/tests/common/mod.rs
@@ -110,6 +110,12 @@
             _ => None,
         })
     }
+    pub fn leave_by(&self) -> Option<Micros> {
+        self.done.iter().find_map(|a| match a {
+            Action::Send { leave_by, .. } => Some(*leave_by),
+            _ => None,
+        })
+    }
     pub fn refused(&self) -> bool {
         self.done.iter().any(|a| matches!(a, Action::Refuse { .. }))
     }
--- a/crates/ivyward-core/tests/five_rules.rs
+++ b/crates/ivyward-core/tests/five_rules.rs
@@ -162,3 +162,60 @@
     let (_, _, next) = at_writer(0, Outcome::StateLost);
     assert!(next.is_some_and(|s| s.0 < 10));
 }
+
+/// A cut leaves one writer after the other without a connection. Each dial alone is within its time.
+#[test]
+fn pinned_dials_that_fail_in_a_row_do_not_keep_a_state_past_its_time() {
+    for outcome in [Outcome::Read, Outcome::Reset, Outcome::TimedOut] {
+        for class in [0, 1] {
+            let many: Vec<ServerEntry> =
+                (1..10).map(|i| server(i, 0)).chain((11..20).map(|i| server(i, 1))).collect();
+            let settings = Settings { out_once_left: true, max_attempts: 9, ..settings() };
+            let mut rig = Rig::new(settings, &many);
+            rig.ask(Arrival { class, ..arrival(1, 5, 1_000.0) });
+            assert_eq!(rig.leave_by(), Some(0), "nothing is held yet");
+            rig.now += 50_000;
+            rig.end(1, 0, outcome);
+            let (held, mut attempt) = (rig.now, 1);
+            while !rig.released() {
+                let leave_by = rig.leave_by().expect("sent on");
+                assert!(
+                    leave_by > rig.now && leave_by <= held + 300_000,
+                    "{outcome:?}: {leave_by} after {held}"
+                );
+                rig.now = leave_by;
+                rig.end(1, attempt, Outcome::ConnectFailed);
+                attempt += 1;
+            }
+            assert!((3..6).contains(&attempt), "{outcome:?}: {attempt}");
+            assert!(rig.now <= held + 250_000, "{outcome:?}: {} us leave no time to let go", rig.now - held);
+            // What was let go of is not there any more: it is read again.
+            assert!(rig.sent().is_some_and(|s| s.0 < 10) && rig.leave_by() == Some(0), "{outcome:?}");
+        }
+    }
+}
+
+/// An attempt that came to its server starts the time anew, and one attempt alone has all that is left.
+#[test]
+fn pinned_the_time_counts_from_the_last_attempt_that_came() {
+    let many: Vec<ServerEntry> = (1..3).map(|i| server(i, 0)).chain((11..16).map(|i| server(i, 1))).collect();
+    let settings = Settings { out_once_left: true, max_attempts: 4, ..settings() };
+    let mut rig = Rig::new(settings.clone(), &many);
+    rig.ask(arrival(1, 5, 1_000.0));
+    rig.end(1, 0, Outcome::Read);
+    rig.now += 100_000;
+    rig.end(1, 1, Outcome::ConnectFailed);
+    rig.now += 50_000;
+    rig.end(1, 2, Outcome::Full);
+    assert_eq!(rig.leave_by(), Some(rig.now + 210_000), "the last attempt");
+    assert!(!rig.released());
+    // Where an attempt is out from its send, dials take what they take.
+    let mut rig = Rig::new(Settings { out_once_left: false, ..settings }, &many);
+    rig.ask(arrival(1, 5, 1_000.0));
+    rig.end(1, 0, Outcome::Read);
+    rig.now += 250_000;
+    rig.end(1, 1, Outcome::ConnectFailed);
+    rig.now += 250_000;
+    assert!(rig.end(1, 2, Outcome::ConnectFailed).is_some_and(|s| s.0 > 10));
+    assert!(!rig.released() && rig.leave_by() == Some(0));
+}
--- a/crates/ivyward-platform/src/call.rs
+++ b/crates/ivyward-platform/src/call.rs
@@ -135,6 +135,9 @@
     fn as_any(&self) -> &dyn Any {
         self
     }
+    fn name(&self) -> &str {
+        &self.id
+    }
 }
 
 #[cfg(test)]
--- a/crates/ivyward-platform/src/engine.rs
+++ b/crates/ivyward-platform/src/engine.rs
@@ -19,6 +19,7 @@
 use std::ops::{Deref, DerefMut};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
+use tracing::debug;
 
 /// Part of the engines' idle time after which a connection is left: a request that crosses their close ends as a reset.
 const KEEP_PART: f64 = 0.6;
@@ -181,7 +182,9 @@
     for link in order.iter().cycle().take(RELEASE_TRIES) {
         let until = engines.world.now().saturating_add(RELEASE_ANSWER);
         let asked = link.short("DELETE", &target, until);
-        if before(&engines.world, until, asked).await.flatten().is_some_and(|(status, _)| status / 100 == 2) {
+        let status = before(&engines.world, until, asked).await.flatten().map(|(status, _)| status);
+        debug!(name = call.id, engine = link.id.0, status, "asked to let go");
+        if status.is_some_and(|status| status / 100 == 2) {
             return true;
         }
     }
@@ -399,9 +402,9 @@
         if job.until <= world.now() {
             return End::new(Outcome::NotSent, "no time left");
         }
-        let mut timer = world.sleep_until(job.until);
+        let mut timer = world.sleep_until(job.leave_by);
         let again = job.reads || self.call.again;
-        let mut wire = match job.wait(&mut timer, link.connect(job.until, again, 0)).await {
+        let mut wire = match job.wait(&mut timer, link.connect(job.leave_by, again, 0)).await {
             Woken::Next(Ok(wire)) => wire,
             Woken::Next(Err(text)) => return End::new(Outcome::ConnectFailed, text),
             Woken::Late => return End::new(Outcome::ConnectFailed, "no connection in time"),
@@ -437,6 +440,7 @@
         }
         drop(prompt);
         self.call.mark(Progress::Sent(job.attempt));
+        timer = world.sleep_until(job.until);
         let answer = match job.wait(&mut timer, answer(&mut wire)).await {
             Woken::Next(Ok(answer)) => {
                 link.fared(wire.idle, false);
--- a/crates/ivyward-platform/tests/common/mod.rs
+++ b/crates/ivyward-platform/tests/common/mod.rs
@@ -77,7 +77,7 @@
     pub config: String,
     pub engines: Vec<Arc<Host>>,
     pub discovery: SocketAddr,
-    node: Arc<Host>,
+    pub node: Arc<Host>,
 }
 
 pub fn entry(i: usize, state: &str) -> String {
--- a/crates/ivyward-platform/tests/engines.rs
+++ b/crates/ivyward-platform/tests/engines.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use ivyward::core::interface::Micros;
 use ivyward::world::WorldExt;
 
 fn writes(seen: &Seen) -> bool {
@@ -179,6 +180,29 @@
     });
 }
 
+/// Behind a cut no writer's connection comes up: what was read is let go of in time all the same, however many are tried.
+#[test]
+fn writers_that_cannot_be_reached_keep_no_state_waiting() {
+    for class in ["draft", "send"] {
+        let rig = Rig::new(|_| Play::Usual);
+        for writer in 2..4 {
+            rig.sim.cut(rig.node.id(), rig.engines[writer].id(), true);
+        }
+        rig.play(move |scene| async move {
+            let got = scene.ask("one", class).await;
+            assert_eq!(got.status, 429, "refused: nothing ran");
+            until(&scene.world, "a release", || !scene.releases("one").is_empty()).await;
+            let reads = scene.sends("one");
+            for (i, read) in reads.iter().enumerate() {
+                let next = reads.get(i + 1).map_or(Micros::MAX, |r| r.at);
+                let release = scene.releases("one").iter().map(|r| r.at).find(|at| *at > read.at);
+                let kept = release.unwrap_or(Micros::MAX).min(next) - read.at;
+                assert!(kept <= 300_000, "{class}: what read {i} left was kept for {kept} us");
+            }
+        });
+    }
+}
+
 /// Where the engine that holds something does not answer, another one is asked: any engine takes a release.
 #[test]
 fn a_release_finds_an_engine_that_answers() {
--- a/crates/ivyward-settings/src/lib.rs
+++ b/crates/ivyward-settings/src/lib.rs
@@ -206,6 +206,8 @@
         transfer_price: keys.number_or_zero("family_info.transfer_price")?,
         cross_zone_price: keys.number_or_zero("charges.cross_zone")?,
         release_within: keys.span("family_info.let_go_by_us")?,
+        // The simulator counts an attempt from its send.
+        out_once_left: false,
         drain_grace: keys.span("guarantees.drain_grace_us")?,
         fall_multiple: keys.number_or_zero("guarantees.fall_multiple")?,
         fall_window: keys.span("guarantees.fall_us")?,
--- a/crates/ivyward/src/engines/mod.rs
+++ b/crates/ivyward/src/engines/mod.rs
@@ -60,6 +60,8 @@
     fn finish(&self, end: Final) -> bool;
     /// For the protocol to find its own type again.
     fn as_any(&self) -> &dyn Any;
+    /// The name under which the request is known outside, for logs.
+    fn name(&self) -> &str;
 }
 
 /// A link to one engine, as the driver holds it.
@@ -112,6 +114,8 @@
     pub state: Option<(LinkRef, u16)>,
     /// When it ends without a first token.
     pub until: Micros,
+    /// When it ends unless its last byte left: something is held meanwhile, and its time runs on.
+    pub leave_by: Micros,
     pub(crate) stop: async_channel::Receiver<Stop>,
     pub(crate) first: Box<dyn Fn() + Send + Sync>,
 }
--- a/crates/ivyward/src/record/mod.rs
+++ b/crates/ivyward/src/record/mod.rs
@@ -288,6 +288,7 @@
         transfer_price: s.transfer_price,
         cross_zone_price: s.cross_zone_price,
         release_within: s.release_within,
+        out_once_left: s.out_once_left,
         drain_grace: s.drain_grace,
         fall_multiple: s.fall_multiple,
         fall_window: s.fall_window,
@@ -330,6 +331,7 @@
         transfer_price: s.transfer_price,
         cross_zone_price: s.cross_zone_price,
         release_within: s.release_within,
+        out_once_left: s.out_once_left,
         drain_grace: s.drain_grace,
         fall_multiple: s.fall_multiple,
         fall_window: s.fall_window,
@@ -472,9 +474,12 @@
 fn action_out(action: &Action) -> pb::Action {
     use pb::action::Action as Out;
     let action = match action {
-        Action::Send { request, server, timeout } => {
-            Out::Send(pb::Send { request: request.0, engine: server.0, timeout: *timeout })
-        }
+        Action::Send { request, server, timeout, leave_by } => Out::Send(pb::Send {
+            request: request.0,
+            engine: server.0,
+            timeout: *timeout,
+            leave_by: *leave_by,
+        }),
         Action::Cancel { request, attempt } => {
             Out::Cancel(pb::Cancel { request: request.0, attempt: u32::from(*attempt) })
         }
@@ -495,9 +500,12 @@
 fn action_in(action: pb::Action) -> Result<Action, String> {
     use pb::action::Action as In;
     Ok(match action.action.ok_or("an empty action")? {
-        In::Send(s) => {
-            Action::Send { request: RequestId(s.request), server: ServerId(s.engine), timeout: s.timeout }
-        }
+        In::Send(s) => Action::Send {
+            request: RequestId(s.request),
+            server: ServerId(s.engine),
+            timeout: s.timeout,
+            leave_by: s.leave_by,
+        },
         In::Cancel(c) => {
             Action::Cancel { request: RequestId(c.request), attempt: narrow(c.attempt, "attempt")? }
         }
@@ -547,7 +555,7 @@
             assert_eq!(event_in(event_out(&event)), Ok(event));
         }
         let actions = [
-            Action::Send { request, server, timeout: 5 },
+            Action::Send { request, server, timeout: 5, leave_by: 8 },
             Action::Cancel { request, attempt: 2 },
             Action::Refuse { request, retry_after: 6 },
             Action::Fail(request),
--- a/crates/ivyward/src/request/attempt.rs
+++ b/crates/ivyward/src/request/attempt.rs
@@ -104,7 +104,7 @@
         return End::new(Outcome::NotSent, "no time left");
     }
     let channel = {
-        let dial = async { Woken::Next(job.link.channel(job.until).await) };
+        let dial = async { Woken::Next(job.link.channel(job.until.min(job.leave_by)).await) };
         match or(dial, async { Woken::Stopped(job.stopped().await) }).await {
             Woken::Next(Ok(channel)) => channel,
             Woken::Next(Err(e @ (DialError::Failed(..) | DialError::Late(_)))) => {
--- a/crates/ivyward/src/request/driver.rs
+++ b/crates/ivyward/src/request/driver.rs
@@ -248,7 +248,9 @@
     /// Does what the module asks for: the only way out.
     fn carry_out(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { request, server, timeout } => self.send(now, request.0, server, timeout),
+            Action::Send { request, server, timeout, leave_by } => {
+                self.send(now, request.0, server, (timeout, leave_by));
+            }
             Action::Cancel { request, attempt } => {
                 let open = self.open.get(&request.0);
                 if let Some(a) = open.and_then(|o| o.attempts.get(usize::from(attempt))).filter(|a| a.out) {
@@ -285,6 +287,7 @@
             Final::Refused { .. } => &self.shared.metrics.refused,
             Final::Failed(_) => &self.shared.metrics.failed,
         };
+        debug!(request = id, name = open.taken.call.name(), ?end, "answered");
         if open.taken.call.finish(end) {
             counter.add(1);
         }
@@ -395,7 +398,8 @@
         let (reads, link) = (attempt.reads, attempt.link.clone());
         let engine = link.as_ref().map_or(0, |l| l.id().0);
         let (class, tenant) = (open.taken.arrival.class, open.taken.arrival.tenant);
-        debug!(request = id, attempt = no, class, tenant, engine, reads, outcome = ?end.outcome, kept = end.kept, text = end.text, "attempt ended");
+        let name = open.taken.call.name();
+        debug!(request = id, name, attempt = no, class, tenant, engine, reads, outcome = ?end.outcome, kept = end.kept, text = end.text, "attempt ended");
         if !matches!(end.outcome, Outcome::Served | Outcome::Read) {
             open.last = end.text.clone();
         }
@@ -450,6 +454,7 @@
     fn on_place(&mut self, id: u64, attempt: u16, from: (LinkRef, Arc<dyn Call>), held: Held) {
         let (link, call) = from;
         let (server, may_be) = (link.id(), held != Held::No);
+        debug!(request = id, name = call.name(), attempt, engine = server.0, ?held, "place answered");
         let kept = Kept { link, attempt, place: true, sure: held == Held::Yes, used_by: None };
         // What is not sure is let go of at once, or with all that the request leaves.
         let stays = held == Held::Yes || !self.protocol.one_by_one();
@@ -513,7 +518,7 @@
         self.shared.router_settings.roles.get(usize::from(kind)).copied()
     }
 
-    fn send(&mut self, now: Micros, id: u64, server: ServerId, timeout: Micros) {
+    fn send(&mut self, now: Micros, id: u64, server: ServerId, (timeout, leave_by): (Micros, Micros)) {
         let shared = self.shared.clone();
         let found = self.links.get(&server).cloned();
         let reads = found.as_ref().is_some_and(|(_, kind)| self.role(*kind) == Some(Role::Prefill));
@@ -522,10 +527,12 @@
         let a = &open.taken.arrival;
         debug!(
             request = id,
+            name = open.taken.call.name(),
             attempt = no,
             engine = server.0,
             reads,
             timeout,
+            leave_in = leave_by.saturating_sub(now),
             patience = a.patience,
             repeat = a.repeat,
             prefix = a.prefix,
@@ -544,11 +551,12 @@
         let job = found.filter(|_| !ill).map(|(link, _)| {
             let first_by = open.taken.first_by;
             let until = if timeout == 0 { first_by } else { first_by.min(now.saturating_add(timeout)) };
+            let leave_by = if leave_by == 0 { until } else { until.min(leave_by) };
             let (shared, call) = (shared.clone(), open.taken.call.clone());
             let state = open.state.clone().filter(|_| !reads);
             let inbox = self.inbox.clone();
             let first = Box::new(move || inbox.tell(Notice::First(id, no)));
-            (link, Job { shared, call, request: id, attempt: no, reads, state, until, stop, first })
+            (link, Job { shared, call, request: id, attempt: no, reads, state, until, leave_by, stop, first })
         });
         // Guards against places that outlast their request: a writer takes the one that was held beside the read whose
         // state it fetches. It knows nothing of one held beside a read that failed, and a hold whose answer is not
@@ -595,6 +603,8 @@
 
     /// Asks engines to let go. The first try leaves at once.
     fn let_go(&self, request: u64, call: Arc<dyn Call>, kept: Vec<Kept>) {
+        let what = || kept.iter().map(|k| (k.link.id().0, k.attempt, k.place, k.sure)).collect::<Vec<_>>();
+        debug!(request, name = call.name(), kept = ?what(), "let go");
         let here = |id| kept.iter().any(|k| k.link.id() == id);
         let others = match self.protocol.one_by_one() {
             true => Vec::new(),
--- a/crates/ivyward/src/request/grpc.rs
+++ b/crates/ivyward/src/request/grpc.rs
@@ -33,6 +33,9 @@
     fn as_any(&self) -> &dyn Any {
         self
     }
+    fn name(&self) -> &str {
+        ""
+    }
 }
 
 /// Engines that speak `ivyward.engine.v1`.
--- a/crates/ivyward/src/settings.rs
+++ b/crates/ivyward/src/settings.rs
@@ -145,6 +145,8 @@
             roles: if self.rules.roles.is_empty() { KINDS.to_vec() } else { self.rules.roles.clone() },
             classes: self.classes.iter().map(|c| c.settings.clone()).collect(),
             tenants: self.tenants.iter().map(|t| t.settings.clone()).collect(),
+            // On sockets an engine knows nothing of an attempt that is still connecting.
+            out_once_left: true,
             ..self.rules.clone()
         }
     }
