--- a/crates/ivyward-core/src/letgo.rs
+++ b/crates/ivyward-core/src/letgo.rs
@@ -105,7 +105,9 @@
     by_request: BTreeMap<u64, u64>,
     due: BTreeSet<(Micros, u64)>,
     next_no: u64,
+    /// Asks under way, and those of them at each engine, with the time of the first.
     asks: usize,
+    at: BTreeMap<ServerId, (usize, Micros)>,
     end_by: Option<Micros>,
 }
 
@@ -119,6 +121,7 @@
             due: BTreeSet::new(),
             next_no: 0,
             asks: 0,
+            at: BTreeMap::new(),
             end_by: None,
         }
     }
@@ -220,15 +223,21 @@
                 (self.span(BESIDE), self.span(PATIENCE), self.span(PAUSE_MOST));
             let racing = self.owed.get(&no).is_some_and(|o| now <= o.since.saturating_add(self.span(1.0)));
             let Some(owed) = self.owed.get_mut(&no) else { continue };
+            let at = &self.at;
+            // Guards against many that ask one engine, all in vain: each is an ask that could have found another.
             let likely = |t: &&Taker| {
+                let (asks, since) = at.get(&t.id).copied().unwrap_or((0, now));
+                let silent = t.silent() || since.saturating_add(beside) <= now;
                 let recent = t.heard >= lately && t.heard > 0;
-                (t.silent(), t.leaving, !(t.stands && recent), !recent, !t.stands, Reverse(t.heard), t.id)
+                let stands = (!(t.stands && recent), asks, !recent, !t.stands);
+                (silent, t.leaving, stands, Reverse(t.heard), t.id)
             };
             let best = takers.iter().filter(|t| !owed.asked.contains(&t.id)).min_by_key(likely);
             if let Some(taker) = best {
                 owed.asked.push(taker.id);
                 owed.out += 1;
                 self.asks += 1;
+                self.at.entry(taker.id).or_insert((0, now)).0 += 1;
                 asks.push(Ask { request: owed.request, no, taker: taker.id, until: now + patience });
             }
             let next = match best {
@@ -253,6 +262,12 @@
     /// An ask ended.
     pub fn answered(&mut self, now: Micros, ask: &Ask, answer: Answer) {
         self.asks = self.asks.saturating_sub(1);
+        if let Some(at) = self.at.get_mut(&ask.taker) {
+            *at = (at.0.saturating_sub(1), if answer == Answer::Taken { now } else { at.1 });
+            if at.0 == 0 {
+                self.at.remove(&ask.taker);
+            }
+        }
         let (beside, pause) = (self.span(BESIDE), self.span(PAUSE));
         let repeats = REPEATS.map(|part| self.span(part));
         let racing = self.owed.get(&ask.no).is_some_and(|o| now <= o.since.saturating_add(self.span(1.0)));
--- /dev/null
+++ b/crates/ivyward-core/tests/letgo.rs
@@ -0,0 +1,317 @@
+//! Letting go: whom, how many at once, when again; played against engines that answer, are silent, or come back.
+
+use ivyward_core::interface::{Micros, ServerId};
+use ivyward_core::letgo::{Answer, Ask, LetGo, LetGoSettings, Taker};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const MS: Micros = 1_000;
+const WITHIN: Micros = 300 * MS;
+const START: Micros = 3_600_000 * MS;
+
+/// Engines and the way to them, in time moved by hand.
+struct Play {
+    now: Micros,
+    let_go: LetGo,
+    takers: BTreeMap<ServerId, Taker>,
+    /// Whether an engine answers at a time.
+    answers: Box<dyn Fn(ServerId, Micros) -> bool>,
+    way: Micros,
+    /// Asks under way by the time of their end.
+    out: Vec<(Micros, Ask, Answer)>,
+    most_out: usize,
+    asks: Vec<(Micros, Ask)>,
+    taken: Vec<(Micros, u64)>,
+    /// Requests for which nothing is owed any more.
+    done: BTreeMap<u64, Micros>,
+    owing: Vec<u64>,
+}
+
+impl Play {
+    fn new(engines: u64, answers: impl Fn(ServerId, Micros) -> bool + 'static) -> Play {
+        Play::with(LetGoSettings { within: WITHIN, most_asks: 28, most_owed: 1_000 }, engines, answers)
+    }
+    fn with(
+        settings: LetGoSettings,
+        engines: u64,
+        answers: impl Fn(ServerId, Micros) -> bool + 'static,
+    ) -> Play {
+        // All were heard of late, the higher ones later.
+        let taker = |i| Taker {
+            id: ServerId(i),
+            heard: START - 100 * MS + i,
+            missed: 0,
+            stands: true,
+            leaving: false,
+        };
+        Play {
+            now: START,
+            let_go: LetGo::new(settings),
+            takers: (1..=engines).map(|i| (ServerId(i), taker(i))).collect(),
+            answers: Box::new(answers),
+            way: 3 * MS,
+            out: Vec::new(),
+            most_out: 0,
+            asks: Vec::new(),
+            taken: Vec::new(),
+            done: BTreeMap::new(),
+            owing: Vec::new(),
+        }
+    }
+    fn owe(&mut self, request: u64, sure: bool) -> Option<u64> {
+        self.owing.push(request);
+        self.let_go.owe(self.now, request, sure)
+    }
+    /// Plays until a time, or until nothing is owed.
+    fn until(&mut self, end: Micros) {
+        loop {
+            let takers: Vec<Taker> = self.takers.values().copied().collect();
+            for ask in self.let_go.act(self.now, &takers) {
+                let answers = (self.answers)(ask.taker, self.now);
+                let (at, answer) = match answers {
+                    true => (self.now + self.way, Answer::Taken),
+                    false => (ask.until, Answer::Not),
+                };
+                self.asks.push((self.now, ask));
+                self.out.push((at, ask, answer));
+            }
+            self.most_out = self.most_out.max(self.out.len());
+            for request in self.owing.extract_if(.., |r| !self.let_go.owes(*r)) {
+                self.done.insert(request, self.now);
+            }
+            let next = self.out.iter().map(|o| o.0).chain(self.let_go.due()).min().unwrap_or(Micros::MAX);
+            if self.let_go.owed() == 0 && self.out.is_empty() || next > end {
+                self.now = if next > end { end } else { self.now };
+                return;
+            }
+            assert!(next >= self.now, "time does not run back");
+            self.now = next;
+            self.out.sort_by_key(|o| o.0);
+            while self.out.first().is_some_and(|o| o.0 <= self.now) {
+                let (at, ask, answer) = self.out.remove(0);
+                let taker = self.takers.get_mut(&ask.taker).unwrap();
+                let silent = taker.silent();
+                match answer {
+                    Answer::Taken => {
+                        taker.heard = at;
+                        self.taken.push((at, ask.request));
+                    }
+                    _ => taker.missed = at,
+                }
+                self.let_go.answered(self.now, &ask, answer);
+                if answer == Answer::Taken && silent {
+                    self.let_go.heard(self.now);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn one_that_answered_lately_is_asked_alone() {
+    let mut play = Play::new(40, |_, _| true);
+    play.takers.get_mut(&ServerId(7)).unwrap().heard = START - 1;
+    play.takers.get_mut(&ServerId(9)).unwrap().heard = START;
+    play.takers.get_mut(&ServerId(9)).unwrap().stands = false;
+    play.owe(1, true);
+    play.until(START + WITHIN);
+    assert_eq!(play.asks.len(), 1, "one ask is enough: {:?}", play.asks);
+    assert_eq!(play.asks[0].1.taker, ServerId(7), "no new connection where one stands");
+    assert_eq!(play.done[&1], START + play.way);
+}
+
+#[test]
+fn engines_that_drain_or_were_silent_come_last() {
+    let mut play = Play::new(3, |_, _| true);
+    play.takers.get_mut(&ServerId(3)).unwrap().leaving = true;
+    play.takers.get_mut(&ServerId(2)).unwrap().missed = START;
+    play.owe(1, true);
+    play.until(START + WITHIN);
+    assert_eq!(play.asks[0].1.taker, ServerId(1));
+}
+
+/// A cut has just begun: five engines that were heard a moment ago, with standing connections, are silent.
+#[test]
+fn silent_engines_in_front_do_not_take_the_time() {
+    for silent in 0..=5 {
+        let mut play = Play::new(40, move |id, _| id.0 <= 40 - silent);
+        play.owe(1, true);
+        play.until(START + 10 * WITHIN);
+        let took = play.done[&1] - START;
+        assert!(took <= WITHIN * 2 / 3, "{silent} silent: {took} us");
+        assert!(play.most_out <= 3, "{} at once", play.most_out);
+        // Later ones know: nothing silent is asked.
+        let asked = play.asks.len();
+        play.owe(2, true);
+        play.until(play.now + WITHIN);
+        assert_eq!(play.asks.len(), asked + 1, "{silent} silent");
+        assert!(play.asks.len() as u64 <= silent + 4);
+    }
+}
+
+#[test]
+fn three_hundred_at_once_stay_within_their_connections_and_in_time() {
+    // A third of the engines is behind the cut; and, worse than any cut, all those that were heard last.
+    for (last_ones, within) in [(false, WITHIN), (true, 3 * WITHIN)] {
+        let mut play = Play::new(300, move |id, _| if last_ones { id.0 <= 200 } else { id.0 % 3 > 0 });
+        for request in 0..300 {
+            play.owe(request, true);
+        }
+        play.until(START + 10 * WITHIN);
+        assert_eq!(play.let_go.owed(), 0);
+        assert!(play.most_out <= 28);
+        let last = play.done.values().max().unwrap() - START;
+        assert!(last <= within, "the last after {last} us");
+        assert!(play.asks.len() <= 300 + 110, "{} asks", play.asks.len());
+    }
+}
+
+#[test]
+fn while_all_are_silent_it_stays_owed_without_spinning_and_is_met_at_the_first_word() {
+    let back = START + 60_000 * MS;
+    let mut play = Play::new(60, move |id, now| id == ServerId(17) && now >= back);
+    for request in 0..20 {
+        play.owe(request, request % 2 == 0);
+    }
+    play.until(back);
+    assert_eq!(play.let_go.owed(), 20, "nothing is given up");
+    assert!(play.asks.len() < 20 * 60, "{} asks in a minute", play.asks.len());
+    // Something else of that engine is heard.
+    play.takers.get_mut(&ServerId(17)).unwrap().heard = back;
+    play.let_go.heard(back);
+    play.until(back + 4 * WITHIN);
+    assert_eq!(play.let_go.owed(), 0);
+    let first = |request| play.taken.iter().find(|t| t.1 == request).unwrap().0;
+    assert!((0..20).all(|r| first(r) <= back + 2 * play.way), "at once, and not after a pause");
+}
+
+#[test]
+fn what_may_still_be_on_its_way_is_let_go_of_again() {
+    let mut play = Play::new(5, |_, _| true);
+    play.owe(1, false);
+    play.until(START + 4 * WITHIN);
+    let taken: Vec<Micros> = play.taken.iter().map(|t| t.0 - START).collect();
+    assert_eq!(taken.len(), 3, "{taken:?}");
+    assert!(taken[1] >= WITHIN / 3 && taken[2] >= WITHIN && taken[2] <= WITHIN + 20 * MS, "{taken:?}");
+    // Something more is left after the first was taken: all begins anew, and what is unsure stays so.
+    play.owe(2, false);
+    play.until(play.now + 10 * MS);
+    let before = play.taken.len();
+    play.let_go.owe(play.now, 2, true);
+    play.until(play.now + 4 * WITHIN);
+    assert_eq!(play.taken.len(), before + 3);
+    assert_eq!(play.let_go.owed(), 0);
+}
+
+#[test]
+fn what_is_needed_again_is_not_let_go_of() {
+    let mut play = Play::new(5, |_, _| true);
+    play.owe(1, false);
+    play.until(START + 10 * MS);
+    assert!(play.let_go.needed(1), "repeats were still to come");
+    assert!(!play.let_go.needed(1) && !play.let_go.needed(2));
+    play.until(START + 4 * WITHIN);
+    assert_eq!(play.taken.len(), 1);
+    // An answer that comes after all changes nothing.
+    play.owe(3, true);
+    let takers: Vec<Taker> = play.takers.values().copied().collect();
+    let asks = play.let_go.act(play.now, &takers);
+    play.let_go.needed(3);
+    play.let_go.answered(play.now + 1, &asks[0], Answer::Taken);
+    assert_eq!((play.let_go.owed(), play.let_go.due()), (0, None));
+}
+
+#[test]
+fn at_its_bound_the_oldest_is_left_and_named() {
+    let settings = LetGoSettings { within: WITHIN, most_asks: 4, most_owed: 3 };
+    let mut play = Play::with(settings, 2, |_, _| false);
+    assert_eq!([play.owe(1, true), play.owe(2, true), play.owe(3, true)], [None; 3]);
+    assert_eq!(play.owe(2, true), None, "one that is owed already takes no more room");
+    assert_eq!(play.owe(4, true), Some(1));
+    assert_eq!(play.let_go.owed(), 3);
+}
+
+#[test]
+fn a_node_that_ends_lets_go_first_and_does_not_wait_for_ever() {
+    let mut play = Play::new(4, |_, now| now >= START + 1_000 * MS);
+    play.owe(1, true);
+    play.let_go.ends(START);
+    play.until(START + 2_500 * MS);
+    assert_eq!(play.let_go.owed(), 0, "met while it waits");
+    let mut play = Play::new(4, |_, _| false);
+    play.owe(1, true);
+    play.let_go.ends(START);
+    play.until(START + 2_900 * MS);
+    assert!(play.let_go.left(play.now).is_empty() && play.let_go.owed() == 1);
+    assert_eq!(play.let_go.left(START + 10 * WITHIN), [1]);
+    assert_eq!((play.let_go.owed(), play.let_go.due()), (0, None));
+}
+
+#[test]
+fn want_of_a_descriptor_says_nothing_of_an_engine() {
+    let mut play = Play::new(1, |_, _| true);
+    play.owe(1, true);
+    let takers: Vec<Taker> = play.takers.values().copied().collect();
+    let ask = play.let_go.act(play.now, &takers)[0];
+    play.let_go.answered(play.now, &ask, Answer::NoRoom);
+    let again = play.let_go.due().unwrap();
+    assert!(again > START && again <= START + WITHIN / 5, "soon, and not at once");
+    play.now = again;
+    play.until(again + WITHIN);
+    assert_eq!(play.let_go.owed(), 0);
+}
+
+#[test]
+fn a_very_short_time_leaves_answers_their_way() {
+    for within in [0, 1 * MS, 20 * MS] {
+        let settings = LetGoSettings { within, most_asks: 28, most_owed: 10 };
+        let mut play = Play::with(settings, 8, |id, _| id.0 <= 6);
+        play.way = 8 * MS;
+        play.owe(1, true);
+        play.until(START + 1_000 * MS);
+        assert!(play.done[&1] <= START + 40 * MS, "{within}: {}", play.done[&1] - START);
+    }
+}
+
+#[test]
+fn without_engines_it_waits_for_some() {
+    let mut play = Play::new(0, |_, _| true);
+    play.owe(1, true);
+    play.until(START + 5_000 * MS);
+    assert_eq!((play.let_go.owed(), play.asks.len()), (1, 0));
+    let id = ServerId(1);
+    play.takers.insert(id, Taker { id, heard: 0, missed: 0, stands: false, leaving: false });
+    play.until(START + 8_000 * MS);
+    assert_eq!(play.let_go.owed(), 0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+    /// Whatever is silent when: asks stay within the bound, nothing is lost while it is owed, and all is met soon after any
+    /// engine answers for good.
+    #[test]
+    fn all_is_met_once_one_answers(
+        engines in 1u64..30,
+        owed in 1u64..60,
+        most_asks in 1usize..20,
+        flaps in proptest::collection::vec(0u64..4_000, 30),
+        sure in any::<bool>(),
+    ) {
+        let settings = LetGoSettings { within: WITHIN, most_asks, most_owed: 1_000 };
+        let well = START + 5_000 * MS;
+        let mut play = Play::with(settings, engines, move |id, now| {
+            now >= well && id.0 == 1 || (now - START) / MS % 4_000 < flaps[id.0 as usize % 30] / 2
+        });
+        for request in 0..owed {
+            play.owe(request, sure);
+        }
+        play.until(well + 20 * WITHIN + owed * engines * 120 * MS / most_asks as u64);
+        prop_assert_eq!(play.let_go.owed(), 0);
+        prop_assert!(play.most_out <= most_asks);
+        for request in 0..owed {
+            let taken = play.taken.iter().filter(|t| t.1 == request).count();
+            let least = if sure { 1 } else { 3 };
+            prop_assert!(taken >= least);
+        }
+    }
+}
