--- a/crates/ivyward-platform/tests/held.rs
+++ b/crates/ivyward-platform/tests/held.rs
@@ -200,3 +200,31 @@
         });
     }
 }
+
+/// Requests that hang at engines end together, over a hundred of them, of three hundred that came at once.
+#[test]
+fn releases_get_through_while_all_descriptors_are_used() {
+    let rig = Rig::with(700, |seen| match seen.method.as_str() {
+        "POST" if seen.id.starts_with('h') => Play::Silent,
+        _ => Play::Usual,
+    });
+    rig.play(|scene| async move {
+        let ids: Vec<String> = (0..300).map(|n| format!("h{n}")).collect();
+        let mut conns = Vec::new();
+        for id in &ids {
+            let mut conn = scene.connect().await;
+            conn.write_all(&request(id, "draft", 9_000)).await.unwrap();
+            conns.push(conn);
+        }
+        let came = || {
+            let book = scene.book.lock().unwrap();
+            book.seen.iter().filter(|s| s.method == "POST" && !s.id.is_empty()).count()
+        };
+        until(&scene.world, "many are at an engine", || came() >= 100).await;
+        drop(conns);
+        scene.world.sleep(3_000 * MS).await;
+        let kept = kept(&scene, &ids);
+        assert!(kept <= WITHIN, "kept for {kept} us");
+        assert_eq!(scene.service.node().owed(), 0);
+    });
+}
