--- a/crates/ivyward-core/src/letgo.rs
+++ b/crates/ivyward-core/src/letgo.rs
@@ -98,6 +98,13 @@
     next: Micros,
 }
 
+impl Owed {
+    /// Whether its span is not over, so that several engines are asked at once.
+    fn races(&self, now: Micros, span: Micros) -> bool {
+        now <= self.since.saturating_add(span)
+    }
+}
+
 /// What a node still has to let go of. See the module's page.
 pub struct LetGo {
     settings: LetGoSettings,
@@ -147,7 +154,7 @@
             let span = self.span(1.0);
             if let Some(owed) = self.owed.get_mut(&no) {
                 // One that had been taken already begins anew; one that was not goes on.
-                let fresh = owed.repeats > 0 || now.saturating_sub(owed.since) > span;
+                let fresh = owed.repeats > 0 || !owed.races(now, span);
                 owed.sure &= sure;
                 owed.repeats = 0;
                 if fresh {
@@ -219,10 +226,10 @@
             let Some((at, no)) = self.due.first().copied().filter(|d| d.0 <= now) else { break };
             self.due.remove(&(at, no));
             let lately = now.saturating_sub(self.span(LATELY));
-            let (beside, patience, pause_most) =
-                (self.span(BESIDE), self.span(PATIENCE), self.span(PAUSE_MOST));
-            let racing = self.owed.get(&no).is_some_and(|o| now <= o.since.saturating_add(self.span(1.0)));
+            let (span, beside) = (self.span(1.0), self.span(BESIDE));
+            let (patience, pause_most) = (self.span(PATIENCE), self.span(PAUSE_MOST));
             let Some(owed) = self.owed.get_mut(&no) else { continue };
+            let racing = owed.races(now, span);
             let at = &self.at;
             // Guards against many that ask one engine, all in vain: each is an ask that could have found another.
             let likely = |t: &&Taker| {
@@ -268,9 +275,8 @@
                 self.at.remove(&ask.taker);
             }
         }
-        let (beside, pause) = (self.span(BESIDE), self.span(PAUSE));
+        let (span, beside, pause) = (self.span(1.0), self.span(BESIDE), self.span(PAUSE));
         let repeats = REPEATS.map(|part| self.span(part));
-        let racing = self.owed.get(&ask.no).is_some_and(|o| now <= o.since.saturating_add(self.span(1.0)));
         let Some(owed) = self.owed.get_mut(&ask.no) else { return };
         owed.out = owed.out.saturating_sub(1);
         match answer {
@@ -289,7 +295,7 @@
                 self.again(ask.no, at);
             }
             Answer::Not if owed.since > now => {}
-            Answer::Not if racing => self.again(ask.no, now),
+            Answer::Not if owed.races(now, span) => self.again(ask.no, now),
             Answer::Not => {
                 let at = owed.next.min(now + owed.pause);
                 self.again(ask.no, at);
--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -768,8 +768,9 @@
         let stall = if self.cfg.may_cancel { part } else { STALL * expected };
         let timeout =
             if once || left <= 1 || part < PATIENT * expected { 0 } else { part.min(stall) as Micros };
-        let dial = |until: Micros| if left > 1 { until.saturating_sub(now) as f64 * HELD_DIAL } else { 1e12 };
-        let leave_by = self.held_until(&r).map_or(0, |until| until.min(now + dial(until) as Micros));
+        let held_part = if left > 1 { HELD_DIAL } else { 1.0 };
+        let dial = |until: Micros| now + (until.saturating_sub(now) as f64 * held_part) as Micros;
+        let leave_by = self.held_until(&r).map_or(0, dial);
         out.push(Action::Send { request: r.a.id, server: to, timeout, leave_by });
         let window = self.cfg.fall_window;
         self.sent[usize::from(op == Op::Read)].add(now, self.cfg.fall_window as f64, 0.0);
--- a/crates/ivyward-platform/src/engine.rs
+++ b/crates/ivyward-platform/src/engine.rs
@@ -167,11 +167,13 @@
 }
 
 /// Why a short call has no answer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, thiserror::Error)]
 pub(crate) enum Short {
-    /// No descriptor is left for a connection.
+    /// That says nothing of the engine.
+    #[error("no descriptor is left for a connection")]
     NoRoom,
     /// No connection, or none that lasted, or no answer in time.
+    #[error("{0}")]
     Nothing(String),
 }
 
@@ -221,20 +223,16 @@
         let place = self.engines.place(spare).ok_or(Short::NoRoom)?;
         let until = until.min(world.now().saturating_add(self.engines.dial_timeout));
         let began = world.now();
-        match before(world, until, world.connect(self.address)).await {
+        let failed = match before(world, until, world.connect(self.address)).await {
             Some(Ok(conn)) => {
                 let round_trip = (world.now() - began).clamp(ROUND_TRIP.0, ROUND_TRIP.1);
-                Ok(EngineWire { wire: Wire::new(conn), idle: None, round_trip, _place: place })
+                return Ok(EngineWire { wire: Wire::new(conn), idle: None, round_trip, _place: place });
             }
-            Some(Err(e)) => {
-                self.miss();
-                Err(Short::Nothing(format!("cannot connect to {}: {e}", self.address)))
-            }
-            None => {
-                self.miss();
-                Err(Short::Nothing(format!("no connection to {} in time", self.address)))
-            }
-        }
+            Some(Err(e)) => format!("cannot connect to {}: {e}", self.address),
+            None => format!("no connection to {} in time", self.address),
+        };
+        self.miss();
+        Err(Short::Nothing(failed))
     }
 
     /// The youngest of the idle connections that may be used. One that its engine closed, or that brought more than its
@@ -439,10 +437,7 @@
         let again = job.reads || self.call.again;
         let mut wire = match job.wait(&mut timer, link.connect(job.leave_by, again, 0)).await {
             Woken::Next(Ok(wire)) => wire,
-            Woken::Next(Err(Short::Nothing(text))) => return End::new(Outcome::ConnectFailed, text),
-            Woken::Next(Err(Short::NoRoom)) => {
-                return End::new(Outcome::ConnectFailed, "no descriptor is left for a connection")
-            }
+            Woken::Next(Err(why)) => return End::new(Outcome::ConnectFailed, why.to_string()),
             Woken::Late => {
                 link.miss();
                 return End::new(Outcome::ConnectFailed, "no connection in time");
--- a/crates/ivyward-platform/tests/common/mod.rs
+++ b/crates/ivyward-platform/tests/common/mod.rs
@@ -69,6 +69,17 @@
     pub most_standing: usize,
 }
 
+/// What an engine says that turns a request away.
+pub const AWAY: &str = "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+
+pub fn reads(seen: &Seen) -> bool {
+    seen.engine < 2 && seen.method == "POST" && !seen.id.is_empty()
+}
+
+pub fn writes(seen: &Seen) -> bool {
+    seen.engine >= 2 && seen.method == "POST" && !seen.id.is_empty()
+}
+
 impl Book {
     /// The longest time in which something may have been held for a request with no attempt at an engine, until `end`: from
     /// the last attempt that was over, of those after a read that was not turned away, to the next one or to a release. A
--- a/crates/ivyward-platform/tests/engines.rs
+++ b/crates/ivyward-platform/tests/engines.rs
@@ -6,10 +6,6 @@
 use ivyward::core::interface::Micros;
 use ivyward::world::WorldExt;
 
-fn writes(seen: &Seen) -> bool {
-    seen.engine >= 2 && seen.method == "POST" && !seen.id.is_empty()
-}
-
 #[test]
 fn a_request_is_read_then_written_and_passes_unchanged() {
     Rig::new(|_| Play::Usual).play(|scene| async move {
@@ -167,7 +163,7 @@
 #[test]
 fn what_is_held_is_let_go_in_time() {
     let rig = Rig::new(|seen| match writes(seen) {
-        true => say("HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"),
+        true => say(AWAY),
         false => Play::Usual,
     });
     rig.play(|scene| async move {
--- a/crates/ivyward-platform/tests/held.rs
+++ b/crates/ivyward-platform/tests/held.rs
@@ -9,16 +9,6 @@
 const WITHIN: Micros = 300_000;
 const MS: Micros = 1_000;
 
-fn writes(seen: &Seen) -> bool {
-    seen.engine >= 2 && seen.method == "POST" && !seen.id.is_empty()
-}
-
-fn reads(seen: &Seen) -> bool {
-    seen.engine < 2 && seen.method == "POST" && !seen.id.is_empty()
-}
-
-const AWAY: &str = "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
-
 /// Every request's longest time held, once the scene is over.
 fn kept(scene: &Scene, ids: &[String]) -> Micros {
     let (book, now) = (scene.book.lock().unwrap(), scene.world.now());
--- a/crates/ivyward-platform/tests/rules.rs
+++ b/crates/ivyward-platform/tests/rules.rs
@@ -30,7 +30,7 @@
         0 => say("\u{1}\u{2} noise\r\n\r\n"),
         1 => say("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"),
         2 => Play::SayAndClose(Vec::new()),
-        3 | 4 => say("HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"),
+        3 | 4 => say(AWAY),
         5 => Play::Silent,
         6 if seen.engine >= 2 => Play::AfterFirst(b"zz\r\n".to_vec()),
         7 => Play::Late(400_000),
--- a/crates/ivyward/src/shared.rs
+++ b/crates/ivyward/src/shared.rs
@@ -6,7 +6,7 @@
 use ivyward_world::WorldRef;
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// What the parts of a node share.
 pub struct Shared {
@@ -49,7 +49,7 @@
     /// the next to let go of it anyway.
     pub(crate) fn begin_release(self: &Arc<Self>) -> Release {
         let (stop, stopped) = async_channel::bounded(1);
-        let mut releases = self.releases.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut releases = self.releases();
         let no = releases.back().map_or(0, |r| r.0 + 1);
         if releases.len() >= self.settings.most_releases {
             releases.pop_front();
@@ -58,6 +58,9 @@
         self.owe(1);
         Release { shared: self.clone(), no, stopped }
     }
+    fn releases(&self) -> MutexGuard<'_, VecDeque<(u64, async_channel::Sender<()>)>> {
+        self.releases.lock().unwrap_or_else(PoisonError::into_inner)
+    }
     /// More is still to be let go of.
     pub fn owe(&self, more: usize) {
         self.owed.fetch_add(more, Ordering::SeqCst);
@@ -85,7 +88,7 @@
 
 impl Drop for Release {
     fn drop(&mut self) {
-        let mut releases = self.shared.releases.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut releases = self.shared.releases();
         if let Ok(at) = releases.binary_search_by_key(&self.no, |r| r.0) {
             releases.remove(at);
         }
