Nothing begins after a client has gone, called off or not, busy or not

Read off and shown by the new tests (gone.rs): engine.rs polled what was to be sent before the driver's word (Job::wait), so a connection that stands and a body that fits left all the same; where calls may not be called off nobody told an attempt whose body was still leaving (its last byte left 0.3 to 2 s after the end, while_a_body_is_being_sent); door.rs stopped reading after 16 KiB behind an open request, so that the end behind them was never seen (a write 0.5 s after, behind_pipelined_bytes). Excluded: a dial that comes up after the end, which the dropped prompt kept back already, and the queue of notices, which is taken up in order.

An attempt now heeds the driver first while something of it can stay here, looks at the client's connection (Peer::left, which holds nothing open) before each piece, and a request whose client is gone is not taken up. What comes behind a request past 16 KiB is read and dropped, and its connection ends after the answer. Tests inside sources moved to files of their own.

--- a/crates/ivyward-platform/src/call.rs
+++ b/crates/ivyward-platform/src/call.rs
@@ -3,9 +3,10 @@
 use event_listener::Event;
 use ivyward::answer::{Buffer, Final};
 use ivyward::engines::Call;
+use ivyward::world::Peer;
 use ivyward_http1::Request;
 use std::any::Any;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -79,6 +80,8 @@
     prompt: Mutex<Option<Arc<Prompt>>>,
     progress: Mutex<Option<Progress>>,
     moved: Event,
+    client: Arc<dyn Peer>,
+    left: AtomicBool,
     /// The engine's events. A slow client holds up its own engine: no more is read while the bound waits.
     pub(crate) outlet: Buffer<u8>,
 }
@@ -89,6 +92,7 @@
         request: &Request,
         again: bool,
         prompt: Prompt,
+        client: Arc<dyn Peer>,
         bound: usize,
     ) -> PlatformCall {
         PlatformCall {
@@ -99,9 +103,23 @@
             prompt: Mutex::new(Some(Arc::new(prompt))),
             progress: Mutex::new(None),
             moved: Event::new(),
+            client,
+            left: AtomicBool::new(false),
             outlet: Buffer::new(bound),
         }
     }
+    /// The client has left: it is known from now on.
+    pub(crate) fn leave(&self) {
+        self.left.store(true, Ordering::SeqCst);
+    }
+    /// Whether the client has left. Its connection is looked at as well: on a busy node the word of its end may still wait
+    /// to be read, or stand in a queue.
+    pub(crate) fn left(&self) -> bool {
+        if !self.left.load(Ordering::SeqCst) && self.client.left() {
+            self.leave();
+        }
+        self.left.load(Ordering::SeqCst)
+    }
     pub(crate) fn prompt(&self) -> Option<Arc<Prompt>> {
         lock(&self.prompt).clone()
     }
@@ -141,17 +159,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn shares_of_the_budget_are_given_back() {
-        let budget = Budget::new(100);
-        let (mut one, mut other) = (Share::new(&budget), Share::new(&budget));
-        assert!(one.grow(60) && !other.grow(60));
-        drop(other);
-        assert!(one.grow(40) && budget.held() == 100);
-        drop(one);
-        assert_eq!(budget.held(), 0);
-    }
-}
+mod tests;
--- a/crates/ivyward-platform/src/door.rs
+++ b/crates/ivyward-platform/src/door.rs
@@ -25,8 +25,10 @@
 /// overtakes the error.
 const DRAIN: Micros = 1_500_000;
 const MOST_DRAIN: usize = 64 << 20;
-/// Bytes that may wait behind an open request; then the connection is not read.
+/// Bytes that may wait behind an open request. More are read all the same, for the client's end may follow them, and
+/// dropped: then the connection ends with the answer. After so many of those it is not read any more.
 const MOST_BEHIND: usize = 16 << 10;
+const MOST_DROPPED: usize = 4 << 20;
 /// Longest request id.
 const MOST_ID: usize = 128;
 
@@ -182,6 +184,7 @@
                 Came::Whole(request, prompt) => {
                     let keeps = request.head.keeps();
                     match self.serve_one(&mut wire, *request, prompt).await {
+                        Ok(_) if wire.dropped() > 0 => return self.drain(wire).await,
                         Ok(true) if keeps && !self.stops() => None,
                         Ok(_) => return,
                         Err(bad) => Some(Bad { closes: bad.closes || !keeps, ..bad }),
@@ -319,8 +322,12 @@
         }
         let _mine = Mine::new(self, &id).ok_or_else(|| Bad::new(409, "a request with this id is open"))?;
         let bound = self.bounds.outlet;
+        // Guards against work for a client that left while its request waited to be read.
+        if wire.ended(MOST_BEHIND) {
+            return Ok(false);
+        }
         let again = self.told.module.classes[arrival.class].effect == Effect::Safe;
-        let call = Arc::new(PlatformCall::new(&id, &request, again, prompt, bound));
+        let call = Arc::new(PlatformCall::new(&id, &request, again, prompt, wire.peer(), bound));
         let first_by = self.world.now().saturating_add(arrival.patience);
         let first_by = first_by.saturating_sub(self.node.settings().answer_margin);
         let taken = match self.node.take(arrival, first_by, call.clone()) {
@@ -344,10 +351,9 @@
     async fn part(&self, wire: &mut Wire, call: &PlatformCall) -> Option<Result<Vec<u8>, Final>> {
         let next = async { Some(poll_fn(|cx| call.outlet.poll_items(cx)).await.map(|(_, data)| data)) };
         or(next, async {
-            // Bytes behind an open request wait for its end; past the bound nothing more is read.
-            while wire.bytes().len() < MOST_BEHIND {
+            while wire.dropped() < MOST_DROPPED {
                 match wire.fill().await {
-                    Ok(n) if n > 0 => {}
+                    Ok(n) if n > 0 => wire.keep(MOST_BEHIND),
                     _ => return None,
                 }
             }
@@ -478,6 +484,7 @@
 impl Drop for Leaves<'_> {
     fn drop(&mut self) {
         if !self.call.outlet.told() {
+            self.call.leave();
             self.node.gone(self.number);
         }
     }
--- a/crates/ivyward-platform/src/engine.rs
+++ b/crates/ivyward-platform/src/engine.rs
@@ -7,7 +7,7 @@
 use crate::config::{LIMITS, MOST_BODY};
 use crate::release::Releases;
 use crate::wire::{answer, rest, NoHead, Wire};
-use futures_lite::future::or;
+use futures_lite::future::{or, poll_fn};
 use ivyward::core::interface::{Micros, Outcome, Report, ServerId};
 use ivyward::core::keep::Keep;
 use ivyward::core::letgo::{LetGoSettings, Taker};
@@ -17,10 +17,13 @@
 use ivyward_http1::{head, Answer, Body, Step};
 use std::any::Any;
 use std::collections::VecDeque;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
+use std::task::Poll;
 
 /// Part of the engines' idle time after which a connection is left: a request that crosses their close ends as a reset.
 const KEEP_PART: f64 = 0.6;
@@ -383,7 +386,7 @@
             let asked = async {
                 let Ok(mut wire) = self.connect(until, true, 0).await else { return Held::No };
                 // Told during the dial: nothing new goes to an engine that drains or is gone.
-                if self.closing.load(Ordering::Relaxed) || job.is_over() {
+                if self.closing.load(Ordering::Relaxed) || job.is_over() || call.left() {
                     return Held::No;
                 }
                 left = true;
@@ -430,12 +433,15 @@
     async fn run(&self) -> End {
         let (link, job, world) = (self.link, self.job, &self.link.engines.world);
         let gone = || End::new(Outcome::NotSent, "called off before it was sent");
+        if self.call.left() {
+            return gone();
+        }
         if job.until <= world.now() {
             return End::new(Outcome::NotSent, "no time left");
         }
         let mut timer = world.sleep_until(job.leave_by);
         let again = job.reads || self.call.again;
-        let mut wire = match job.wait(&mut timer, link.connect(job.leave_by, again, 0)).await {
+        let mut wire = match job.heed(&mut timer, link.connect(job.leave_by, again, 0)).await {
             Woken::Next(Ok(wire)) => wire,
             Woken::Next(Err(why)) => return End::new(Outcome::ConnectFailed, why.to_string()),
             Woken::Late => {
@@ -460,10 +466,12 @@
             ("Content-Length", &length),
         ];
         head::write(&mut request, &format!("{} {} HTTP/1.1", self.call.method, self.call.target), &headers);
-        match job.wait(&mut timer, self.write(&mut wire, &request, &prompt.bytes)).await {
-            Woken::Next(Ok(())) => {}
+        let written = self.while_wanted(self.write(&mut wire, &request, &prompt.bytes));
+        match job.heed(&mut timer, written).await {
+            Woken::Next(None) => return gone(),
+            Woken::Next(Some(Ok(()))) => {}
             // Its last byte never left, so it never ran; the connection is closed with the rest of it.
-            Woken::Next(Err(e)) => {
+            Woken::Next(Some(Err(e))) => {
                 link.fared(wire.idle, true);
                 // A kept connection that its engine had left says nothing of the engine.
                 let outcome = if wire.idle.is_some() { Outcome::NotSent } else { Outcome::ConnectFailed };
@@ -508,6 +516,18 @@
         end
     }
 
+    /// Goes on with what is to be sent only while the client waits for it. Guards against an attempt that begins after its
+    /// client has gone, where a node is busy, a connection comes up late or a body leaves slowly: whether calls may be
+    /// called off or not, what has not left yet stays here.
+    async fn while_wanted<T>(&self, sending: impl Future<Output = T>) -> Option<T> {
+        let mut sending = pin!(sending);
+        poll_fn(|cx| match self.call.left() {
+            true => Poll::Ready(None),
+            false => sending.as_mut().poll(cx).map(Some),
+        })
+        .await
+    }
+
     /// Gives up what its engine may still be at. Guards against an attempt that reaches another engine before this one's
     /// end reaches the first: for so long there would be two. The engine's own end says that it knows. One that is cut off
     /// or stands still says nothing, and is waited for no longer than for the rest of an answer.
@@ -690,39 +710,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use ivyward_sim::{Net, Sim};
-
-    #[test]
-    fn releases_have_connections_to_spare() {
-        let world = Sim::new(1, Net::default()).host(1).world();
-        const SPARE: usize = 12;
-        let let_go = LetGoSettings { within: 300_000, most_asks: SPARE, most_owed: 10 };
-        let engines = Engines::new(&world, 1, 1, 2, &[], let_go);
-        let taken: Vec<Place> = (0..2).map(|_| engines.place(0).expect("within the bound")).collect();
-        assert!(engines.place(0).is_none());
-        let spared: Vec<Place> = (0..SPARE).map(|_| engines.place(SPARE).expect("to spare")).collect();
-        assert!(engines.place(SPARE).is_none());
-        drop(spared);
-        drop(taken);
-        assert_eq!(engines.connections(), 0);
-    }
-
-    #[test]
-    fn reports_are_read_whole_or_not_at_all() {
-        let fields: Vec<String> = ["utilization", "backlog", "x0"].map(str::to_owned).to_vec();
-        let values = |text: &str| report(text, &fields).values[..report(text, &fields).len].to_vec();
-        assert_eq!(values("TEXT utilization=0.5, backlog=3, x0=0.25"), [0.5, 3.0, 0.25]);
-        assert_eq!(
-            values("TEXT x0=1, queue=7,util=0.61, more=9"),
-            [0.61, 7.0, 1.0],
-            "as the wire calls them"
-        );
-        for bad in
-            ["", "TEXT", "TEXT utilization=0.5, backlog=3", "TEXT utilization=NaN, backlog=3, x0=1", "\u{1}="]
-        {
-            assert!(values(bad).is_empty(), "{bad:?}");
-        }
-    }
-}
+mod tests;
--- a/crates/ivyward-platform/src/wire.rs
+++ b/crates/ivyward-platform/src/wire.rs
@@ -2,7 +2,7 @@
 
 use futures_lite::future::poll_fn;
 use futures_lite::{AsyncRead, AsyncWrite};
-use ivyward::world::Conn;
+use ivyward::world::{Conn, Peer};
 use ivyward_http1::{Answer, Body, BodyError, Limits, Step};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -21,16 +21,44 @@
     at: usize,
     /// Bytes that came so far, where someone wants to know.
     came: Option<Arc<AtomicU64>>,
+    /// Bytes that came where nothing should, and were dropped.
+    dropped: usize,
 }
 
 impl Wire {
     pub(crate) fn new(conn: Conn) -> Wire {
-        Wire { conn, buf: Vec::new(), at: 0, came: None }
+        Wire { conn, buf: Vec::new(), at: 0, came: None, dropped: 0 }
     }
     /// Counts the bytes that come from now on, so that a slow answer can be told from a silent one.
     pub(crate) fn count(&mut self) -> Arc<AtomicU64> {
         self.came.get_or_insert_default().clone()
     }
+    /// The other side, as others may look at it.
+    pub(crate) fn peer(&self) -> Arc<dyn Peer> {
+        self.conn.peer()
+    }
+    /// Keeps no more than `most` bytes of what came and was not used yet, and counts what is dropped.
+    pub(crate) fn keep(&mut self, most: usize) {
+        let over = self.bytes().len().saturating_sub(most);
+        self.buf.truncate(self.buf.len() - over);
+        self.dropped += over;
+    }
+    /// Bytes that were dropped: what follows them on the connection cannot be read.
+    pub(crate) fn dropped(&self) -> usize {
+        self.dropped
+    }
+    /// Whether the other side has ended its sending, as far as `most` bytes that wait before that show.
+    pub(crate) fn ended(&mut self, most: usize) -> bool {
+        let mut cx = Context::from_waker(Waker::noop());
+        while self.bytes().len() < most {
+            match self.poll_fill(&mut cx) {
+                Poll::Ready(Ok(n)) if n > 0 => {}
+                Poll::Ready(_) => return true,
+                Poll::Pending => break,
+            }
+        }
+        false
+    }
     /// What came and was not used yet.
     pub(crate) fn bytes(&self) -> &[u8] {
         &self.buf[self.at..]
--- a/crates/ivyward-sim/src/net.rs
+++ b/crates/ivyward-sim/src/net.rs
@@ -2,14 +2,14 @@
 
 use crate::{HostId, Inner, State};
 use futures_lite::{AsyncRead, AsyncWrite};
-use ivyward_world::{BorrowedFuture, BoxFuture, Conn, Connection, Datagrams, Listener, Micros};
+use ivyward_world::{BorrowedFuture, BoxFuture, Conn, Connection, Datagrams, Listener, Micros, Peer};
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::poll_fn;
 use std::io::{Error, ErrorKind, Result};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, Waker};
 
 /// What the network does. Times are microseconds.
@@ -371,6 +371,31 @@
     fn reset_on_close(&mut self) {
         self.hard = true;
     }
+    fn peer(&self) -> Arc<dyn Peer> {
+        Arc::new(OtherSide { inner: Arc::downgrade(&self.inner), pair: self.pair, side: self.side })
+    }
+}
+
+/// What a stream's other side does, looked at from beside the stream.
+struct OtherSide {
+    inner: Weak<Inner>,
+    pair: u64,
+    side: usize,
+}
+
+impl Peer for OtherSide {
+    fn left(&self) -> bool {
+        let Some(inner) = self.inner.upgrade() else { return true };
+        let state = inner.lock();
+        let Some(pair) = state.net.pairs.get(&self.pair).filter(|p| !p.closed[self.side]) else {
+            return true;
+        };
+        let peer = 1 - self.side;
+        let way = &pair.ways[peer];
+        let came = |at: Option<Micros>| at.is_some_and(|at| at <= state.now);
+        let cut = state.net.cuts.contains(&(pair.hosts[peer], pair.hosts[self.side]));
+        !cut && (came(way.reset) || way.chunks.is_empty() && came(way.end))
+    }
 }
 
 /// How many of `most` bytes are taken at once.
--- a/crates/ivyward-standins/src/etcd.rs
+++ b/crates/ivyward-standins/src/etcd.rs
@@ -9,7 +9,7 @@
 use ivyward_proto::etcd::etcdserverpb as pb;
 use ivyward_proto::etcd::mvccpb::{event::EventType, Event, KeyValue};
 use ivyward_world::io::{Io, Tasks};
-use ivyward_world::{Conn, Connection, Micros, WorldExt, WorldRef};
+use ivyward_world::{Conn, Connection, Micros, Peer, WorldExt, WorldRef};
 use pb::auth_server::{Auth, AuthServer};
 use pb::kv_server::{Kv, KvServer};
 use pb::lease_server::{Lease, LeaseServer};
@@ -867,6 +867,9 @@
     fn reset_on_close(&mut self) {
         self.conn.reset_on_close();
     }
+    fn peer(&self) -> Arc<dyn Peer> {
+        self.conn.peer()
+    }
 }
 
 impl AsyncRead for Link {
--- a/crates/ivyward-world/src/lib.rs
+++ b/crates/ivyward-world/src/lib.rs
@@ -31,6 +31,15 @@
 pub trait Connection: AsyncRead + AsyncWrite + Send + Unpin {
     /// Makes the coming close a reset instead of an orderly end: what a process that dies leaves behind.
     fn reset_on_close(&mut self);
+    /// The other side, to be looked at by whoever does not hold the connection.
+    fn peer(&self) -> Arc<dyn Peer>;
+}
+
+/// The other side of a connection. Holding it holds no connection open.
+pub trait Peer: Send + Sync {
+    /// Whether it has closed the connection or ended its sending, or this side has closed it. What it sent before and was
+    /// not read yet hides that.
+    fn left(&self) -> bool;
 }
 
 /// Accepts connections at one address. Dropping it stops listening.
--- a/crates/ivyward-world/src/smol.rs
+++ b/crates/ivyward-world/src/smol.rs
@@ -1,7 +1,7 @@
 //! The real surroundings, on async-io and async-executor.
 #![allow(clippy::disallowed_methods, clippy::disallowed_types)] // The one place that may ask the system.
 
-use crate::{BorrowedFuture, BoxFuture, Conn, Connection, Datagrams, Listener, Micros, World};
+use crate::{BorrowedFuture, BoxFuture, Conn, Connection, Datagrams, Listener, Micros, Peer, World};
 use async_executor::Executor;
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
@@ -222,6 +222,22 @@
         let async_socket: Arc<async_io::Async<std::net::TcpStream>> = self.stream.clone().into();
         let _ = socket2::SockRef::from(async_socket.get_ref()).set_linger(Some(Duration::ZERO));
     }
+    fn peer(&self) -> Arc<dyn Peer> {
+        let socket: Arc<async_io::Async<std::net::TcpStream>> = self.stream.clone().into();
+        Arc::new(TcpPeer(Arc::downgrade(&socket)))
+    }
+}
+
+struct TcpPeer(Weak<async_io::Async<std::net::TcpStream>>);
+
+impl Peer for TcpPeer {
+    fn left(&self) -> bool {
+        let Some(socket) = self.0.upgrade() else { return true };
+        match socket.get_ref().peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        }
+    }
 }
 
 impl AsyncRead for Tcp {
