A crowd of idle clients takes no descriptor beyond the bound

Seen with a process under ulimit -n 160, 600 idle clients that connect while it stands still, discovery silent and then back (platform.rs): 'Too many open files' six times in its log. Cause: door.rs accepted in a loop and told the connection idle longest to close, whose descriptor goes only when its task runs, so a burst held as many beyond the bound as waited. Excluded: the table itself (it never holds more than its bound), and the reserve, which 28 late closes fill. Accepting now waits until what was told to close has closed; the same scene runs without one refusal by the system, and a request among the idle clients is served as soon as discovery is back.

A connection that the system has no descriptor for says nothing of its engine: told as not sent, no longer as a failed connection.

--- a/crates/ivyward-platform/src/door.rs
+++ b/crates/ivyward-platform/src/door.rs
@@ -3,6 +3,7 @@
 use crate::call::{lock, Budget, PlatformCall, Prompt, Share};
 use crate::config::{Bounds, LIMITS, MOST_BODY};
 use crate::wire::Wire;
+use event_listener::Event;
 use futures_lite::future::{or, poll_fn};
 use ivyward::core::interface::{Arrival, Effect, Micros};
 use ivyward::world::{before, Conn, Listener, WorldExt, WorldRef};
@@ -10,7 +11,7 @@
 use ivyward_http1::{body, head, Body, Request, Step};
 use ivyward_settings::Told;
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use tracing::debug;
 use xxhash_rust::xxh3::xxh3_64;
@@ -51,6 +52,9 @@
     /// Connections, at most `bounds.clients`.
     seats: Mutex<BTreeMap<u64, Seat>>,
     next: AtomicU64,
+    /// Connections that hold a descriptor: those of the table, and those that were told to close and have not yet.
+    standing: AtomicUsize,
+    closed: Event,
     /// Ids of open requests; no more than there are connections.
     open: Mutex<BTreeSet<String>>,
     pub(crate) ready: AtomicBool,
@@ -93,6 +97,8 @@
             bounds,
             seats: Mutex::default(),
             next: AtomicU64::new(1),
+            standing: AtomicUsize::new(0),
+            closed: Event::new(),
             open: Mutex::default(),
             ready: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
@@ -116,7 +122,10 @@
     pub(crate) async fn serve(self: Arc<Self>, mut listener: Box<dyn Listener>) {
         loop {
             match listener.accept().await {
-                Ok((conn, _)) => self.clone().seat(conn),
+                Ok((conn, _)) => {
+                    self.clone().seat(conn);
+                    self.room().await;
+                }
                 Err(e) => {
                     // One connection's error, or no descriptor: those that close make room.
                     debug!(error = %e, "a connection is not taken");
@@ -126,6 +135,18 @@
         }
     }
 
+    /// Waits until what was told to close has closed. Guards against a crowd that connects faster than others go: each
+    /// would hold a descriptor beyond the bound, and discovery and engines found none.
+    async fn room(&self) {
+        loop {
+            let closed = self.closed.listen();
+            if self.standing.load(Ordering::SeqCst) <= self.bounds.clients {
+                return;
+            }
+            closed.await;
+        }
+    }
+
     /// At the bound a connection without a request goes: the silent ones first, then the one idle longest.
     fn seat(self: Arc<Self>, conn: Conn) {
         let (kick, kicked) = async_channel::bounded(1);
@@ -143,8 +164,10 @@
             }
             seats.insert(me, Seat { idle: Some(now), silent: true, _kick: kick });
         }
+        self.standing.fetch_add(1, Ordering::SeqCst);
         let world = self.world.clone();
         world.run(async move {
+            let _stands = Stands(&self);
             self.client(Wire::new(conn), me, kicked).await;
             lock(&self.seats).remove(&me);
         });
@@ -459,6 +482,16 @@
     }
 }
 
+/// A client's connection, for as long as its task runs.
+struct Stands<'a>(&'a Door);
+
+impl Drop for Stands<'_> {
+    fn drop(&mut self) {
+        self.0.standing.fetch_sub(1, Ordering::SeqCst);
+        self.0.closed.notify(usize::MAX);
+    }
+}
+
 /// An id among those of open requests.
 struct Mine<'a>(&'a Door, String);
 
--- a/crates/ivyward-platform/src/engine.rs
+++ b/crates/ivyward-platform/src/engine.rs
@@ -231,6 +231,8 @@
                 let round_trip = (world.now() - began).clamp(ROUND_TRIP.0, ROUND_TRIP.1);
                 return Ok(EngineWire { wire: Wire::new(conn), idle: None, round_trip, _place: place });
             }
+            // The process or the system has none left (EMFILE, ENFILE), whatever was counted.
+            Some(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)) => return Err(Short::NoRoom),
             Some(Err(e)) => format!("cannot connect to {}: {e}", self.address),
             None => format!("no connection to {} in time", self.address),
         };
@@ -443,6 +445,8 @@
         let again = job.reads || self.call.again;
         let mut wire = match job.heed(&mut timer, link.connect(job.leave_by, again, 0)).await {
             Woken::Next(Ok(wire)) => wire,
+            // Of an engine that was not asked nothing is known.
+            Woken::Next(Err(why @ Short::NoRoom)) => return End::new(Outcome::NotSent, why.to_string()),
             Woken::Next(Err(why)) => return End::new(Outcome::ConnectFailed, why.to_string()),
             Woken::Late => {
                 link.miss();
--- a/crates/ivywardd/tests/platform.rs
+++ b/crates/ivywardd/tests/platform.rs
@@ -117,3 +117,153 @@
         assert!(text.contains(what) && text.trim().lines().count() == 1, "{text}");
     }
 }
+
+fn descriptors(process: &Running) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", process.0.id())).map_or(0, Iterator::count)
+}
+
+/// Answers each request on each connection by what `says` makes of its first line; `None` for silence.
+fn answers(
+    world: &std::sync::Arc<SmolWorld>,
+    says: impl Fn(&str) -> Option<String> + Send + Sync + 'static,
+) -> SocketAddr {
+    use ivyward_world::WorldExt;
+    let mut listener = world.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let (address, says, tasks) = (listener.address(), std::sync::Arc::new(says), world.clone());
+    world.run(async move {
+        while let Ok((mut conn, _)) = listener.accept().await {
+            let says = says.clone();
+            tasks.run(async move {
+                let (mut bytes, mut piece) = (Vec::new(), [0; 4096]);
+                while let Ok(n) = conn.read(&mut piece).await {
+                    if n == 0 {
+                        return;
+                    }
+                    bytes.extend_from_slice(&piece[..n]);
+                    let text = String::from_utf8_lossy(&bytes).into_owned();
+                    // A head, and the body of the one request that has one.
+                    let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+                    if head.starts_with("POST /v1/chat") && body.len() < BODY.len() {
+                        continue;
+                    }
+                    bytes.clear();
+                    match says(head.lines().next().unwrap_or("")) {
+                        Some(answer) => drop(conn.write_all(answer.as_bytes()).await),
+                        None => return std::future::pending().await,
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+const BODY: &str = r#"{"messages":[{"role":"user","content":"x"}]}"#;
+
+/// Idle clients fill what there is while discovery is down. It comes back: the node learns from it, dials an engine that it
+/// had no connection to, serves a request among the idle ones, and never asked the system for more than it may have.
+#[test]
+fn idle_clients_fill_the_descriptors_while_discovery_is_down() {
+    use std::sync::atomic::{AtomicBool, Ordering};
+    let world = SmolWorld::start(2, 1);
+    let event = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let stream = format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}{}0\r\n\r\n",
+        event("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n"),
+        event("data: [DONE]\n\n")
+    );
+    let reader = answers(&world, |_| Some("HTTP/1.1 202 A\r\nContent-Length: 2\r\n\r\n{}".into()));
+    let writer = answers(&world, move |line| {
+        Some(if line.starts_with("POST /v1/chat") { stream.clone() } else { "HTTP/1.1 204 N\r\n\r\n".into() })
+    });
+    let up = std::sync::Arc::new(AtomicBool::new(false));
+    let (is_up, asked) = (up.clone(), std::sync::Arc::new(AtomicBool::new(false)));
+    let heard = asked.clone();
+    let discovery = answers(&world, move |_| {
+        heard.store(true, Ordering::SeqCst);
+        let entry = |id, kind, at| {
+            format!(r#"{{"id":"{id}","addr":"{at}","zone":"a","kind":"{kind}","state":"up"}}"#)
+        };
+        let list = format!(
+            r#"{{"version":2,"full":true,"servers":[{},{}]}}"#,
+            entry("s-2", "prefill", reader),
+            entry("s-3", "decode", writer)
+        );
+        is_up
+            .load(Ordering::SeqCst)
+            .then(|| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()))
+    });
+    const LIMIT: usize = 160;
+    let text = config("127.0.0.1:0").replace("\"sockets\":256", &format!("\"sockets\":{LIMIT}"));
+    let file = File::new(
+        "idle",
+        &text.replace("\"discovery\":\"127.0.0.1:9\"", &format!("\"discovery\":\"{discovery}\"")),
+    );
+    // The limit itself, so that the system says no where the node's own bounds are wrong.
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -n {LIMIT}; exec \"$0\" platform"), env!("CARGO_BIN_EXE_ivywardd")]);
+    command.env_clear().env("BALANCER_CONFIG", &file.0).env("IVYWARD_LOG", "debug");
+    let mut child = Running(command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap());
+    let mut line = String::new();
+    BufReader::new(child.0.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let address: SocketAddr =
+        line.trim().strip_prefix("listening on ").expect("its address").parse().unwrap();
+    // Its log is read as it comes, so that it never waits for us.
+    let mut log = BufReader::new(child.0.stderr.take().unwrap());
+    let (told, lines) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let mut line = String::new();
+        while log.read_line(&mut line).is_ok_and(|n| n > 0) {
+            let _ = told.send(std::mem::take(&mut line));
+        }
+    });
+    while !asked.load(Ordering::SeqCst) {
+        std::thread::yield_now();
+    }
+    let mut most = 0;
+    // Some stay for good, and ever new ones come beside them.
+    let mut idle: std::collections::VecDeque<_> = std::collections::VecDeque::new();
+    // All at once: they wait for a process that stands still.
+    let mut crowd = |n: usize, most: &mut usize| {
+        child.signal("-STOP");
+        for _ in 0..n {
+            if let Ok(conn) = world.block_on(world.connect(address)) {
+                idle.push_back(conn);
+            }
+            if idle.len() > 600 {
+                idle.pop_front();
+            }
+        }
+        child.signal("-CONT");
+        assert_eq!(health(&world, address) / 100, 2);
+        *most = (*most).max(descriptors(&child));
+    };
+    crowd(600, &mut most);
+    up.store(true, Ordering::SeqCst);
+    // What the list says shows as a request that is served, over connections that stood at no time before.
+    let mut served = String::new();
+    for n in 0.. {
+        crowd(20, &mut most);
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: r{n}\r\nX-Priority-Class: draft\r\nX-Timeout-Ms: 2000\r\n\
+             X-Route-Key: k\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{BODY}",
+            BODY.len()
+        );
+        served.clear();
+        world.block_on(async {
+            let mut conn = world.connect(address).await.unwrap();
+            let sent = conn.write_all(head.as_bytes()).await;
+            sent.expect("a client with a request goes before one without");
+            let _ = conn.read_to_string(&mut served).await;
+        });
+        if served.starts_with("HTTP/1.1 200") {
+            break;
+        }
+        // Until the node has read the list, its one engine of before cannot be reached.
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    assert!(served.contains("[DONE]"), "{served}");
+    assert!(most < LIMIT, "{most} descriptors");
+    let refused: Vec<String> = lines.try_iter().filter(|l| l.contains("Too many open files")).collect();
+    assert!(refused.is_empty(), "{} times without a descriptor: {}", refused.len(), refused[0]);
+}
