Engines not heard of lately count among those that a late release looks through

The commit before left out engines that were never missed and not heard for long, so that one of 400 was not found in 60 s (its own test failed); they are asked in rounds like the silent ones now, and the test passes.

--- a/crates/ivyward-core/src/letgo.rs
+++ b/crates/ivyward-core/src/letgo.rs
@@ -285,7 +285,7 @@
                 Some(_) if racing && owed.out < AT_ONCE => now + if owed.out == 1 { beside } else { more },
                 Some(_) if racing => Micros::MAX,
                 // Guards against one engine a pause where there are hundreds, all silent and one of them back.
-                Some(t) if t.silent() && owed.round + 1 < round => {
+                Some(t) if (t.silent() || t.heard < lately) && owed.round + 1 < round => {
                     owed.round += 1;
                     now
                 }
