How much racks and zones weigh among readers is learned from first tokens

Cause, from a line for each attempt of 303 nodes: 93 readers and 7 writers; the 35 readers in racks with a writer got three quarters of all reads (up to 111 each, the median reader 11) and were late or called off, the others waited for work. Excluded: the pool as a whole (half loaded), KV hits (equal at both), connections (none fails).

Both now count by a part that is learned: first tokens since the read that led to them, over their aim, beside few writers against beside many (from nothing on), in other zones against this one (from the whole on).

--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -11,9 +11,6 @@
 
 // ---- Constants: shares, counts, or multiples of told or learned figures; none is a deployment's figure.
 
-/// Weights of the relative first-token gain and pace loss in the score (the paper's balanced setting).
-const WEIGHT_TTFT: f64 = 1.0;
-const WEIGHT_TPOT: f64 = 1.0;
 /// A cell without both averages goes local only under this many new tokens (design page).
 const EMPTY_CELL_NEW: f64 = 2_000.0;
 /// Local only when the new tokens are under this share of the prompt (design page).
@@ -28,8 +25,7 @@
 const HOLDS_STEP: f64 = 0.8;
 /// An average with less weight than this counts as empty: two or three answers.
 const CELL_MIN: f64 = 2.5;
-/// Averages of cells, and what prefixes bring, fade over this span: several think times, far less than a
-/// day.
+/// Averages of cells, and what prefixes bring, fade over this span: several think times.
 const CELL_AGE: f64 = 60e6;
 /// A session row is dropped after this idle time (design page).
 const ROW_IDLE: Micros = 120_000_000;
@@ -40,6 +36,9 @@
 const PULL_MOST: f64 = 1.6;
 /// Where crossing zones has a price, a reader in another zone than this node's has this part of its place.
 const FAR_PLACE: f64 = 0.3;
+/// How much these two count is learned: first tokens of what was read there against those of the rest, as
+/// parts of their aim, move it by their difference a second, over this. Little seen counts as quick.
+const LEAN_LEAST: f64 = 0.2;
 /// A prefix has one home, and one more for each mean reader's load that it brings, times this.
 const HOMES: f64 = 0.6;
 /// Step of the running mean of worth: about the last ten arrivals.
@@ -57,9 +56,8 @@
 const PATIENT: f64 = 4.0;
 /// Looks for stalled servers in the shortest wanted first-token time.
 const TICKS: u64 = 8;
-/// First pause before a doubted server is tried again: the time in which it would get this many sends of
-/// ours, but at least this share of its time to warm, and never more than that time. It doubles.
-const TRIAL_SENDS: f64 = 1.0;
+/// First pause before a doubted server is tried again: the time in which it would get a send of ours, but at
+/// least this share of its time to warm, and never more than that time. It doubles.
 const TRIAL_GAP: f64 = 0.05;
 /// Part of the cold budget that is spent at most: the learned rate is a guess and chance has a say.
 const COLD_SAFETY: f64 = 0.8;
@@ -79,21 +77,15 @@
 const SHARE_PRIOR: f64 = 5.0;
 /// A move out of the rack, and again one out of the zone, is worth this multiple of a writer's load.
 const OUTSIDE: f64 = 1.5;
-/// Streams that are added to our own when near writers are weighed against far ones: a few alone tell
-/// little.
+/// Streams added to our own when near writers are weighed against far ones: a few alone tell little.
 const FEW_STREAMS: f64 = 3.0;
-/// Rates, pools' times and a server's slowness (one that gets little must not stay avoided) fade over this
-/// span.
+/// Rates, pools' times and a server's slowness (one that gets little must not stay avoided) fade over this.
 const RECENT: f64 = 10e6;
 /// A server is taken for a usual one until about so many answers have told otherwise.
 const JUDGE_PRIOR: f64 = 3.0;
-/// A node that asks a server seldom remembers its slowness over the time in which so many answers come.
-const JUDGE_ANSWERS: f64 = 1.0;
-/// Readers that take this share of the wanted time are jammed: a first turn may be read where it is
-/// written.
+/// Readers that take this share of the wanted time are jammed: a first turn may be read where it is written.
 const JAMMED: f64 = 0.3;
-/// A decode server reads such a turn only where it is this many times as quick; a mixed one is there to
-/// read.
+/// A decode server reads such a turn only where it is this many times as quick; a mixed one is there to read.
 const DIRECT_MARGIN: f64 = 2.0;
 /// What is held is let go after this part of its told time if no attempt came to a server; each but the last
 /// may take this part of what is left of that, and none begins in the last part of the told time.
@@ -179,11 +171,11 @@
     (u8::MAX, cell.1, u8::MAX)
 }
 
-/// The paper's score, from the averages of a cell: positive means local.
+/// The paper's score in its balanced setting, from the averages of a cell: positive means local.
 fn score([local, remote]: &[PathStats; 2]) -> f64 {
     let gain = (remote.ttft.mean() - local.ttft.mean()) / remote.ttft.mean().max(1.0);
     let loss = (local.pace.mean() - remote.pace.mean()) / remote.pace.mean().max(1.0);
-    WEIGHT_TTFT * gain - WEIGHT_TPOT * loss
+    gain - loss
 }
 
 /// Decides for one node. See [`Router::handle`].
@@ -207,8 +199,10 @@
     cells: BTreeMap<CellKey, [PathStats; 2]>,
     open: BTreeMap<RequestId, Request>,
     norms: BTreeMap<(Op, Role), Norm>,
-    /// Read times over their expectation at readers beside few writers, and beside many.
-    by_pull: [Fading; 2],
+    /// First-token times over aims of what was read beside few writers, and beside many; in other zones, and
+    /// in this one; how much each of the two counts.
+    by_place: [[Fading; 2]; 2],
+    lean: [f64; 2],
     /// What each kind of machine got done for us lately (storms of retries must not count), over what it can.
     kind_done: Vec<Fading>,
     /// Our sends to writers and to readers, and since when requests come without a long gap.
@@ -249,6 +243,7 @@
             present: vec![0.0; kinds],
             kind_done: vec![Fading::default(); kinds],
             holds: (0..kinds).map(memory).collect(),
+            lean: [0.0, 1.0],
             tenants: vec![Fading::default(); settings.tenants.len()],
             cfg: settings,
             ..Router::default()
@@ -375,11 +370,8 @@
         let (age, warm) = (now.saturating_sub(entry.started) as f64, self.cfg.warm_after as f64);
         let (told, start) = (self.capacity_share(entry, now), self.cfg.start_capacity.min(1.0));
         let likely = start + (1.0 - start) * (0.1 + age / (0.75 * warm).max(1.0));
-        if told < 1.0 {
-            likely.min(1.0)
-        } else {
-            1.0
-        }
+        // What is told to be warm is warm.
+        likely.min(1.0).max(told.floor())
     }
 
     /// Guards a cold server: this node's part of the told budget, with what its kind does for it by present
@@ -409,9 +401,8 @@
         if !self.cold {
             return 0.0;
         }
-        let usable = self
-            .pool(readers)
-            .filter(|s| s.grade(now, r.a.tenant, false) < 2 && !r.tried.contains(&s.entry.id));
+        let able = |s: &&Server| s.grade(now, r.a.tenant, false) < 2 && !r.tried.contains(&s.entry.id);
+        let usable = self.pool(readers).filter(able);
         let usable: f64 = usable.map(|s| self.size(&s.entry) * self.capacity_share(&s.entry, now)).sum();
         BURST * self.sends(now, readers) / usable.max(0.01)
     }
@@ -445,6 +436,14 @@
         self.racks.get(&entry.cell).copied().unwrap_or(1.0)
     }
 
+    fn learn_place(&mut self, now: Micros, reader: ServerId, ratio: f64) {
+        let entry = self.fleet[&reader].entry;
+        let near = [self.pull(&entry) >= 1.0, entry.zone == self.cfg.zone];
+        for (of, near) in self.by_place.iter_mut().zip(near) {
+            of[usize::from(near)].add(now, RECENT, ratio.min(2.0));
+        }
+    }
+
     fn effective_weight(&self, server: &Server, now: Micros) -> f64 {
         self.size(&server.entry) * self.likely_share(&server.entry, now) / server.slow(now)
     }
@@ -466,7 +465,7 @@
     fn blame(&mut self, id: ServerId, now: Micros, amount: f64, out: &mut Out) {
         let warm = self.cfg.warm_after as f64;
         let least = warm * TRIAL_GAP + 100_000.0;
-        let usual = TRIAL_SENDS / self.usual_rate(&self.fleet[&id].entry, now).max(1e-12);
+        let usual = 1.0 / self.usual_rate(&self.fleet[&id].entry, now).max(1e-12);
         let (first, most) = (usual.clamp(least, warm.max(least)), warm.max(least));
         let server = self.at(id);
         let before = server.doubt;
@@ -493,10 +492,11 @@
         let spread = self.spread(now, true, r);
         let mut ring: Vec<&Server> = self.pool(true).filter(|s| !r.tried.contains(&s.entry.id)).collect();
         let place = |s: &Server, key: u64| {
-            // Nothing learned here: all nodes (of a zone) are to name the same homes.
+            // All nodes (of a zone) are to name the same homes: what is learned moves only in a jam.
             let far = s.entry.zone != self.cfg.zone && self.cfg.cross_zone_price > 0.0;
-            let near = if far { FAR_PLACE } else { 1.0 };
-            let weight = near * self.size(&s.entry) * self.likely_share(&s.entry, now) * self.pull(&s.entry);
+            let near = if far { FAR_PLACE.powf(self.lean[1]) } else { 1.0 };
+            let near = near * self.pull(&s.entry).powf(self.lean[0]);
+            let weight = near * self.size(&s.entry) * self.likely_share(&s.entry, now);
             -(unit(mix(key) ^ mix(s.entry.id.0)) + 1e-16).ln() / weight
         };
         ring.sort_by_cached_key(|s| (place(s, key).to_bits(), s.entry.id));
@@ -513,17 +513,14 @@
         let homes = homes(&ring);
         let home = (0..homes).min_by(|a, b| place(ring[*a], session).total_cmp(&place(ring[*b], session)));
         ring.rotate_left(home.unwrap_or(0));
-        // What other nodes sent there shows in the age of our own oldest wait, and in the recent times of
-        // racks like its own. Elsewhere than at home the shared opening is to be read as well.
+        // What other nodes sent there shows in the age of our oldest wait. Elsewhere the opening is read too.
         let norm = self.norms.get(&(Op::Read, Role::Prefill)).copied().unwrap_or_default();
         let rate = norm.work.mean() / norm.latency.mean().max(1.0);
-        let times = self.by_pull.map(|of| of.mean_near(now, RECENT, 1.0, JUDGE_PRIOR));
         let cost = |(i, s): (usize, &&Server)| {
             let work = if i < homes { r.new } else { r.a.prompt_tokens };
             // A cold one got its smaller place in the ring; only what waits there weighs more than elsewhere.
             let waits = s.waiting_tokens().max(s.oldest(now) * rate) / self.likely_share(&s.entry, now);
-            let filled = (norm.work.mean() + work + waits) * s.slow(now) / self.size(&s.entry);
-            filled * times[usize::from(self.pull(&s.entry) >= 1.0)]
+            (norm.work.mean() + work + waits) * s.slow(now) / self.size(&s.entry)
         };
         let costs: Vec<f64> = ring.iter().enumerate().map(cost).collect();
         let bound = RING_BOUND * costs.iter().copied().fold(f64::INFINITY, f64::min);
@@ -632,6 +629,12 @@
         let span = now.saturating_sub(self.steered).min(1_000_000) as f64;
         self.steered = now;
         let mean = self.delay.mean_near(now, self.delay_span(now), 0.0, 1.0);
+        for (of, lean) in self.by_place.iter().zip(&mut self.lean) {
+            let [far, near] = of.map(|of| of.mean_near(now, RECENT, 0.0, 1.0));
+            if (far - near).abs() > LEAN_LEAST {
+                *lean = (*lean + (far - near) * span / 1e6).clamp(0.0, 1.0);
+            }
+        }
         // What waits now, over what gets done (Little's law), tells of a queue before its answers are late.
         let waits = self.open.values().filter(|r| !r.over && r.first_token.is_none());
         let (waiting, aims) = waits.fold((0.0, 0.0), |(n, aims), r| (n + 1.0, aims + r.aim));
@@ -852,14 +855,16 @@
             return;
         };
         t.streaming = true;
-        (r.first_token, r.state_at, r.held_at) = (Some(now), None, None);
         let (to, op, took, work) = (t.server, t.op, now - t.sent, t.work);
         let (path, keys, session, context) = (r.path, row_keys(&r.a), r.a.session, r.a.prompt_tokens);
         let tenant = r.a.tenant;
+        let read = r.attempts.iter().rfind(|t| t.op == Op::Read).map(|t| (t.server, now - t.sent));
         let ttft = (now - r.arrived) as f64;
-        let (ratio, new) = (ttft / r.aim.max(1.0), r.new);
+        let (aim, new) = (r.aim.max(1.0), r.new);
+        (r.first_token, r.state_at, r.held_at) = (Some(now), None, None);
+        read.into_iter().for_each(|(id, took)| self.learn_place(now, id, took as f64 / aim));
         self.begun.add(now, DELAY_QUEUE, 0.0);
-        self.learn_delay(now, ratio);
+        self.learn_delay(now, ttft / aim);
         self.learn_cell(path, |stats| stats.ttft.add(now, CELL_AGE, ttft));
         self.progress(now, to, op, took, work);
         let server = self.at(to);
@@ -884,15 +889,12 @@
         let norm = self.norms.entry((op, self.cfg.roles[usize::from(entry.kind)])).or_default();
         let ratio = norm.expect(work).map_or(1.0, |e| (took / e.max(1.0)).min(CLIP));
         norm.learn(now, took, work);
-        if op == Op::Read {
-            let rich = usize::from(self.pull(&entry) >= 1.0);
-            self.by_pull[rich].add(now, RECENT, ratio);
-        }
         let kind = usize::from(entry.kind);
         self.kind_done[kind].add(now, RECENT, 1.0 / self.present[kind].max(0.1));
         let usual = self.usual_rate(&entry, now);
         let server = self.at(id);
-        server.span = (JUDGE_ANSWERS / usual.max(1e-12)).clamp(RECENT, CELL_AGE);
+        // A node that asks it seldom remembers its slowness over the time in which an answer comes.
+        server.span = (1.0 / usual.max(1e-12)).clamp(RECENT, CELL_AGE);
         server.times.add(now, server.span, ratio);
         server.doubt *= 0.3;
         server.progress = now;
@@ -988,10 +990,9 @@
 
     fn on_gone(&mut self, now: Micros, id: RequestId, out: &mut Out) {
         let Some(r) = self.open.remove(&id) else { return };
-        for (i, _) in r.attempts.iter().enumerate().filter(|(_, t)| t.out && !t.streaming) {
-            if self.cfg.may_cancel {
-                out.push(Action::Cancel { request: id, attempt: i as u16 });
-            }
+        let may = self.cfg.may_cancel;
+        for (i, _) in r.attempts.iter().enumerate().filter(|(_, t)| may && t.out && !t.streaming) {
+            out.push(Action::Cancel { request: id, attempt: i as u16 });
         }
         self.close(now, r, out);
     }
--- /dev/null
+++ b/crates/ivyward-core/tests/places.rs
@@ -0,0 +1,90 @@
+//! Where prompts are read among racks and zones: by nothing until first tokens tell that one kind of place is jammed.
+
+mod common;
+use common::*;
+use ivyward_core::interface::*;
+use ivyward_core::rules::Router;
+
+/// Ten readers beside all writers (rack 1), and ten beside none (rack 2).
+fn racks() -> Vec<ServerEntry> {
+    let at = |id, kind, cell| ServerEntry { cell, ..server(id, kind) };
+    let mut fleet: Vec<ServerEntry> = (1..=10).map(|id| at(id, 0, 1)).collect();
+    fleet.extend((11..=20).map(|id| at(id, 0, 2)));
+    fleet.extend((101..=105).map(|id| at(id, 1, 1)));
+    fleet
+}
+
+/// Plays requests of openings of their own, whose first tokens take as long as `takes` says of their reader. Returns the part
+/// of reads at readers for which `counts`, in the last third.
+fn played(
+    cfg: Settings,
+    fleet: &[ServerEntry],
+    takes: impl Fn(u64) -> Micros,
+    counts: impl Fn(u64) -> bool,
+) -> f64 {
+    let mut rig = Rig { router: Router::new(cfg, 5), now: 100 * SECOND, done: Vec::new() };
+    rig.fleet(ListKind::Full, fleet);
+    let (mut of, mut all) = (0.0, 0.0);
+    for id in 0..600u64 {
+        rig.now = 100 * SECOND + id * SECOND / 10;
+        let Some(ServerId(reader)) = rig.ask(Arrival { prefix: 1 + id, ..arrival(id, 9_000 + id, 1_000.0) })
+        else {
+            continue;
+        };
+        if id >= 400 {
+            all += 1.0;
+            of += f64::from(u8::from(counts(reader)));
+        }
+        // Each is over before the next: what is slow is the place, not this node's own queue.
+        rig.now += SECOND / 50;
+        if rig.end(id, 0, Outcome::Read).is_some() {
+            rig.now = 100 * SECOND + id * SECOND / 10 + takes(reader);
+            rig.first(id, 1);
+            rig.end(id, 1, Outcome::Served);
+        }
+    }
+    of / all
+}
+
+const QUICK: Micros = SECOND / 20;
+
+/// Guards against racks without writers that idle while the readers of the others are jammed: of 93 readers 35 stood in racks
+/// with writers, got three quarters of all reads and were late, and the rest waited for work.
+#[test]
+fn racks_do_not_count_while_nothing_is_slow() {
+    let part = played(settings(), &racks(), |_| QUICK, |id| id <= 10);
+    assert!((0.38..0.62).contains(&part), "{part} of reads beside writers");
+}
+
+/// States that cross racks wait for a link: what is read beside no writers comes late, and moves beside them.
+#[test]
+fn reads_move_beside_writers_when_links_between_racks_jam() {
+    let part =
+        played(settings(), &racks(), |id| if id > 10 { 9 * SECOND / 10 } else { QUICK }, |id| id <= 10);
+    assert!(part > 0.75, "{part} of reads beside writers");
+}
+
+/// And back, when those are the slow ones.
+#[test]
+fn reads_do_not_move_where_first_tokens_are_late() {
+    let part =
+        played(settings(), &racks(), |id| if id <= 10 { 9 * SECOND / 10 } else { QUICK }, |id| id <= 10);
+    assert!((0.38..0.62).contains(&part), "{part} of reads beside writers");
+}
+
+/// Ten readers in each of two zones. Crossing has a price: near homes come first, until this zone is jammed and the other is
+/// not; one that is no better gets no more than the even share that a look at it takes.
+#[test]
+fn reads_go_to_the_other_zone_only_while_this_one_is_jammed() {
+    let mut fleet: Vec<ServerEntry> = (1..=10).map(|id| server(id, 0)).collect();
+    fleet.extend((11..=20).map(|id| ServerEntry { zone: 1, ..server(id, 0) }));
+    fleet.extend((101..=105).map(|id| server(id, 1)));
+    let cfg = || Settings { cross_zone_price: 0.02, ..settings() };
+    let slow = 9 * SECOND / 10;
+    let calm = played(cfg(), &fleet, |_| QUICK, |id| id > 10);
+    let jammed = played(cfg(), &fleet, |id| if id <= 10 { slow } else { QUICK }, |id| id > 10);
+    let both = played(cfg(), &fleet, |_| slow, |id| id > 10);
+    assert!((0.1..0.35).contains(&calm), "{calm} across on a calm day");
+    assert!(jammed > calm + 0.15, "{jammed} across while this zone is jammed");
+    assert!(both < 0.5, "{both} across while both are");
+}
