Test of idle clients waits on the world's timer

clippy.toml names std::thread::sleep among the disallowed; found by the lints, which the commit of that test had not waited for. Whole suite and lints pass.

--- a/crates/ivywardd/tests/platform.rs
+++ b/crates/ivywardd/tests/platform.rs
@@ -260,7 +260,7 @@
             break;
         }
         // Until the node has read the list, its one engine of before cannot be reached.
-        std::thread::sleep(std::time::Duration::from_millis(20));
+        world.block_on(ivyward_world::WorldExt::sleep(&*world, 20_000));
     }
     assert!(served.contains("[DONE]"), "{served}");
     assert!(most < LIMIT, "{most} descriptors");
