Rename: the decider on releases and the table of client connections

letgo, LetGo and LetGoSettings hid a release queue: release, ReleaseQueue, ReleaseSettings. A Seat is a ClientConn in a table, and taking one in is admit. No change of behaviour; core's and the platform's tests pass.

--- a/crates/ivyward-core/src/lib.rs
+++ b/crates/ivyward-core/src/lib.rs
@@ -40,11 +40,11 @@
 
 pub mod interface;
 pub mod keep;
-pub mod letgo;
 pub mod membership;
 pub mod pace;
 pub mod peers;
 pub mod planted;
+pub mod release;
 pub mod rules;
 pub mod starts;
 mod state;
--- a/crates/ivyward-core/src/letgo.rs
+++ b/crates/ivyward-core/src/release.rs
@@ -1,4 +1,4 @@
-//! Whom to ask to let go of what is held for a request that no longer needs it, how many at once, and when again.
+//! Releases: whom to ask to let go of what is held for a request that no longer needs it, how many at once, and when again.
 //!
 //! For protocols in which any engine takes a release for all engines. What is owed stays owed until an engine took it:
 //! behind a cut some engines are silent, and nobody says which. So the one most likely to answer is asked first, the next
@@ -12,7 +12,7 @@
 
 /// Settings. Times are microseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LetGoSettings {
+pub struct ReleaseSettings {
     /// What is held is to be let go of within this span; the time before the release leaves is the caller's.
     pub within: Micros,
     /// Asks under way at once, of all that is owed. Each takes a connection.
@@ -21,7 +21,7 @@
     pub most_owed: usize,
 }
 
-impl LetGoSettings {
+impl ReleaseSettings {
     /// How long the answer to a hold is waited for. Where the read beside it never came to its engine, what the hold left has
     /// no attempt, and its time runs: the rest of the span is for the release.
     pub fn hold_wait(&self) -> Micros {
@@ -125,8 +125,8 @@
 }
 
 /// What a node still has to let go of. See the module's page.
-pub struct LetGo {
-    settings: LetGoSettings,
+pub struct ReleaseQueue {
+    settings: ReleaseSettings,
     owed: BTreeMap<u64, Owed>,
     by_request: BTreeMap<u64, u64>,
     due: BTreeSet<(Micros, u64)>,
@@ -137,10 +137,10 @@
     end_by: Option<Micros>,
 }
 
-impl LetGo {
+impl ReleaseQueue {
     /// Nothing is owed yet.
-    pub fn new(settings: LetGoSettings) -> LetGo {
-        LetGo {
+    pub fn new(settings: ReleaseSettings) -> ReleaseQueue {
+        ReleaseQueue {
             settings,
             owed: BTreeMap::new(),
             by_request: BTreeMap::new(),
@@ -241,7 +241,7 @@
         }
     }
 
-    /// When [`LetGo::act`] has something to do at the latest.
+    /// When [`ReleaseQueue::act`] has something to do at the latest.
     pub fn due(&self) -> Option<Micros> {
         let end = self.end_by.filter(|_| !self.owed.is_empty());
         let due = self.due.first().map(|d| d.0).filter(|_| self.asks < self.settings.most_asks);
--- a/crates/ivyward-core/tests/letgo.rs
+++ b/crates/ivyward-core/tests/release.rs
@@ -1,7 +1,7 @@
 //! Letting go: whom, how many at once, when again; played against engines that answer, are silent, or come back.
 
 use ivyward_core::interface::{Micros, ServerId};
-use ivyward_core::letgo::{Answer, Ask, LetGo, LetGoSettings, Taker};
+use ivyward_core::release::{Answer, Ask, ReleaseQueue, ReleaseSettings, Taker};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -12,7 +12,7 @@
 /// Engines and the way to them, in time moved by hand.
 struct Play {
     now: Micros,
-    let_go: LetGo,
+    let_go: ReleaseQueue,
     takers: BTreeMap<ServerId, Taker>,
     /// Whether an engine answers at a time.
     answers: Box<dyn Fn(ServerId, Micros) -> bool>,
@@ -29,10 +29,10 @@
 
 impl Play {
     fn new(engines: u64, answers: impl Fn(ServerId, Micros) -> bool + 'static) -> Play {
-        Play::with(LetGoSettings { within: WITHIN, most_asks: 28, most_owed: 1_000 }, engines, answers)
+        Play::with(ReleaseSettings { within: WITHIN, most_asks: 28, most_owed: 1_000 }, engines, answers)
     }
     fn with(
-        settings: LetGoSettings,
+        settings: ReleaseSettings,
         engines: u64,
         answers: impl Fn(ServerId, Micros) -> bool + 'static,
     ) -> Play {
@@ -46,7 +46,7 @@
         };
         Play {
             now: START,
-            let_go: LetGo::new(settings),
+            let_go: ReleaseQueue::new(settings),
             takers: (1..=engines).map(|i| (ServerId(i), taker(i))).collect(),
             answers: Box::new(answers),
             way: 3 * MS,
@@ -241,7 +241,7 @@
 
 #[test]
 fn at_its_bound_the_oldest_is_left_and_named() {
-    let settings = LetGoSettings { within: WITHIN, most_asks: 4, most_owed: 3 };
+    let settings = ReleaseSettings { within: WITHIN, most_asks: 4, most_owed: 3 };
     let mut play = Play::with(settings, 2, |_, _| false);
     assert_eq!([play.owe(1, true), play.owe(2, true), play.owe(3, true)], [None; 3]);
     assert_eq!(play.owe(2, true), None, "one that is owed already takes no more room");
@@ -282,7 +282,7 @@
 #[test]
 fn a_very_short_time_leaves_answers_their_way() {
     for within in [0, MS, 20 * MS] {
-        let settings = LetGoSettings { within, most_asks: 28, most_owed: 10 };
+        let settings = ReleaseSettings { within, most_asks: 28, most_owed: 10 };
         let mut play = Play::with(settings, 8, |id, _| id.0 <= 6);
         play.way = 8 * MS;
         play.owe(1, true);
@@ -315,7 +315,7 @@
         flaps in proptest::collection::vec(0u64..4_000, 30),
         sure in any::<bool>(),
     ) {
-        let settings = LetGoSettings { within: WITHIN, most_asks, most_owed: 1_000 };
+        let settings = ReleaseSettings { within: WITHIN, most_asks, most_owed: 1_000 };
         let well = START + 5_000 * MS;
         let mut play = Play::with(settings, engines, move |id, now| {
             now >= well && id.0 == 1 || (now - START) / MS % 4_000 < flaps[id.0 as usize % 30] / 2
--- a/crates/ivyward-platform/src/door.rs
+++ b/crates/ivyward-platform/src/door.rs
@@ -34,7 +34,7 @@
 const MOST_ID: usize = 128;
 
 /// A connection as the table knows it.
-struct Seat {
+struct ClientConn {
     /// Since when it has no request; `None` while it has one.
     idle: Option<Micros>,
     /// It has never brought a request.
@@ -50,7 +50,7 @@
     bounds: Bounds,
     budget: Arc<Budget>,
     /// Connections, at most `bounds.clients`.
-    seats: Mutex<BTreeMap<u64, Seat>>,
+    table: Mutex<BTreeMap<u64, ClientConn>>,
     next: AtomicU64,
     /// Connections that hold a descriptor: those of the table, and those that were told to close and have not yet.
     standing: AtomicUsize,
@@ -95,7 +95,7 @@
             told,
             budget: Budget::new(bounds.prompts),
             bounds,
-            seats: Mutex::default(),
+            table: Mutex::default(),
             next: AtomicU64::new(1),
             standing: AtomicUsize::new(0),
             closed: Event::new(),
@@ -105,14 +105,14 @@
         })
     }
     pub(crate) fn connections(&self) -> usize {
-        lock(&self.seats).len()
+        lock(&self.table).len()
     }
     pub(crate) fn prompt_bytes(&self) -> usize {
         self.budget.held()
     }
     /// Closes connections that have no request.
     pub(crate) fn close_idle(&self) {
-        lock(&self.seats).retain(|_, seat| seat.idle.is_none());
+        lock(&self.table).retain(|_, client| client.idle.is_none());
     }
     fn stops(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
@@ -123,7 +123,7 @@
         loop {
             match listener.accept().await {
                 Ok((conn, _)) => {
-                    self.clone().seat(conn);
+                    self.clone().admit(conn);
                     self.room().await;
                 }
                 Err(e) => {
@@ -148,35 +148,35 @@
     }
 
     /// At the bound a connection without a request goes: the silent ones first, then the one idle longest.
-    fn seat(self: Arc<Self>, conn: Conn) {
+    fn admit(self: Arc<Self>, conn: Conn) {
         let (kick, kicked) = async_channel::bounded(1);
         let me = self.next.fetch_add(1, Ordering::Relaxed);
         let now = self.world.now();
         {
-            let mut seats = lock(&self.seats);
-            if seats.len() >= self.bounds.clients {
-                let idle = seats.iter().filter(|(_, s)| s.idle.is_some());
+            let mut table = lock(&self.table);
+            if table.len() >= self.bounds.clients {
+                let idle = table.iter().filter(|(_, s)| s.idle.is_some());
                 let oldest = idle.min_by_key(|(_, s)| (!s.silent, s.idle)).map(|(id, _)| *id);
                 match oldest {
-                    Some(id) => drop(seats.remove(&id)),
+                    Some(id) => drop(table.remove(&id)),
                     None => return,
                 }
             }
-            seats.insert(me, Seat { idle: Some(now), silent: true, _kick: kick });
+            table.insert(me, ClientConn { idle: Some(now), silent: true, _kick: kick });
         }
         self.standing.fetch_add(1, Ordering::SeqCst);
         let world = self.world.clone();
         world.run(async move {
             let _stands = Stands(&self);
             self.client(Wire::new(conn), me, kicked).await;
-            lock(&self.seats).remove(&me);
+            lock(&self.table).remove(&me);
         });
     }
 
     fn idle(&self, me: u64, idle: Option<Micros>) {
-        if let Some(seat) = lock(&self.seats).get_mut(&me) {
-            seat.idle = idle;
-            seat.silent &= idle.is_some();
+        if let Some(client) = lock(&self.table).get_mut(&me) {
+            client.idle = idle;
+            client.silent &= idle.is_some();
         }
     }
 
@@ -189,7 +189,7 @@
             if wire.bytes().is_empty() {
                 self.idle(me, Some(now));
                 let kick = async {
-                    // Ends when the seat is dropped.
+                    // Ends when the entry is dropped.
                     let _ = kicked.recv().await;
                     None
                 };
--- a/crates/ivyward-platform/src/engine.rs
+++ b/crates/ivyward-platform/src/engine.rs
@@ -10,7 +10,7 @@
 use futures_lite::future::{or, poll_fn};
 use ivyward::core::interface::{Micros, Outcome, Report, ServerId};
 use ivyward::core::keep::Keep;
-use ivyward::core::letgo::{LetGoSettings, Taker};
+use ivyward::core::release::{ReleaseSettings, Taker};
 use ivyward::engines::{End, Held, HoldJob, Job, Link, LinkRef, Protocol, ReleaseJob, Stall, Stop, Woken};
 use ivyward::world::{before, BoxFuture, WorldRef};
 use ivyward::{Engine, Shared};
@@ -58,7 +58,7 @@
         keepalive: Micros,
         most: usize,
         fields: &[String],
-        let_go: LetGoSettings,
+        let_go: ReleaseSettings,
     ) -> Arc<Engines> {
         let spare = let_go.most_asks;
         let keep = if keepalive > 0 { (keepalive as f64 * KEEP_PART) as Micros } else { KEEP };
--- a/crates/ivyward-platform/src/engine/tests.rs
+++ b/crates/ivyward-platform/src/engine/tests.rs
@@ -7,7 +7,7 @@
 fn releases_have_connections_to_spare() {
     let world = Sim::new(1, Net::default()).host(1).world();
     const SPARE: usize = 12;
-    let let_go = LetGoSettings { within: 300_000, most_asks: SPARE, most_owed: 10 };
+    let let_go = ReleaseSettings { within: 300_000, most_asks: SPARE, most_owed: 10 };
     let engines = Engines::new(&world, 1, 1, 2, &[], let_go);
     let taken: Vec<Place> = (0..2).map(|_| engines.place(0).expect("within the bound")).collect();
     assert!(engines.place(0).is_none());
--- a/crates/ivyward-platform/src/release.rs
+++ b/crates/ivyward-platform/src/release.rs
@@ -1,11 +1,11 @@
-//! Letting go of what is held: carries out what [`ivyward::core::letgo`] decides, for all requests of the node.
+//! Letting go of what is held: carries out what [`ivyward::core::release`] decides, for all requests of the node.
 
 use crate::call::{lock, PlatformCall};
 use crate::engine::{EngineLink, Engines, Short};
 use event_listener::Event;
 use futures_lite::future::or;
 use ivyward::core::interface::{Micros, ServerId};
-use ivyward::core::letgo::{Answer, Ask, LetGo, LetGoSettings};
+use ivyward::core::release::{Answer, Ask, ReleaseQueue, ReleaseSettings};
 use ivyward::engines::{LinkRef, ReleaseJob};
 use ivyward::world::WorldExt;
 use ivyward::Shared;
@@ -14,7 +14,7 @@
 use tracing::{debug, warn};
 
 struct Owing {
-    decider: LetGo,
+    decider: ReleaseQueue,
     /// What is asked for each request, and the links at which something may be held: those stay known though their
     /// engines leave the list.
     what: BTreeMap<u64, (Arc<str>, Vec<LinkRef>)>,
@@ -29,8 +29,8 @@
 }
 
 impl Releases {
-    pub(crate) fn new(settings: LetGoSettings) -> Releases {
-        let owing = Owing { decider: LetGo::new(settings), what: BTreeMap::new() };
+    pub(crate) fn new(settings: ReleaseSettings) -> Releases {
+        let owing = Owing { decider: ReleaseQueue::new(settings), what: BTreeMap::new() };
         Releases { owing: Mutex::new(owing), moved: Event::new(), shared: OnceLock::new() }
     }
 
@@ -50,7 +50,7 @@
         });
     }
 
-    /// See [`LetGo::needed`].
+    /// See [`ReleaseQueue::needed`].
     pub(crate) fn needed(&self, request: u64) -> bool {
         self.change(|owing, _| owing.decider.needed(request)).unwrap_or(false)
     }
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -7,7 +7,7 @@
 use crate::release::Releases;
 use futures_lite::future::or;
 use ivyward::core::interface::{ListKind, Micros};
-use ivyward::core::letgo::LetGoSettings;
+use ivyward::core::release::ReleaseSettings;
 use ivyward::world::{WorldExt, WorldRef};
 use ivyward::{Node, StartError};
 use std::net::SocketAddr;
@@ -52,7 +52,7 @@
     /// When it cannot listen or the node does not start.
     pub async fn start(world: WorldRef, config: Config) -> Result<Service, ServiceError> {
         let Config { told, bounds, node: settings, .. } = config;
-        let let_go = LetGoSettings {
+        let let_go = ReleaseSettings {
             within: settings.rules.release_within,
             most_asks: bounds.spare,
             most_owed: bounds.releases,
