Read again: heeding the driver reuses the wait; a watch's wait is told once

Job::heed wrote Job::wait again with another order; it asks for the driver's word and then waits as before. The call for the list was handed a wait that follows from what it asks for. The core's map names the decider on releases. No change of behaviour; whole suite and lints pass.

--- a/crates/ivyward-core/src/lib.rs
+++ b/crates/ivyward-core/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`rules::Router`] holds the decisions on requests, [`interface`] the types it speaks; [`membership`] decides what lists
 //! and notices of engines mean, [`starts`] what their told start times do, [`pace`] how often the module is told of changes,
-//! [`peers`] which other nodes are here, [`keep`] which kept connections carry a request, [`watch`] how a list is followed.
+//! [`peers`] which other nodes are here, [`keep`] which kept connections carry a request, [`release`] who is asked to let
+//! go of what is held, [`watch`] how a list is followed.
 //! It does no I/O and has no clock:
 //! give it events, carry out the actions it returns.
 //!
--- a/crates/ivyward-platform/src/discovery.rs
+++ b/crates/ivyward-platform/src/discovery.rs
@@ -226,9 +226,9 @@
             Err((how, error)) => return Missed { how, error, answered },
         };
         let came = wire.count();
-        let (mut from, mut wait) = (None, 0);
+        let mut from = None;
         loop {
-            let list = match self.call(&mut wire, &came, from, wait).await {
+            let list = match self.call(&mut wire, &came, from).await {
                 Ok(list) => list,
                 Err((how, error)) => return Missed { how, error, answered },
             };
@@ -239,7 +239,7 @@
             if list.full || !engines.is_empty() {
                 self.node.fleet(kind, engines).await;
             }
-            (from, wait) = (Some(list.version), self.pace.wait());
+            from = Some(list.version);
         }
     }
 
@@ -249,17 +249,19 @@
         wire: &mut Wire,
         came: &AtomicU64,
         from: Option<u64>,
-        wait: Micros,
     ) -> Result<List, (Miss, io::Error)> {
-        let (world, begun) = (self.world, came.load(Ordering::Relaxed));
-        let target = match from {
-            Some(version) => format!("/v1/servers?from={version}&hold_ms={}", wait / 1_000),
-            None => "/v1/servers".to_owned(),
+        let world = self.world;
+        let (target, wait) = match from {
+            Some(version) => {
+                let wait = self.pace.wait();
+                (format!("/v1/servers?from={version}&hold_ms={}", wait / 1_000), wait)
+            }
+            None => ("/v1/servers".to_owned(), 0),
         };
         let mut asked = pin!(ask(wire, &target, self.address, self.limits));
         let step = self.pace.silence() / LOOKS;
         // Nothing has come: the answer's first byte is waited for beyond the time that discovery may wait itself.
-        let (mut last, mut seen) = (world.now().saturating_add(if from.is_some() { wait } else { 0 }), begun);
+        let (mut last, mut seen) = (world.now().saturating_add(wait), came.load(Ordering::Relaxed));
         let mut whole_by = Micros::MAX;
         loop {
             let now = world.now();
--- a/crates/ivyward/src/engines/mod.rs
+++ b/crates/ivyward/src/engines/mod.rs
@@ -148,14 +148,7 @@
     }
     /// The same, where the driver's word goes first: nothing that can still be left undone is done after it.
     pub async fn heed<T>(&self, timer: &mut BoxFuture<()>, next: impl Future<Output = T>) -> Woken<T> {
-        or(async { Woken::Stopped(self.stopped().await) }, async {
-            or(async { Woken::Next(next.await) }, async {
-                timer.await;
-                Woken::Late
-            })
-            .await
-        })
-        .await
+        or(async { Woken::Stopped(self.stopped().await) }, self.wait(timer, next)).await
     }
     /// Waits until the client has room, or nobody wants the answer any more.
     ///
