A client's Idempotency-Key reaches every attempt

At fault: the list of headers in Attempt::run (ivyward-platform engine.rs), which passes on the request's id alone, so an engine cannot know a repeat: an effect twice.

Change: the key passes on unchanged with each attempt. One that is empty or no text gets 400, since its repeats would be taken for something new.

The new test fails without the header.

--- a/crates/ivyward-platform/src/call.rs
+++ b/crates/ivyward-platform/src/call.rs
@@ -9,6 +9,9 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// The header by which engines recognise a repeat of a request, in small letters.
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -74,6 +77,8 @@
     pub(crate) id: String,
     pub(crate) method: String,
     pub(crate) target: String,
+    /// The client's `Idempotency-Key`, by which engines recognise a repeat.
+    pub(crate) idempotency_key: Option<String>,
     /// It may be sent again although it may have run.
     pub(crate) again: bool,
     /// Let go of with the first event: from then on nothing is sent again.
@@ -99,6 +104,7 @@
             id: id.into(),
             method: request.method.clone(),
             target: request.target.clone(),
+            idempotency_key: request.head.text(IDEMPOTENCY_KEY).map(str::to_owned),
             again,
             prompt: Mutex::new(Some(Arc::new(prompt))),
             progress: Mutex::new(None),
--- a/crates/ivyward-platform/src/door.rs
+++ b/crates/ivyward-platform/src/door.rs
@@ -1,6 +1,6 @@
 //! Clients: requests in, final answers out.
 
-use crate::call::{lock, Budget, PlatformCall, Prompt, Share};
+use crate::call::{lock, Budget, PlatformCall, Prompt, Share, IDEMPOTENCY_KEY};
 use crate::config::{Bounds, LIMITS, MOST_BODY};
 use crate::wire::Wire;
 use event_listener::Event;
@@ -464,6 +464,10 @@
         let place = |what: &str, names: &[String], name: &str| {
             ivyward_settings::place(names, name).ok_or_else(|| bad(format!("{what} {name:?} is not known")))
         };
+        // Its engines would take a repeat for something new.
+        if head.get(IDEMPOTENCY_KEY).is_some() && head.text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
+            return Err(bad(format!("{IDEMPOTENCY_KEY} must be visible letters")));
+        }
         let class = place("class", &self.told.classes, need("x-priority-class")?)?;
         let tenant = match self.told.tenants.is_empty() {
             true => 0,
--- a/crates/ivyward-platform/src/engine.rs
+++ b/crates/ivyward-platform/src/engine.rs
@@ -482,13 +482,15 @@
         let left = (job.until.saturating_sub(world.now()) / 1_000).max(1).to_string();
         let (host, length) = (link.address.to_string(), prompt.bytes.len().to_string());
         let mut request = Vec::with_capacity(256);
-        let headers = [
+        let mut headers = vec![
             ("Host", host.as_str()),
             ("X-Request-ID", &self.call.id),
             ("X-Timeout-Ms", &left),
             ("Content-Type", "application/json"),
             ("Content-Length", &length),
         ];
+        // Guards against an effect twice: an engine drops the repeats of a request by this key alone.
+        headers.extend(self.call.idempotency_key.as_deref().map(|key| ("Idempotency-Key", key)));
         head::write(&mut request, &format!("{} {} HTTP/1.1", self.call.method, self.call.target), &headers);
         let written = self.while_wanted(self.write(&mut wire, &request, &prompt.bytes));
         match job.heed(&mut timer, written).await {
--- a/crates/ivyward-platform/tests/common/mod.rs
+++ b/crates/ivyward-platform/tests/common/mod.rs
@@ -50,6 +50,7 @@
     pub method: String,
     pub target: String,
     pub id: String,
+    pub idempotency_key: String,
     pub timeout_ms: u64,
     pub body: Vec<u8>,
 }
@@ -418,6 +419,7 @@
             method: request.method.clone(),
             target: request.target.clone(),
             id: text("x-request-id"),
+            idempotency_key: text("idempotency-key"),
             timeout_ms: text("x-timeout-ms").parse().unwrap_or(0),
             body,
         };
--- a/crates/ivyward-platform/tests/engines.rs
+++ b/crates/ivyward-platform/tests/engines.rs
@@ -32,6 +32,40 @@
     });
 }
 
+/// Engines drop the repeats of a keyed request by its `Idempotency-Key`: every attempt brings it as the client sent it, and one
+/// that cannot be passed on is turned away.
+#[test]
+fn an_idempotency_key_reaches_every_attempt_unchanged() {
+    let mut rig = Rig::new(|seen| if writes(seen) && seen.engine == 2 { say(AWAY) } else { Play::Usual });
+    rig.config = rig.config.replace("\"retryable\"", "\"dedup\"");
+    rig.play(|scene| async move {
+        for n in 0..4 {
+            let (id, key) = (format!("k{n}"), format!("a81b-{n}"));
+            let with_key = format!("\r\nIdempotency-Key: {key}\r\nContent-Length");
+            let text = String::from_utf8(request(&id, "draft", 4_800)).unwrap();
+            let mut conn = scene.connect().await;
+            let keyed = text.replace("\r\nContent-Length", &with_key);
+            conn.write_all(keyed.as_bytes()).await.unwrap();
+            assert_eq!(got(&scene.client, &mut conn).await.status, 200);
+            let sends = scene.sends(&id);
+            assert!(sends.len() >= 2 && sends.iter().all(|s| s.idempotency_key == key), "{sends:?}");
+        }
+        assert!(
+            scene.seen().iter().any(|s| writes(s) && s.engine == 2),
+            "some were turned away and sent again"
+        );
+        for value in [&b""[..], b"\xff\xfe"] {
+            let text = request("bad", "draft", 4_800);
+            let at = text.windows(14).position(|w| w == b"Content-Length").unwrap();
+            let keyed = [&text[..at], b"Idempotency-Key: ", value, b"\r\n", &text[at..]].concat();
+            let mut conn = scene.connect().await;
+            conn.write_all(&keyed).await.unwrap();
+            assert_eq!(got(&scene.client, &mut conn).await.status, 400);
+        }
+        assert!(scene.sends("bad").is_empty());
+    });
+}
+
 /// Spoilt before the first event: the attempt may have run, so a safe request is sent again and an unsafe one is not.
 #[test]
 fn what_is_spoilt_before_its_first_event_may_have_run() {
