A keyed repeat leaves within its window, also when its connection comes up late

Seen by reading: Router::step checked the window for repeats when it chose the engine; the dial (250 ms at most) and the body follow, and nobody looked again. At fault: Router::send, whose leave_by knew only what is held.

Change: leave_by is also the end of the window, counted from the first attempt that may have run; reads are no effect and are left out. An attempt that misses it ends as not connected, which proves that it never ran.

--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -782,7 +782,9 @@
             if once || left <= 1 || part < PATIENT * expected { 0 } else { part.min(stall) as Micros };
         let held_part = if left > 1 { HELD_DIAL } else { 1.0 };
         let dial = |until: Micros| now + (until.saturating_sub(now) as f64 * held_part) as Micros;
-        let leave_by = self.held_until(&r).map_or(0, dial);
+        // Guards against a repeat that leaves after its window, as its connection came up late.
+        let repeat = self.repeat_until(&r).filter(|_| op != Op::Read);
+        let leave_by = self.held_until(&r).map(dial).into_iter().chain(repeat).min().unwrap_or(0);
         out.push(Action::Send { request: r.a.id, server: to, timeout, leave_by });
         let window = self.cfg.fall_window;
         self.sent[usize::from(op == Op::Read)].add(now, self.cfg.fall_window as f64, 0.0);
@@ -797,8 +799,7 @@
         r.attempts.push(Attempt { server: to, op, sent: now, work, out: true, streaming: false });
         if op == Op::Read && self.cfg.hold_ahead && left > 1 {
             r.held_at = self.pick_writer(now, Some(to), &r, false);
-            let hold = |server| Action::HoldAhead { request: r.a.id, server };
-            out.extend(r.held_at.map(hold));
+            out.extend(r.held_at.map(|server| Action::HoldAhead { request: r.a.id, server }));
         }
         self.open.insert(r.a.id, r);
         self.set_tick(now, out);
@@ -901,8 +902,7 @@
     }
 
     fn on_ended(&mut self, now: Micros, id: RequestId, no: u16, end: (Outcome, u32, bool), out: &mut Out) {
-        let (outcome, kept, finished) = end;
-        let Some(mut r) = self.open.remove(&id) else { return };
+        let ((outcome, kept, finished), Some(mut r)) = (end, self.open.remove(&id)) else { return };
         let Some(t) = r.attempts.get_mut(usize::from(no)).filter(|t| t.out) else {
             self.open.insert(id, r);
             return;
@@ -1006,14 +1006,14 @@
         r.held.filter(|_| self.cfg.out_once_left && span > 0).map(|since| since + span)
     }
 
-    /// Whether a request that may have run may be sent again at all (no effect twice).
-    fn repeat_open(&self, r: &Request, now: Micros) -> bool {
+    /// Until when a request that may have run may be sent again (no effect twice); `None`: for ever.
+    fn repeat_until(&self, r: &Request) -> Option<Micros> {
         let class = &self.cfg.classes[r.a.class];
-        match (class.effect, r.may_have_run) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Unsafe, Some(_)) => false,
-            (Effect::Keyed, Some((_, sent))) => now.saturating_sub(sent) < class.repeat_window,
-        }
+        let (_, sent) = r.may_have_run.filter(|_| class.effect != Effect::Safe)?;
+        Some(if class.effect == Effect::Keyed { sent.saturating_add(class.repeat_window) } else { 0 })
+    }
+    fn repeat_open(&self, r: &Request, now: Micros) -> bool {
+        self.repeat_until(r).is_none_or(|until| now < until)
     }
 
     /// Whether this server drops repeats of a keyed request that may have run.
--- a/crates/ivyward-core/tests/five_rules.rs
+++ b/crates/ivyward-core/tests/five_rules.rs
@@ -96,6 +96,24 @@
     assert!(!rig.refused(), "a refusal would promise too much for a zonal group");
 }
 
+/// The window counts from the first attempt that may have run, and holds until the repeat's last byte has left: a dial may
+/// take long. A read is no effect and may leave at any time.
+#[test]
+fn twice_a_keyed_repeat_leaves_within_its_window() {
+    let mut settings = settings();
+    settings.classes[2] = ClassSettings { repeat_window: SECOND, ..class(Effect::Keyed) };
+    let mut rig = Rig::new(settings, &fleet());
+    rig.ask(Arrival { class: 2, ..arrival(1, 5, 1_000.0) });
+    assert!(rig.end(1, 0, Outcome::Read).is_some());
+    let sent = rig.now;
+    rig.now += 900_000;
+    assert!(rig.end(1, 1, Outcome::Reset).is_some(), "sent on within the window");
+    let leave_by = rig.leave_by().unwrap();
+    assert!(leave_by > rig.now && leave_by <= sent + SECOND, "{leave_by} after {sent}");
+    rig.now = sent + SECOND;
+    assert_eq!(rig.end(1, 2, Outcome::ConnectFailed), None, "the window is over");
+}
+
 #[test]
 fn drains_nothing_is_sent_to_a_draining_or_gone_server() {
     for condition in [Condition::Draining, Condition::Gone] {
