A keyed repeat takes no held place and no session's writer outside its group

At fault: Router::step, which sends to the place held beside a read without asking repeat_allowed, as pick_writer does: that place may have been passed over for the first write (it drained, was full or cold) and lie in another zone than the writer that may have run the request. The same hole in local_writer, where a session's row appears after the first attempt. Excluded: the window (checked at the decision, and until the last byte left), zones that change.

Change: both ask.

Measured: both new tests fail without their guard.

--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -661,12 +661,13 @@
         let mut target = None;
         if left > 0 && in_time && self.repeat_open(&r, now) {
             if r.state_at.is_some() {
-                let ready =
-                    |s: &&Server| s.entry.condition == Condition::Ready && s.grade(now, r.a.tenant, true) < 2;
-                let held = r.held_at.and_then(|id| self.fleet.get(&id)).filter(ready);
                 let spread = self.spread(now, false, &r);
-                let held =
-                    held.filter(|s| self.cold_room(s, now, spread, 0.0) && !r.tried.contains(&s.entry.id));
+                let apt = |s: &&Server| {
+                    let ready = s.entry.condition == Condition::Ready && s.grade(now, r.a.tenant, true) < 2;
+                    let free = self.cold_room(s, now, spread, 0.0) && !r.tried.contains(&s.entry.id);
+                    ready && free && self.repeat_allowed(&r, s, now)
+                };
+                let held = r.held_at.and_then(|id| self.fleet.get(&id)).filter(apt);
                 let writer =
                     held.map(|s| s.entry.id).or_else(|| self.pick_writer(now, r.state_at, &r, false));
                 target = writer.map(|w| (w, Op::Fetch));
@@ -711,7 +712,7 @@
     /// first turn counts as one where a mixed server holds its shared opening: such a server is there to
     /// read.
     fn local_writer(&mut self, now: Micros, r: &mut Request) -> Option<ServerId> {
-        if r.path.is_some() {
+        if r.path.is_some() || self.repeat_until(r).is_some() {
             return None;
         }
         let held = |row: &&Row| {
@@ -772,9 +773,8 @@
         let server = &self.fleet[&to];
         let work = tokens + if op == Op::Read { server.waiting_tokens() } else { 0.0 };
         let expected = self.expected(now, server, op, work, r.aim);
-        // A time-out leaves time for another attempt, unless a repeat is ruled out. One that is no clear
-        // multiple of the expected time would only give up places in a jam, or with clients of little
-        // patience.
+        // A time-out leaves time for another attempt, unless a repeat is ruled out. Under a clear multiple of
+        // the expected time it would only give up places in a jam, or with clients of little patience.
         let once = op != Op::Read && self.cfg.classes[r.a.class].effect != Effect::Safe;
         let part = r.deadline.saturating_sub(now) as f64 * ATTEMPT_PART;
         let stall = if self.cfg.may_cancel { part } else { STALL * expected };
--- a/crates/ivyward-core/tests/five_rules.rs
+++ b/crates/ivyward-core/tests/five_rules.rs
@@ -96,6 +96,43 @@
     assert!(!rig.refused(), "a refusal would promise too much for a zonal group");
 }
 
+/// A place that was held before another writer may have run the request is no way out of its group.
+#[test]
+fn twice_a_keyed_repeat_takes_no_place_held_outside_its_group() {
+    let writers = [server(11, 1), ServerEntry { zone: 1, ..server(12, 1) }];
+    let mut rig =
+        Rig::new(Settings { hold_ahead: true, ..settings() }, &[server(1, 0), writers[0], writers[1]]);
+    rig.ask(Arrival { class: 2, ..arrival(1, 5, 1_000.0) });
+    let held = rig.done.iter().find_map(|a| match a {
+        Action::HoldAhead { server, .. } => Some(*server),
+        _ => None,
+    });
+    let held = held.expect("a place is asked for");
+    let entry = writers.into_iter().find(|w| w.id == held).unwrap();
+    rig.fleet(ListKind::Changes, &[ServerEntry { condition: Condition::Draining, ..entry }]);
+    let ran_at = rig.end(1, 0, Outcome::Read).unwrap();
+    assert_ne!(ran_at, held);
+    rig.fleet(ListKind::Changes, &[entry]);
+    rig.now += 100_000;
+    assert_ne!(rig.end(1, 1, Outcome::Reset), Some(held), "it is in another zone");
+}
+
+/// Nor is a writer that came to hold its session meanwhile.
+#[test]
+fn twice_a_keyed_repeat_follows_no_session_out_of_its_group() {
+    // Without readers both turns are read where they are written.
+    let far = ServerEntry { zone: 1, ..server(12, 1) };
+    let mut rig = Rig::new(settings(), &[server(11, 1), far]);
+    let shared = Arrival { prefix_tokens: 7_000.0, ..arrival(1, 5, 8_000.0) };
+    assert_eq!(rig.ask(Arrival { class: 2, ..shared }), Some(ServerId(11)), "the writer of this zone");
+    // Another turn of the session is written by the far one.
+    rig.fleet(ListKind::Changes, &[ServerEntry { condition: Condition::Draining, ..server(11, 1) }]);
+    assert_eq!(rig.ask(Arrival { id: RequestId(2), ..shared }), Some(ServerId(12)));
+    rig.first(2, 0);
+    rig.end(2, 0, Outcome::Served);
+    assert_ne!(rig.end(1, 0, Outcome::Reset), Some(ServerId(12)), "it is in another zone");
+}
+
 /// The window counts from the first attempt that may have run, and holds until the repeat's last byte has left: a dial may
 /// take long. A read is no effect and may leave at any time.
 #[test]
