Clients: nothing is reset with the listener, floods hide no leaving, slow readers stay

Found by reading, each forced by a test that fails without its guard: - Service::stop dropped the listener while connections that the system had accepted waited, when evicted ones were still closing (Door::serve under room()), and could return before the accepting task had looked: reset. Now they are taken, and stop waits for it (tests/shutdown.rs, real sockets, the node's thread held by a barrier). - Past 4 MiB behind an open request nothing was read any more (Door::part), so the client's end behind it was never seen and its request went on. Now it is read on at a pace of 16 KiB in 0.5 ms. - A client that takes its answer slowly was cut off when one write took 5 s in all, though it took bytes all the time. Now 5 s without a byte are its leaving.

--- a/crates/ivyward-platform/src/door.rs
+++ b/crates/ivyward-platform/src/door.rs
@@ -4,7 +4,7 @@
 use crate::config::{Bounds, LIMITS, MOST_BODY};
 use crate::wire::Wire;
 use event_listener::Event;
-use futures_lite::future::{or, poll_fn};
+use futures_lite::future::{or, poll_fn, poll_once};
 use ivyward::core::interface::{Arrival, Effect, Micros};
 use ivyward::world::{before, Conn, Listener, WorldExt, WorldRef};
 use ivyward::{Failure, Final, Node, Refusal};
@@ -27,9 +27,11 @@
 const DRAIN: Micros = 1_500_000;
 const MOST_DRAIN: usize = 64 << 20;
 /// Bytes that may wait behind an open request. More are read all the same, for the client's end may follow them, and
-/// dropped: then the connection ends with the answer. After so many of those it is not read any more.
+/// dropped: then the connection ends with the answer. After so many of those there is a pause before each piece, so that
+/// no client takes up the node.
 const MOST_BEHIND: usize = 16 << 10;
 const MOST_DROPPED: usize = 4 << 20;
+const FLOOD_PAUSE: Micros = 500;
 /// Longest request id.
 const MOST_ID: usize = 128;
 
@@ -121,8 +123,25 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
-    /// Takes connections until dropped.
-    pub(crate) async fn serve(self: Arc<Self>, mut listener: Box<dyn Listener>) {
+    /// Takes connections until the sender of `stop` is dropped, and then those that the system has taken by itself.
+    pub(crate) async fn serve(
+        self: Arc<Self>,
+        mut listener: Box<dyn Listener>,
+        stop: async_channel::Receiver<()>,
+    ) {
+        let stopped = async {
+            // Ends when the sender is dropped.
+            let _ = stop.recv().await;
+        };
+        or(self.accept(&mut *listener), stopped).await;
+        // Guards against clients that connected just then, or while evicted ones closed: with the listener they would be
+        // reset, a request behind them or not.
+        while let Some(Ok((conn, _))) = poll_once(listener.accept()).await {
+            self.clone().admit(conn);
+        }
+    }
+
+    async fn accept(self: &Arc<Self>, listener: &mut dyn Listener) {
         loop {
             match listener.accept().await {
                 Ok((conn, _)) => {
@@ -346,8 +365,7 @@
         let mut out = Vec::new();
         head::write(&mut out, &format!("HTTP/1.1 {status} {}", reason(status)), &headers);
         out.extend_from_slice(text.as_bytes());
-        let until = self.world.now().saturating_add(TAKES);
-        before(&self.world, until, wire.write(&out, &[])).await.is_some_and(|w| w.is_ok())
+        wire.write_slowly(&self.world, TAKES, &out).await.is_ok()
     }
 
     /// Answers one request. Whether its connection may go on; an error is said by the caller.
@@ -398,13 +416,16 @@
     async fn part(&self, wire: &mut Wire, call: &PlatformCall) -> Option<Result<Vec<u8>, Final>> {
         let next = async { Some(poll_fn(|cx| call.outlet.poll_items(cx)).await.map(|(_, data)| data)) };
         or(next, async {
-            while wire.dropped() < MOST_DROPPED {
+            loop {
+                // Guards against a client whose leaving hides behind a flood: what it sent is read away to its end.
+                if wire.dropped() >= MOST_DROPPED {
+                    self.world.sleep(FLOOD_PAUSE).await;
+                }
                 match wire.fill().await {
                     Ok(n) if n > 0 => wire.keep(MOST_BEHIND),
                     _ => return None,
                 }
             }
-            std::future::pending().await
         })
         .await
     }
@@ -441,9 +462,7 @@
                 }
             }
             let last = out.ends_with(body::LAST) && taken.call.outlet.told();
-            let until = self.world.now().saturating_add(TAKES);
-            let wrote = before(&self.world, until, wire.write(&out, &[])).await;
-            if wrote.is_none_or(|w| w.is_err()) {
+            if wire.write_slowly(&self.world, TAKES, &out).await.is_err() {
                 return false;
             }
             if last {
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -1,11 +1,10 @@
 //! A node in service: what the daemon starts, reloads and stops.
 
 use crate::config::{list_limits, Config};
-use crate::discovery::{Discovery, Reader};
+use crate::discovery::{Discovery, ListReader};
 use crate::door::Door;
 use crate::engine::{Engines, Platform};
 use crate::release::Releases;
-use futures_lite::future::or;
 use ivyward::core::interface::{ListKind, Micros};
 use ivyward::core::release::ReleaseSettings;
 use ivyward::world::{WorldExt, WorldRef};
@@ -42,6 +41,8 @@
     releases: Arc<Releases>,
     /// Dropped to stop listening.
     listening: Option<async_channel::Sender<()>>,
+    /// Ends when the listener is gone, and what the system had taken by then is in the table of connections.
+    accepting: async_channel::Receiver<()>,
     address: SocketAddr,
 }
 
@@ -62,7 +63,7 @@
         let releases = engines.releases.clone();
         let protocol = Arc::new(Platform(engines.clone()));
         let node = Node::start_with(world.clone(), settings, None, protocol)?;
-        let mut reader = Reader::new(told.clone(), &world);
+        let mut reader = ListReader::new(told.clone(), &world);
         if let Some(known) = &config.known {
             node.fleet(ListKind::Cached, reader.read(known)).await;
         }
@@ -71,12 +72,10 @@
         let door = Door::new(node.clone(), world.clone(), told, bounds);
         let (listening, stopped) = async_channel::bounded::<()>(1);
         let accepting = door.clone();
+        let (accepts, accepting_ends) = async_channel::bounded::<()>(1);
         world.run(async move {
-            or(accepting.serve(listener), async {
-                // Ends when the sender is dropped.
-                let _ = stopped.recv().await;
-            })
-            .await;
+            let _accepts = accepts;
+            accepting.serve(listener, stopped).await;
         });
         let discovery = Arc::new(Discovery::new(config.discovery));
         let (follows, following, clock) = (discovery.clone(), node.clone(), world.clone());
@@ -117,7 +116,16 @@
             }
         });
         info!(name = config.name, %address, discovery = %config.discovery, ?bounds, "taking requests");
-        Ok(Service { node, world, door, discovery, releases, listening: Some(listening), address })
+        Ok(Service {
+            node,
+            world,
+            door,
+            discovery,
+            releases,
+            listening: Some(listening),
+            accepting: accepting_ends,
+            address,
+        })
     }
 
     /// Where it listens.
@@ -139,6 +147,8 @@
         info!(open = self.node.open(), "stopping");
         self.world.sleep(ACCEPTS).await;
         self.listening = None;
+        // Guards against an end before the last connections are looked at. Ends when the sender is dropped.
+        let _ = self.accepting.recv().await;
         self.door.close_idle();
         let mut told = false;
         // Guards against a node that ends in the midst of a cut and leaves pinned what it held.
--- a/crates/ivyward-platform/tests/clients.rs
+++ b/crates/ivyward-platform/tests/clients.rs
@@ -250,6 +250,42 @@
 
 /// A request comes in the very moment in which its idle connection is told to go, and takes seconds: those who connect
 /// meanwhile are taken all the same.
+/// A client that takes its answer slowly and steadily gets all of it; one that takes nothing for long has gone away, and its
+/// engine is let go.
+#[test]
+fn a_slow_reader_gets_its_whole_answer_and_a_still_one_is_closed() {
+    for reads_on in [true, false] {
+        let event = format!("data: {{\"x\":\"{}\"}}\n\n", "y".repeat(1_000));
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        let rest = format!("{}{:x}\r\n{SERVED}\r\n0\r\n\r\n", chunk.repeat(60), SERVED.len());
+        let rig = Rig::new(move |seen| match writes(seen) {
+            true => Play::AfterFirst(rest.clone().into_bytes()),
+            false => Play::Usual,
+        });
+        rig.sim.net(|net| net.buffer = 2 << 10);
+        rig.play(move |scene| async move {
+            let mut conn = scene.connect().await;
+            conn.write_all(&request("slow", "send", 4_800)).await.unwrap();
+            until(&scene.world, "a stream", || scene.sends("slow").iter().any(writes)).await;
+            if !reads_on {
+                scene.world.sleep(12_000_000).await;
+                assert_eq!(scene.service.node().open(), 0, "nothing waits for it");
+                return;
+            }
+            let mut got = Vec::new();
+            let mut piece = [0; 400];
+            while !got.ends_with(b"0\r\n\r\n") {
+                scene.client.sleep(200_000).await;
+                match conn.read(&mut piece).await {
+                    Ok(n) if n > 0 => got.extend_from_slice(&piece[..n]),
+                    _ => break,
+                }
+            }
+            assert!(got.len() > 60_000 && got.ends_with(b"0\r\n\r\n"), "{} bytes", got.len());
+        });
+    }
+}
+
 #[test]
 fn a_request_that_crosses_its_eviction_holds_up_nobody() {
     for offset in (0..300u64).step_by(10) {
--- a/crates/ivyward-platform/tests/gone.rs
+++ b/crates/ivyward-platform/tests/gone.rs
@@ -4,7 +4,7 @@
 use common::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ivyward::core::interface::Micros;
-use ivyward::world::{Conn, WorldExt};
+use ivyward::world::{before, Conn, WorldExt};
 
 const MS: Micros = 1_000;
 const WITHIN: Micros = 100 * MS;
@@ -134,12 +134,15 @@
 #[test]
 fn behind_pipelined_bytes() {
     for how in WAYS {
-        for more in [100, 20_000, 300_000] {
+        for more in [100, 20_000, 300_000, 30_000_000] {
             for (may, rig) in rigs(|seen| if reads(seen) { Play::Late(500 * MS) } else { Play::Usual }) {
                 rig.play(move |scene| async move {
                     let mut conn = scene.connect().await;
                     conn.write_all(&request("one", "draft", 4_800)).await.unwrap();
-                    conn.write_all(&vec![b'x'; more]).await.unwrap();
+                    // A client that is not read any more leaves with a part of it unsent.
+                    let by = scene.client.now() + 200 * MS;
+                    let sent = before(&scene.client, by, conn.write_all(&vec![b'x'; more])).await;
+                    assert!(sent.is_none_or(|s| s.is_ok()));
                     until(&scene.world, "a read", || scene.sends("one").iter().any(reads)).await;
                     let gone = scene.world.now();
                     let _held = leave(conn, how).await;
--- /dev/null
+++ b/crates/ivyward-platform/tests/shutdown.rs
@@ -0,0 +1,88 @@
+//! Shutdown on real sockets, with what crosses it put in order by barriers.
+
+use futures_lite::future::or;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use ivyward::world::{Conn, SmolWorld, WorldExt, WorldRef};
+use ivyward_platform::{Config, Service};
+use std::sync::mpsc;
+
+const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"5",
+    "limits":{"memory_mb":64,"sockets":160},
+    "known":{"version":1,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:9","zone":"a","kind":"prefill","cell":0,
+        "state":"up","weight":1.0,"started_ms":0}]},
+    "settings":{"balancers":1,"zone":0,"failure_domains":["a"],"host_types":["prefill","decode"],
+        "family_info":{"kind_role":["read","write"],"let_go_by_us":300000},
+        "classes":[{"name":"draft","semantics":"retryable","target_us":1500000,"deadline_us":7500000,"importance":2.0}],
+        "guarantees":{"drain_grace_us":1000000,"fall_multiple":2.5,"fall_us":3000000,"start_capacity":0.4,
+            "warm_after_us":10000000},
+        "limits":{"try_limit":5,"retry_after":true,"max_retry_after_us":2000000,"dial_timeout_us":250000}}}"#;
+const HEALTH: &[u8] = b"GET /healthz HTTP/1.1\r\n\r\n";
+
+/// Client connections of a node with so many descriptors.
+const MOST_CLIENTS: usize = 60;
+
+/// The first line of an answer, or `None` where the connection ends without one.
+async fn status(conn: &mut Conn) -> Option<String> {
+    let mut answer = Vec::new();
+    let mut byte = [0; 1];
+    while !answer.ends_with(b"\r\n\r\n") {
+        match conn.read(&mut byte).await {
+            Ok(1) => answer.push(byte[0]),
+            _ => return None,
+        }
+    }
+    // The body of an answer about health.
+    conn.read_exact(&mut [0; 2]).await.ok()?;
+    Some(String::from_utf8_lossy(&answer).lines().next()?.to_owned())
+}
+
+/// Connections that wait in the system's queue when the listener goes are answered, also while others that were told to
+/// close have not yet: with the listener they would be reset.
+#[test]
+fn what_the_system_accepted_before_the_listener_went_is_answered() {
+    let node = SmolWorld::start(1, 1);
+    let clients: WorldRef = SmolWorld::start(1, 2);
+    node.block_on(async {
+        let world: WorldRef = node.clone();
+        let mut service =
+            Service::start(world, Config::parse("test", CONFIG.as_bytes()).unwrap()).await.unwrap();
+        let address = service.address();
+        // As many resting connections as the node takes: for each further one another is closed first.
+        let mut resting = Vec::new();
+        for _ in 0..MOST_CLIENTS {
+            let mut conn = clients.connect(address).await.unwrap();
+            conn.write_all(HEALTH).await.unwrap();
+            assert!(status(&mut conn).await.is_some());
+            resting.push(conn);
+        }
+        // The node's one thread stands still from here until it is let go.
+        let (standing, stands) = async_channel::bounded(1);
+        let (let_go, held) = mpsc::channel::<()>();
+        node.run(async move {
+            standing.send(()).await.unwrap();
+            let _ = held.recv();
+        });
+        stands.recv().await.unwrap();
+        let mut waiting = Vec::new();
+        for _ in 0..8 {
+            let mut conn = clients.connect(address).await.unwrap();
+            conn.write_all(HEALTH).await.unwrap();
+            waiting.push(conn);
+        }
+        // The listener is told to go on this thread; then the node's thread goes on.
+        let clock = clients.clone();
+        or(service.stop(), async move {
+            clock.sleep(750_000).await;
+            let_go.send(()).unwrap();
+            std::future::pending().await
+        })
+        .await;
+        // As the process would end now.
+        node.stop();
+        for (i, conn) in waiting.iter_mut().enumerate() {
+            let status = status(conn).await;
+            assert!(status.as_deref().is_some_and(|s| s.contains("503")), "connection {i}: {status:?}");
+        }
+        assert!(clients.connect(address).await.is_err(), "it listens no longer");
+    });
+}
