SIGTERM and a further SIGHUP do not wait for a file that cannot be read

Found by reading: reload() tries an unreadable file for 3 s, and signals were not looked at meanwhile (ivywardd platform.rs): a planned restart just then loses 3 s of the time that it has before SIGKILL, and with it requests.

Change: a signal goes before the reading of the one before it.

Measured: the new test starts the daemon, spoils the file and signals it; without the change it sees the reload give up before the stop begins.

--- a/crates/ivywardd/src/platform.rs
+++ b/crates/ivywardd/src/platform.rs
@@ -2,7 +2,7 @@
 
 use async_signal::{Signal, Signals};
 use clap::Parser;
-use futures_lite::StreamExt;
+use futures_lite::{future::or, StreamExt};
 use ivyward::world::{SmolWorld, WorldExt, WorldRef};
 use ivyward_platform::{Config, Service};
 use std::ffi::OsString;
@@ -58,9 +58,7 @@
         let mut service = Service::start(world.clone(), config).await.map_err(|e| e.to_string())?;
         // Scripts wait for this line.
         println!("listening on {}", service.address());
-        while let Some(Ok(Signal::Hup)) = signals.next().await {
-            reload(flags, &service, &world).await;
-        }
+        until_told_to_end(&mut signals, flags, &service, &world).await;
         service.stop().await;
         // The last answers are on their way to their clients.
         world.sleep(20_000).await;
@@ -70,6 +68,24 @@
     Ok(())
 }
 
+/// Serves until a signal other than SIGHUP comes. Guards against a file that cannot be read holding up the word to end: a
+/// signal goes before the reading of the one before it.
+async fn until_told_to_end(signals: &mut Signals, flags: &Flags, service: &Service, world: &WorldRef) {
+    let mut told_to_reload = false;
+    loop {
+        let reloading = async {
+            if told_to_reload {
+                reload(flags, service, world).await;
+            }
+            std::future::pending().await
+        };
+        match or(signals.next(), reloading).await {
+            Some(Ok(Signal::Hup)) => told_to_reload = true,
+            _ => return,
+        }
+    }
+}
+
 /// Reads the file again. One that cannot be read changes nothing; it may be half written, so it is tried again.
 async fn reload(flags: &Flags, service: &Service, world: &WorldRef) {
     for again in 0..RELOADS {
--- a/crates/ivywardd/tests/platform.rs
+++ b/crates/ivywardd/tests/platform.rs
@@ -102,6 +102,33 @@
     assert_eq!(child.0.wait().unwrap().code(), Some(0));
 }
 
+/// A file that cannot be read at SIGHUP is tried again for a while; the word to end does not wait for that, and a further
+/// SIGHUP has the newest file read at once.
+#[test]
+fn signals_go_before_the_reading_of_a_file_that_cannot_be_read() {
+    let file = File::new("signals", &config("127.0.0.1:0"));
+    let mut process = Running(start(&file));
+    let mut listening = String::new();
+    BufReader::new(process.0.stdout.take().unwrap()).read_line(&mut listening).unwrap();
+    assert!(listening.starts_with("listening on"), "{listening}");
+    let mut log = BufReader::new(process.0.stderr.take().unwrap()).lines().map_while(Result::ok);
+    std::fs::write(&file.0, "{").unwrap();
+    process.signal("-HUP");
+    assert!(log.any(|line| line.contains("nothing is taken over yet")));
+    std::fs::write(&file.0, config("127.0.0.1:0").replace("127.0.0.1:9\",\"seed", "127.0.0.1:19\",\"seed"))
+        .unwrap();
+    process.signal("-HUP");
+    let line = log.find(|line| line.contains("discovery moved") || line.contains("stays as it was"));
+    assert!(line.as_deref().is_some_and(|l| l.contains("moved")), "{line:?}");
+    std::fs::write(&file.0, "{").unwrap();
+    process.signal("-HUP");
+    assert!(log.any(|line| line.contains("nothing is taken over yet")));
+    process.signal("-TERM");
+    let line = log.find(|line| line.contains("stopping") || line.contains("stays as it was"));
+    assert!(line.as_deref().is_some_and(|l| l.contains("stopping")), "{line:?}");
+    assert!(process.0.wait().unwrap().success());
+}
+
 #[test]
 fn a_configuration_that_cannot_hold_ends_the_start_in_one_line() {
     for (from, to, what) in [
