Engine client: one concern a file, and the field's names

Change: moves and renames only. engine/ has pool, link, attempt, events and report; Engines is EnginePool, EngineWire EngineConnection, Place ConnectionPermit, Short CallError, standing take_idle, part abandon, heard and missed last_answer and last_failure, REST ABANDON_TIMEOUT (its comment says why it is no deployment's figure), errno 23 and 24 have names.

--- /dev/null
+++ b/crates/ivyward-platform/src/engine/attempt.rs
@@ -0,0 +1,269 @@
+//! One attempt at an engine, from its connection to its one outcome.
+
+use super::events::Events;
+use super::link::{CallError, EngineLink};
+use super::pool::EngineConnection;
+use crate::call::{PlatformCall, Progress};
+use crate::config::LIMITS;
+use crate::wire::{answer, rest, NoHead};
+use futures_lite::future::poll_fn;
+use ivyward::core::interface::{Micros, Outcome, Report};
+use ivyward::engines::{End, Job, Stall, Stop, Woken};
+use ivyward::world::{before, BoxFuture};
+use ivyward_http1::{head, Answer, Body, Step};
+use std::future::Future;
+use std::pin::pin;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::task::Poll;
+
+/// How long the rest of an answer that is known already, or the engine's end of an attempt that is given up, is waited for.
+/// Some round trips and an engine's own pause: a matter of networks and machines, not of a deployment's deadlines.
+const ABANDON_TIMEOUT: Micros = 50_000;
+
+/// One attempt at one engine.
+pub(super) struct Attempt<'a> {
+    pub(super) link: &'a Arc<EngineLink>,
+    pub(super) job: &'a Job,
+    pub(super) call: &'a PlatformCall,
+}
+
+impl Attempt<'_> {
+    pub(super) async fn run(&self) -> End {
+        let (link, job, world) = (self.link, self.job, &self.link.engines.world);
+        let gone = || End::new(Outcome::NotSent, "called off before it was sent");
+        if self.call.left() {
+            return gone();
+        }
+        if job.until <= world.now() {
+            return End::new(Outcome::NotSent, "no time left");
+        }
+        let mut timer = world.sleep_until(job.leave_by);
+        let again = job.reads || self.call.again;
+        let mut wire = match job.heed(&mut timer, link.connect(job.leave_by, again, 0)).await {
+            Woken::Next(Ok(wire)) => wire,
+            // Of an engine that was not asked nothing is known.
+            Woken::Next(Err(why @ CallError::NoDescriptor)) => {
+                return End::new(Outcome::NotSent, why.to_string())
+            }
+            Woken::Next(Err(why)) => return End::new(Outcome::ConnectFailed, why.to_string()),
+            Woken::Late => {
+                link.note_failure();
+                return End::new(Outcome::ConnectFailed, "no connection in time");
+            }
+            Woken::Stopped(_) => return gone(),
+        };
+        // Told during the dial: nothing new goes to an engine that drains or is gone.
+        if link.closing.load(Ordering::Relaxed) {
+            return End::new(Outcome::NotSent, "the engine drains or is gone");
+        }
+        let Some(prompt) = self.call.prompt() else { return gone() };
+        let left = (job.until.saturating_sub(world.now()) / 1_000).max(1).to_string();
+        let (host, length) = (link.address.to_string(), prompt.bytes.len().to_string());
+        let mut request = Vec::with_capacity(256);
+        let mut headers = vec![
+            ("Host", host.as_str()),
+            ("X-Request-ID", &self.call.id),
+            ("X-Timeout-Ms", &left),
+            ("Content-Type", "application/json"),
+            ("Content-Length", &length),
+        ];
+        // Guards against an effect twice: an engine drops the repeats of a request by this key alone.
+        headers.extend(self.call.idempotency_key.as_deref().map(|key| ("Idempotency-Key", key)));
+        head::write(&mut request, &format!("{} {} HTTP/1.1", self.call.method, self.call.target), &headers);
+        let written = self.while_wanted(self.write(&mut wire, &request, &prompt.bytes));
+        match job.heed(&mut timer, written).await {
+            Woken::Next(None) => return gone(),
+            Woken::Next(Some(Ok(()))) => {}
+            // Its last byte never left, so it never ran; the connection is closed with the rest of it.
+            Woken::Next(Some(Err(e))) => {
+                link.note_end(wire.idle, true);
+                // A kept connection that its engine had left says nothing of the engine.
+                let outcome = if wire.idle.is_some() { Outcome::NotSent } else { Outcome::ConnectFailed };
+                return End::new(outcome, e.to_string());
+            }
+            Woken::Late => return End::new(Outcome::ConnectFailed, "the engine does not take the request"),
+            Woken::Stopped(_) => return gone(),
+        }
+        drop(prompt);
+        self.call.mark(Progress::Sent(job.attempt));
+        timer = world.sleep_until(job.until);
+        let answer = match job.wait(&mut timer, answer(&mut wire, &LIMITS)).await {
+            Woken::Next(Ok(answer)) => {
+                link.note_end(wire.idle, false);
+                link.note_answer();
+                answer
+            }
+            Woken::Next(Err(NoHead::Broken(text))) => {
+                link.note_end(wire.idle, true);
+                return End::new(Outcome::Reset, text);
+            }
+            Woken::Next(Err(NoHead::Bad(text))) => return self.abandon(wire, Outcome::Error, text).await,
+            Woken::Late => return self.abandon(wire, Outcome::TimedOut, "no answer in time").await,
+            Woken::Stopped(_) => return self.abandon(wire, Outcome::Cancelled, "called off").await,
+        };
+        let report = link.report(answer.head.text("x-server-load"));
+        let never_ran = answer.head.text("x-not-processed") == Some("1");
+        let mut end = match (answer.status, job.reads) {
+            (200, false) => return self.stream(wire, answer, report, timer).await,
+            (202, true) => return self.read(wire, answer, report, timer).await,
+            (503 | 504, _) if never_ran => {
+                End::new(Outcome::Full, format!("turned away with {}", answer.status))
+            }
+            (410, _) if never_ran => End::new(Outcome::StateLost, "no state to fetch"),
+            (status, _) => End::new(Outcome::Error, format!("status {status}")),
+        };
+        end.report = report;
+        let soon = world.now().saturating_add(ABANDON_TIMEOUT);
+        if let Some(Some(_)) = before(world, soon, rest(&mut wire, &answer, &LIMITS)).await {
+            link.keep_idle(wire, answer.head.keeps());
+        }
+        end
+    }
+
+    /// Goes on with what is to be sent only while the client waits for it. Guards against an attempt that begins after its
+    /// client has gone, where a node is busy, a connection comes up late or a body leaves slowly: whether calls may be
+    /// called off or not, what has not left yet stays here.
+    async fn while_wanted<T>(&self, sending: impl Future<Output = T>) -> Option<T> {
+        let mut sending = pin!(sending);
+        poll_fn(|cx| match self.call.left() {
+            true => Poll::Ready(None),
+            false => sending.as_mut().poll(cx).map(Some),
+        })
+        .await
+    }
+
+    /// Gives up what its engine may still be at. Guards against an attempt that reaches another engine before this one's
+    /// end reaches the first: for so long there would be two. The engine's own end says that it knows. One that is cut off
+    /// or stands still says nothing, and is waited for no longer than for the rest of an answer.
+    async fn abandon(&self, mut wire: EngineConnection, outcome: Outcome, text: impl Into<String>) -> End {
+        let world = &self.link.engines.world;
+        let known = world.now().saturating_add(ABANDON_TIMEOUT);
+        let ended = async {
+            wire.end_sending().await;
+            while wire.fill().await.is_ok_and(|n| n > 0) {
+                let n = wire.bytes().len();
+                wire.used(n);
+            }
+        };
+        before(world, known, ended).await;
+        End::new(outcome, text)
+    }
+
+    /// Writes the request. Of one that may not be sent again, the last byte is held back for two round trips: a connection
+    /// that ends at the first bytes of a request, as kept ones do, or under a busy engine, has then shown it, and nothing
+    /// can have run.
+    async fn write(&self, wire: &mut EngineConnection, head: &[u8], body: &[u8]) -> std::io::Result<()> {
+        wire.under_way = true;
+        if self.job.reads || self.call.again || body.is_empty() {
+            return wire.write(head, body).await;
+        }
+        let world = &self.link.engines.world;
+        let (most, last) = body.split_at(body.len() - 1);
+        wire.write(head, most).await?;
+        let shown = world.now().saturating_add(2 * wire.round_trip);
+        match before(world, shown, wire.fill()).await {
+            // Silence is what an engine that takes the request says.
+            None => wire.write(last, &[]).await,
+            Some(Ok(n)) if n > 0 => wire.write(last, &[]).await,
+            Some(Ok(_)) => Err(std::io::ErrorKind::UnexpectedEof.into()),
+            Some(Err(e)) => Err(e),
+        }
+    }
+
+    async fn read(
+        &self,
+        mut wire: EngineConnection,
+        answer: Answer,
+        report: Report,
+        mut timer: BoxFuture<()>,
+    ) -> End {
+        let text = match self.job.wait(&mut timer, rest(&mut wire, &answer, &LIMITS)).await {
+            Woken::Next(text) => text,
+            Woken::Late => {
+                return self.abandon(wire, Outcome::TimedOut, "the end of a read did not come").await
+            }
+            Woken::Stopped(_) => return self.abandon(wire, Outcome::Cancelled, "called off").await,
+        };
+        let Some(text) = text else {
+            return self.abandon(wire, Outcome::Error, "the answer to a read is spoilt").await;
+        };
+        self.link.keep_idle(wire, answer.head.keeps());
+        let said: serde_json::Value = serde_json::from_slice(&text).unwrap_or_default();
+        let kept = said["cached_tokens"].as_u64().unwrap_or(0).min(u64::from(u32::MAX)) as u32;
+        End { kept, report, ..End::new(Outcome::Read, "read") }
+    }
+
+    /// Passes a stream's events on as they come whole.
+    async fn stream(
+        &self,
+        mut wire: EngineConnection,
+        answer: Answer,
+        report: Report,
+        mut timer: BoxFuture<()>,
+    ) -> End {
+        let world = &self.link.engines.world;
+        let mut body = Body::new(answer.framing, &LIMITS);
+        let mut events = Events { pending: Vec::new(), kept: 0, report: None, done: false };
+        // Set with the first event: from then on the attempt's own time no longer counts.
+        let mut stall: Option<Stall> = None;
+        loop {
+            let step = match wire.take(&mut body, &mut events.pending) {
+                Ok(step) => step,
+                Err(e) => return self.abandon(wire, Outcome::Error, e.to_string()).await,
+            };
+            match step {
+                Step::Data(_) => {
+                    let whole = match events.whole() {
+                        Ok(whole) => whole,
+                        Err(text) => return self.abandon(wire, Outcome::Error, text).await,
+                    };
+                    if whole.is_empty() {
+                        continue;
+                    }
+                    if self.call.outlet.push(&whole).is_err() {
+                        return End::new(Outcome::Cancelled, "given up");
+                    }
+                    if stall.is_none() {
+                        self.job.first();
+                        self.call.drop_prompt();
+                    }
+                    if self.job.room(&self.call.outlet).await.is_err() {
+                        return End::new(Outcome::Cancelled, "given up");
+                    }
+                    let span = self.job.shared.settings().stream_stall;
+                    stall.get_or_insert_with(|| Stall::new(world, span)).last = world.now();
+                }
+                Step::Done => {
+                    if stall.is_none() || !events.done || !events.pending.is_empty() {
+                        return self.abandon(wire, Outcome::Error, "a stream that is not whole").await;
+                    }
+                    self.link.keep_idle(wire, answer.head.keeps());
+                    let report = events.report.as_deref().map_or(report, |t| self.link.report(Some(t)));
+                    return End { kept: events.kept, report, ..End::new(Outcome::Served, "served") };
+                }
+                Step::More => {
+                    let timer = stall.as_mut().map_or(&mut timer, |s| &mut s.timer);
+                    match (self.job.wait(timer, wire.fill()).await, stall.as_mut()) {
+                        (Woken::Next(Ok(0)), _) => return End::new(Outcome::Reset, "the stream ended early"),
+                        (Woken::Next(Ok(_)), _) => {}
+                        (Woken::Next(Err(e)), _) => return End::new(Outcome::Reset, e.to_string()),
+                        // A stream that has begun is not called off.
+                        (Woken::Stopped(Stop::CallOff), Some(_)) => {}
+                        (Woken::Stopped(_), _) => {
+                            return self.abandon(wire, Outcome::Cancelled, "called off").await
+                        }
+                        (Woken::Late, Some(stall)) => {
+                            if stall.over(world) {
+                                return End::new(Outcome::Reset, "no event for too long");
+                            }
+                        }
+                        (Woken::Late, None) => {
+                            return self.abandon(wire, Outcome::TimedOut, "no event in time").await
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/ivyward-platform/src/release.rs
+++ b/crates/ivyward-platform/src/release.rs
@@ -1,7 +1,7 @@
 //! Letting go of what is held: carries out what [`ivyward::core::release`] decides, for all requests of the node.
 
 use crate::call::{lock, PlatformCall};
-use crate::engine::{EngineLink, Engines, Short};
+use crate::engine::{CallError, EngineLink, EnginePool};
 use event_listener::Event;
 use futures_lite::future::or;
 use ivyward::core::interface::{Micros, ServerId};
@@ -34,7 +34,7 @@
         Releases { owing: Mutex::new(owing), moved: Event::new(), shared: OnceLock::new() }
     }
 
-    pub(crate) fn owe(engines: &Arc<Engines>, shared: &Arc<Shared>, job: ReleaseJob) {
+    pub(crate) fn owe(engines: &Arc<EnginePool>, shared: &Arc<Shared>, job: ReleaseJob) {
         let Some(call) = job.call.as_any().downcast_ref::<PlatformCall>() else { return };
         let releases = &engines.releases;
         if releases.shared.set(shared.clone()).is_ok() {
@@ -87,7 +87,7 @@
     }
 
     /// Asks engines for as long as the node runs.
-    async fn run(self: Arc<Self>, engines: &Arc<Engines>) {
+    async fn run(self: Arc<Self>, engines: &Arc<EnginePool>) {
         let Some(shared) = self.shared.get().cloned() else { return };
         let world = shared.world();
         loop {
@@ -101,7 +101,7 @@
         }
     }
 
-    fn act(self: &Arc<Self>, shared: &Arc<Shared>, engines: &Arc<Engines>) {
+    fn act(self: &Arc<Self>, shared: &Arc<Shared>, engines: &Arc<EnginePool>) {
         let mut links: BTreeMap<ServerId, Arc<EngineLink>> = BTreeMap::new();
         for link in engines.living() {
             // One engine may have two, where it moved: the one that is listed counts.
@@ -128,7 +128,7 @@
                 debug!(request = ask.request, %target, engine = link.id.0, ?short, "asked to let go");
                 let answer = match short {
                     Ok((200..=299, _)) => Answer::Taken,
-                    Err(Short::NoRoom) => Answer::NoRoom,
+                    Err(CallError::NoDescriptor) => Answer::NoRoom,
                     _ => Answer::Not,
                 };
                 releases.change(|owing, now| owing.decider.answered(now, &ask, answer));
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -3,7 +3,7 @@
 use crate::config::{list_limits, Config};
 use crate::discovery::{Discovery, ListReader};
 use crate::door::Door;
-use crate::engine::{Engines, Platform};
+use crate::engine::{EnginePool, Platform};
 use crate::release::Releases;
 use ivyward::core::interface::{ListKind, Micros};
 use ivyward::core::release::ReleaseSettings;
@@ -59,7 +59,7 @@
             most_owed: bounds.releases,
         };
         let (dial, fields) = (settings.dial_timeout, &told.report_fields);
-        let engines = Engines::new(&world, dial, told.keepalive, bounds.engines, fields, let_go);
+        let engines = EnginePool::new(&world, dial, told.keepalive, bounds.engines, fields, let_go);
         let releases = engines.releases.clone();
         let protocol = Arc::new(Platform(engines.clone()));
         let node = Node::start_with(world.clone(), settings, None, protocol)?;
