HTTP server: one concern a file, connection states as one enum

Change: no behaviour. server/ has table, connection, arrival, response and open. ConnectionTable owns admission, eviction and the count of those that close, with State::New, Idle and Busy and named transitions. Door is Server, Came Received, Bad RequestError, Over Closed, Mine OpenId, Leaves TakenRequest, Stands ConnectionGuard, say respond, part next_part, kick told_to_close, WHOLE REQUEST_TIMEOUT, KEEP KEEP_ALIVE_TIMEOUT, TAKES WRITE_STALL, DRAIN LINGER_TIMEOUT, MOST_BEHIND PIPELINED_BYTES.

--- a/crates/ivyward-platform/src/lib.rs
+++ b/crates/ivyward-platform/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - [`config`]: the file, and the bounds that follow from its limits.
 //! - [`service`]: a node in service: what the daemon starts, reloads and stops.
-//! - `door`: clients; `engine`: connections, attempts, holds and releases at engines; `discovery`: the list of engines.
+//! - `server`: clients; `engine`: connections, attempts, holds and releases at engines; `discovery`: the list of engines.
 //! - `call`: a request as this protocol holds it; `wire`: a connection with what came and was not used yet.
 //!
 //! It implements [`ivyward::engines`] for the one driver, and decides nothing.
@@ -10,9 +10,9 @@
 mod call;
 pub mod config;
 mod discovery;
-mod door;
 mod engine;
 mod release;
+mod server;
 pub mod service;
 mod wire;
 
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -2,9 +2,9 @@
 
 use crate::config::{list_limits, Config};
 use crate::discovery::{Discovery, ListReader};
-use crate::door::Door;
 use crate::engine::{EnginePool, Platform};
 use crate::release::Releases;
+use crate::server::Server;
 use ivyward::core::interface::{ListKind, Micros};
 use ivyward::core::release::ReleaseSettings;
 use ivyward::world::{WorldExt, WorldRef};
@@ -36,7 +36,7 @@
 pub struct Service {
     node: Node,
     world: WorldRef,
-    door: Arc<Door>,
+    server: Arc<Server>,
     discovery: Arc<Discovery>,
     releases: Arc<Releases>,
     /// Dropped to stop listening.
@@ -69,9 +69,9 @@
         }
         let listener = world.listen(config.listen).map_err(|e| ServiceError::Listen(config.listen, e))?;
         let address = listener.address();
-        let door = Door::new(node.clone(), world.clone(), told, bounds);
+        let server = Server::new(node.clone(), world.clone(), told, bounds);
         let (listening, stopped) = async_channel::bounded::<()>(1);
-        let accepting = door.clone();
+        let accepting = server.clone();
         let (accepts, accepting_ends) = async_channel::bounded::<()>(1);
         world.run(async move {
             let _accepts = accepts;
@@ -81,7 +81,7 @@
         let (follows, following, clock) = (discovery.clone(), node.clone(), world.clone());
         let limits = list_limits(&bounds);
         world.run(async move { follows.follow(&following, &mut reader, &clock, &limits).await });
-        let (looks, counted, clock) = (door.clone(), node.clone(), world.clone());
+        let (looks, counted, clock) = (server.clone(), node.clone(), world.clone());
         world.run(async move {
             let mut next = clock.now().saturating_add(REPORT);
             loop {
@@ -119,7 +119,7 @@
         Ok(Service {
             node,
             world,
-            door,
+            server,
             discovery,
             releases,
             listening: Some(listening),
@@ -143,21 +143,21 @@
     /// Takes what still comes for the stated time, lets all that was taken end, and returns when nothing is open. How
     /// long that may take is for whoever called: a node that ends before its requests loses them.
     pub async fn stop(&mut self) {
-        self.door.stopping.store(true, Ordering::SeqCst);
+        self.server.stopping.store(true, Ordering::SeqCst);
         info!(open = self.node.open(), "stopping");
         self.world.sleep(ACCEPTS).await;
         self.listening = None;
         // Guards against an end before the last connections are looked at. Ends when the sender is dropped.
         let _ = self.accepting.recv().await;
-        self.door.close_idle();
+        self.server.close_idle();
         let mut told = false;
         // Guards against a node that ends in the midst of a cut and leaves pinned what it held.
-        while self.node.open() > 0 || self.door.connections() > 0 || self.node.owed() > 0 {
+        while self.node.open() > 0 || self.server.connections() > 0 || self.node.owed() > 0 {
             if self.node.open() == 0 && !std::mem::replace(&mut told, true) {
                 self.releases.ends();
             }
             self.world.sleep(5_000).await;
-            self.door.close_idle();
+            self.server.close_idle();
         }
         info!("stopped");
     }
