Nodes that watch a loaded discovery make room for those that it turns away

Change: where the settings say that lists come only to those who ask, an idle watch answered over 0.125 s late is a sign of load like a refusal: waits for news double up to 10 s, and go back one step with each answer in time. A pushed list's agent is not concerned. Also a test that two nodes of different deployments in one process share nothing.

--- a/crates/ivyward-core/src/watch.rs
+++ b/crates/ivyward-core/src/watch.rs
@@ -24,6 +24,10 @@
 /// First pause after a call that was turned away, and the longest; each is drawn between half of it and all of it.
 const BACKOFF: f64 = 1.0 / 60.0;
 const BACKOFF_MOST: f64 = 1.0;
+/// Signs of load that count at most.
+const MOST_LOAD: u32 = 8;
+/// An answer that comes so late is one.
+const LATE: f64 = 1.0 / 48.0;
 /// Longest wait for news under a service that turns calls away.
 const WAIT_MOST: f64 = 5.0 / 3.0;
 /// First pause after a quick failure, and the longest.
@@ -55,22 +59,25 @@
     within: Micros,
     quick: u32,
     slow: u32,
-    /// Calls turned away, less the watches that were answered since.
-    turned_away: u32,
+    /// Each call costs the service.
+    costly: bool,
+    /// Signs that the service has too much to do, less those that it has not.
+    load: u32,
     random: u64,
 }
 
 impl Watch {
-    /// Changes are to be known `within` this time of their being there to be read. `seed` tells the nodes of a fleet apart.
-    pub fn new(within: Micros, seed: u64) -> Watch {
-        Watch { within: within.max(SHORTEST), quick: 0, slow: 0, turned_away: 0, random: mix(seed) }
+    /// Changes are to be known `within` this time of their being there to be read. Calls are `costly` where lists come only
+    /// to those who ask. `seed` tells the nodes of a fleet apart.
+    pub fn new(within: Micros, costly: bool, seed: u64) -> Watch {
+        Watch { within: within.max(SHORTEST), quick: 0, slow: 0, costly, load: 0, random: mix(seed) }
     }
     fn part(&self, part: f64) -> Micros {
         (self.within as f64 * part) as Micros
     }
     /// How long a call is asked to wait for news.
     pub fn wait(&self) -> Micros {
-        self.part((WAIT * 2f64.powi(self.turned_away as i32)).min(WAIT_MOST))
+        self.part((WAIT * 2f64.powi(self.load as i32)).min(WAIT_MOST))
     }
     /// A call from which no byte came for so long, past the time that it was asked to wait, is silent: another begins.
     pub fn silence(&self) -> Micros {
@@ -100,10 +107,18 @@
     pub fn came(&mut self) {
         (self.quick, self.slow) = (0, 0);
     }
-    /// The same, to a call that waited for news: the service bears such calls.
-    pub fn watch_came(&mut self) {
+    /// The word that there is no news, so much later than it was asked for. Guards against nodes that got through and take
+    /// up, with one short call after the other, a service that turns the others away.
+    pub fn watch_came(&mut self, late: Micros) {
         self.came();
-        self.turned_away = self.turned_away.saturating_sub(1);
+        if self.costly && late > self.part(LATE) {
+            self.loaded();
+        } else {
+            self.load = self.load.saturating_sub(1);
+        }
+    }
+    fn loaded(&mut self) {
+        self.load = (self.load + 1).min(MOST_LOAD);
     }
     /// A call brought nothing. Returns the pause before the next one.
     pub fn missed(&mut self, how: Miss) -> Micros {
@@ -119,8 +134,8 @@
                 self.part(pause.min(PAUSE_MOST))
             }
             Miss::TurnedAway => {
-                let pause = BACKOFF * 2f64.powi(self.turned_away as i32);
-                self.turned_away = (self.turned_away + 1).min(16);
+                let pause = BACKOFF * 2f64.powi(self.load as i32);
+                self.loaded();
                 self.random = mix(self.random.wrapping_add(1));
                 self.part(pause.min(BACKOFF_MOST) * (1.0 + unit(self.random)) / 2.0)
             }
--- a/crates/ivyward-core/tests/watch.rs
+++ b/crates/ivyward-core/tests/watch.rs
@@ -7,7 +7,7 @@
 /// One call that falls silent as it begins and three more that nobody answers leave time for the list itself.
 #[test]
 fn four_silent_calls_fit_into_the_told_time() {
-    let watch = Watch::new(TOLD, 1);
+    let watch = Watch::new(TOLD, true, 1);
     assert!(watch.longest(3) + TOLD / 20 <= TOLD, "{} us", watch.longest(3));
     // As a sum of what the parts really are, not of what the module says of them.
     let call = watch.dial() + watch.silence();
@@ -18,7 +18,7 @@
 /// several times as long as the next one waits to begin beside it.
 #[test]
 fn a_silent_call_is_kept_while_others_begin_beside_it() {
-    let watch = Watch::new(TOLD, 1);
+    let watch = Watch::new(TOLD, true, 1);
     assert_eq!(watch.beside(), watch.dial() + watch.silence());
     assert!(watch.patience() >= 2 * watch.beside());
     assert!(watch.most_calls() as u64 * watch.beside() >= watch.patience() && watch.most_calls() <= 4);
@@ -26,7 +26,7 @@
 
 #[test]
 fn pauses_grow_with_quick_failures_alone_and_end_with_an_answer() {
-    let mut watch = Watch::new(TOLD, 1);
+    let mut watch = Watch::new(TOLD, true, 1);
     assert_eq!(watch.missed(Miss::Silent), 0, "silence has cost time enough");
     let pauses: Vec<u64> = (0..12).map(|_| watch.missed(Miss::Failed)).collect();
     assert!(pauses.windows(2).all(|p| p[0] <= p[1]) && pauses[0] > 0, "{pauses:?}");
@@ -42,14 +42,14 @@
 #[test]
 fn a_service_that_turns_calls_away_is_spared() {
     let pauses = |seed: u64| {
-        let mut watch = Watch::new(TOLD, seed);
+        let mut watch = Watch::new(TOLD, true, seed);
         (0..10).map(|_| watch.missed(Miss::TurnedAway)).collect::<Vec<_>>()
     };
     let (one, other) = (pauses(1), pauses(2));
     assert_eq!(one, pauses(1), "the same seed draws the same");
     assert!(one.iter().zip(&other).all(|(a, b)| a != b), "{one:?} {other:?}");
     assert!(one[0] <= TOLD / 50 && one[9] >= TOLD / 2 && one.iter().all(|p| *p <= TOLD), "{one:?}");
-    let mut watch = Watch::new(TOLD, 1);
+    let mut watch = Watch::new(TOLD, true, 1);
     let usual = watch.wait();
     for _ in 0..8 {
         watch.missed(Miss::TurnedAway);
@@ -59,15 +59,88 @@
     watch.came();
     assert_eq!(watch.wait(), longest, "one list is no sign that it bears more calls");
     for _ in 0..8 {
-        watch.watch_came();
+        watch.watch_came(0);
     }
     assert_eq!(watch.wait(), usual);
+    // Late answers say the same, but not where lists come by themselves: there it was this node that was late.
+    for costly in [true, false] {
+        let mut watch = Watch::new(TOLD, costly, 1);
+        for _ in 0..8 {
+            watch.watch_came(TOLD / 10);
+        }
+        assert_eq!(watch.wait(), if costly { longest } else { usual });
+    }
+}
+
+/// A service that answers calls one after the other, and turns away what it could not answer within two seconds. Saying so
+/// takes a quarter of the time of an answer.
+struct Service {
+    cost: u64,
+    free_at: u64,
+}
+
+impl Service {
+    /// When a call is answered, or when it is turned away.
+    fn call(&mut self, now: u64) -> Result<u64, u64> {
+        let waits = self.free_at.saturating_sub(now);
+        let (cost, queue) = (self.cost, self.free_at.max(now));
+        if waits > 2_000_000 {
+            self.free_at = queue + cost / 4;
+            return Err(now + 2_000);
+        }
+        self.free_at = queue + cost;
+        Ok(self.free_at)
+    }
+}
+
+/// A fleet of 32 nodes, and a service that can take a call from each of them in four or eight seconds: all of them come to
+/// have a list soon, all of them keep up with it, and the service has more room than they need.
+#[test]
+fn a_fleet_gets_through_to_a_service_that_can_take_few_calls() {
+    const NODES: u64 = 32;
+    for all_in in [4_000_000, 8_000_000] {
+        let mut service = Service { cost: all_in / NODES, free_at: 0 };
+        let mut nodes: Vec<Watch> = (0..NODES).map(|seed| Watch::new(TOLD, true, seed)).collect();
+        // What each node does next, in the order of time: it calls for the whole list, or goes on with a watch.
+        let mut next: std::collections::BTreeSet<(u64, usize, bool)> =
+            (0..nodes.len()).map(|node| (0, node, false)).collect();
+        let (mut last_answer, mut longest_gap) = (vec![0; nodes.len()], 0);
+        let (mut calls, mut turned_away) = (0, 0);
+        while let Some((now, node, watches)) = next.pop_first().filter(|n| n.0 < 120_000_000) {
+            let watch = &mut nodes[node];
+            if now > 60_000_000 {
+                longest_gap = longest_gap.max(now - last_answer[node]);
+                calls += 1;
+            }
+            match service.call(now) {
+                Ok(at) => {
+                    last_answer[node] = at;
+                    if watches {
+                        watch.watch_came(at - now)
+                    } else {
+                        watch.came()
+                    }
+                    next.insert((at + if watches { watch.wait() } else { 0 }, node, true));
+                }
+                Err(at) => {
+                    turned_away += u32::from(now > 60_000_000);
+                    next.insert((at + watch.missed(Miss::TurnedAway), node, false));
+                }
+            }
+        }
+        assert!(last_answer.iter().all(|at| *at > 0), "{last_answer:?}");
+        assert!(
+            longest_gap < 6 * TOLD,
+            "{longest_gap} us without a word, {turned_away} of {calls} turned away"
+        );
+        assert!(turned_away * 2 < calls, "{turned_away} of {calls} calls turned away");
+    }
 }
 
 /// A list that is long for its connection comes in the end: each try has more time, up to a bound.
 #[test]
 fn an_answer_that_comes_slowly_has_more_time_at_each_try() {
-    let mut watch = Watch::new(TOLD, 1);
+    let mut watch = Watch::new(TOLD, true, 1);
     let first = watch.whole();
     assert!(first < TOLD);
     for _ in 0..40 {
@@ -81,7 +154,7 @@
 #[test]
 fn no_told_time_makes_a_watch_that_never_waits() {
     for told in [0, 1, 99] {
-        let watch = Watch::new(told, 1);
+        let watch = Watch::new(told, true, 1);
         assert!(watch.wait() > 0 && watch.silence() > 0 && watch.dial() > 0);
     }
 }
--- a/crates/ivyward-platform/src/discovery.rs
+++ b/crates/ivyward-platform/src/discovery.rs
@@ -46,18 +46,20 @@
         }
     }
 
-    /// Tells the node of engines, for good. A list that was held stays while discovery does not answer.
+    /// Tells the node of engines, for good. A list that was held stays while discovery does not answer. Calls are `costly`
+    /// where lists come only to those who ask.
     pub(crate) async fn follow(
         &self,
         node: &Node,
         reader: &mut ListReader,
         world: &WorldRef,
         limits: &Limits,
+        costly: bool,
     ) {
         loop {
             let moved = self.moved.listen();
             // What another address did says nothing of this one.
-            let mut calls = Calls::new(world, *lock(&self.address), limits);
+            let mut calls = Calls::new(world, *lock(&self.address), limits, costly);
             let follows = async {
                 loop {
                     let list = calls.next_list().await;
@@ -113,12 +115,12 @@
 }
 
 impl Calls {
-    fn new(world: &WorldRef, address: SocketAddr, limits: &Limits) -> Calls {
+    fn new(world: &WorldRef, address: SocketAddr, limits: &Limits, costly: bool) -> Calls {
         Calls {
             world: world.clone(),
             address,
             limits: *limits,
-            pace: Watch::new(TOLD_WITHIN, world.random()),
+            pace: Watch::new(TOLD_WITHIN, costly, world.random()),
             watched: None,
             pending: Vec::new(),
             failing: false,
@@ -130,8 +132,9 @@
         let world = self.world.clone();
         let watched = self.watched.take();
         let newest = watched.as_ref().map(|w| w.version);
+        let answer_due = world.now().saturating_add(self.pace.wait());
         let mut next_at = match &watched {
-            Some(_) => world.now().saturating_add(self.pace.wait() + self.pace.silence()),
+            Some(_) => answer_due.saturating_add(self.pace.silence()),
             None => world.now().saturating_add(self.pace.beside()),
         };
         self.begin(watched);
@@ -140,8 +143,9 @@
             let now = world.now();
             match answered.map(|answer| answer.and_then(|a| newer(a, newest))) {
                 Some(Ok((wire, list))) => {
-                    match newest {
-                        Some(_) => self.pace.watch_came(),
+                    // Only a watch that waited in vain tells how late its answer is.
+                    match newest.filter(|_| !list.full && list.servers.is_empty()) {
+                        Some(_) => self.pace.watch_came(now.saturating_sub(answer_due)),
                         None => self.pace.came(),
                     }
                     self.failing = false;
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -53,6 +53,7 @@
     /// When it cannot listen or the node does not start.
     pub async fn start(world: WorldRef, config: Config) -> Result<Service, ServiceError> {
         let Config { told, bounds, node: settings, .. } = config;
+        let costly = told.module.must_subscribe;
         let let_go = ReleaseSettings {
             within: settings.rules.release_within,
             most_asks: bounds.spare,
@@ -80,7 +81,7 @@
         let discovery = Arc::new(Discovery::new(config.discovery));
         let (follows, following, clock) = (discovery.clone(), node.clone(), world.clone());
         let limits = list_limits(&bounds);
-        world.run(async move { follows.follow(&following, &mut reader, &clock, &limits).await });
+        world.run(async move { follows.follow(&following, &mut reader, &clock, &limits, costly).await });
         let (looks, counted, clock) = (server.clone(), node.clone(), world.clone());
         world.run(async move {
             let mut next = clock.now().saturating_add(REPORT);
--- a/crates/ivyward-platform/tests/service.rs
+++ b/crates/ivyward-platform/tests/service.rs
@@ -126,3 +126,34 @@
         assert!(client.connect(address).await.is_err(), "it listens no longer");
     });
 }
+
+/// Two nodes of different deployments in one process: what one was told shows nowhere in the other.
+#[test]
+fn two_deployments_in_one_process_share_nothing() {
+    let rig = Rig::new(|_| Play::Usual);
+    let (host, discovery) = (rig.sim.host(70), std::net::SocketAddr::from(([127, 0, 2, 9], 8500)));
+    let empty = std::sync::Arc::new(std::sync::Mutex::new((5, list(&["up", "removed", "up", "removed"]))));
+    discover(&host, discovery, &empty, &Default::default());
+    let other = config(discovery, 256)
+        .replace("127.0.0.9:8080", "127.0.0.8:8080")
+        .replace("\"name\":\"draft\"", "\"name\":\"quote\"")
+        .replace("\"deadline_us\":7500000", "\"deadline_us\":400000")
+        .replace("\"name\":\"acme\"", "\"name\":\"zeta\"");
+    rig.play(move |scene| async move {
+        let other = Config::parse("other", other.as_bytes()).unwrap();
+        let second = ivyward_platform::Service::start(scene.world.clone(), other).await.unwrap();
+        until(&scene.world, "the second list", || second.node().metrics().engines.get() == 2).await;
+        assert_eq!(scene.service.node().metrics().engines.get(), 4, "each has its own list");
+        assert_eq!(scene.ask("one", "draft").await.status, 200);
+        assert_eq!(scene.ask("two", "quote").await.status, 400, "a class of the other deployment");
+        let sent = scene.sends("one");
+        assert!(sent[0].timeout_ms > 1_000, "a deadline of the other deployment: {sent:?}");
+        let mut conn = scene.client.connect(second.address()).await.unwrap();
+        let text = String::from_utf8(request("three", "quote", 4_800)).unwrap().replace("acme", "zeta");
+        conn.write_all(text.as_bytes()).await.unwrap();
+        assert_eq!(got(&scene.client, &mut conn).await.status, 200);
+        assert!(scene.sends("three").iter().all(|s| s.timeout_ms <= 400 && s.engine % 2 == 0));
+        assert_eq!(scene.service.node().metrics().requests.get(), 1);
+        assert_eq!(second.node().metrics().requests.get(), 1);
+    });
+}
