Classes whose figures do not go together refuse no start

At fault: node_settings handed the object's figures to checks made for the daemon's own flags.

Change: an aim is at most its deadline, a keyed class without a window repeats nothing, the answer's margin is 20 ms or a tenth of the shortest deadline.

Measured: each case starts and serves; nine of them did not before.

--- a/crates/ivyward-platform/src/config.rs
+++ b/crates/ivyward-platform/src/config.rs
@@ -1,7 +1,7 @@
 //! The platform's configuration file, and the bounds that follow from its limits.
 
 use crate::discovery::List;
-use ivyward::core::interface::{Effect, Micros};
+use ivyward::core::interface::{ClassSettings, Effect, Micros};
 use ivyward::{Class, NodeSettings, SettingsError, Tenant};
 use ivyward_http1::Limits;
 use ivyward_settings::Told;
@@ -16,10 +16,13 @@
 pub(crate) const MOST_BODY: usize = 256 << 10;
 /// Without a byte of a stream for this span its client is let go: the platform's 5 s, less the time to do so.
 const STREAM_STALL: Micros = 4_500_000;
-/// The final answer is given so long before the client's time ends.
+/// The final answer is given so long before the client's time ends, or this part of the shortest deadline.
 const ANSWER_MARGIN: Micros = 20_000;
+const MARGIN_PART: Micros = 10;
 /// No span is taken for shorter.
 const LEAST_SPAN: Micros = 1_000;
+/// No deadline is taken for shorter or longer.
+const DEADLINES: (Micros, Micros) = (3 * LEAST_SPAN, 3_600_000_000);
 /// Fewer descriptors serve nobody.
 const LEAST_SOCKETS: usize = 160;
 /// Descriptors for what is neither client nor engine: logs, listener, poller, discovery old and new, and connections
@@ -209,16 +212,27 @@
     }
 }
 
+/// Guards against a start that is refused for a class whose figures do not go together: what its clients wait for and what
+/// its engines remember is theirs, and this node keeps to the stricter reading.
+fn startable(class: &mut ClassSettings) {
+    class.deadline = class.deadline.clamp(DEADLINES.0, DEADLINES.1);
+    class.ttft_aim = class.ttft_aim.clamp(LEAST_SPAN, class.deadline);
+    class.repeat_window = match class.effect {
+        // Without a window nothing is repeated.
+        Effect::Keyed => class.repeat_window.max(1),
+        // The object tells a window for every class; it means something for keyed ones alone.
+        Effect::Safe | Effect::Unsafe => 0,
+    };
+}
+
 fn node_settings(told: &Told, bounds: &Bounds, seed: &str) -> NodeSettings {
     let mut rules = told.module.clone();
     // This node has one attempt out at a time, wherever more would be allowed.
     rules.second_copies = false;
-    // The object tells a window for every class; it means something for keyed ones alone.
-    let unkeyed = rules.classes.iter_mut().filter(|c| c.effect != Effect::Keyed);
-    unkeyed.for_each(|c| c.repeat_window = 0);
+    rules.classes.iter_mut().for_each(startable);
     // Guards against a start that is refused for a deployment in which a rule is not told, or told shorter than what the
     // daemon's own flags allow: here the engines' calls keep to it by themselves.
-    rules.release_within = rules.release_within.max(LEAST_SPAN);
+    rules.release_within = rules.release_within.max(2 * LEAST_SPAN);
     rules.drain_grace = rules.drain_grace.max(LEAST_SPAN);
     rules.fall_window = rules.fall_window.max(LEAST_SPAN);
     let names = told.classes.iter().zip(&rules.classes);
@@ -226,13 +240,15 @@
     let names = told.tenants.iter().zip(&rules.tenants);
     let tenants = names.map(|(name, s)| Tenant { name: name.clone(), settings: s.clone() }).collect();
     let usual = NodeSettings::default();
+    let shortest = rules.classes.iter().map(|c| c.deadline).min().unwrap_or(Micros::MAX);
     NodeSettings {
         seed: u64::from_str_radix(seed, 16).unwrap_or_else(|_| xxhash_rust::xxh3::xxh3_64(seed.as_bytes())),
         classes,
         tenants,
-        answer_margin: ANSWER_MARGIN,
+        answer_margin: ANSWER_MARGIN.min(shortest / MARGIN_PART).max(LEAST_SPAN),
         dial_timeout: if told.dial_timeout > 0 { told.dial_timeout } else { usual.dial_timeout }
-            .min(rules.drain_grace),
+            .min(rules.drain_grace)
+            .max(LEAST_SPAN),
         reset_wait: usual.reset_wait.min(rules.release_within / 2),
         stream_stall: STREAM_STALL,
         most_open: if told.most_open > 0 { bounds.clients.min(told.most_open) } else { bounds.clients },
--- a/crates/ivyward-platform/tests/held.rs
+++ b/crates/ivyward-platform/tests/held.rs
@@ -180,6 +180,18 @@
         ("\"dial_timeout_us\":250000", "\"dial_timeout_us\":1500000"),
         ("\"fall_us\":3000000", "\"fall_us\":0"),
         ("\"warm_after_us\":10000000", "\"warm_after_us\":0"),
+        ("\"let_go_by_us\":300000", "\"let_go_by_us\":0"),
+        ("\"dial_timeout_us\":250000", "\"dial_timeout_us\":400"),
+        ("\"target_us\":1500000", "\"target_us\":9500000"),
+        ("\"target_us\":1500000", "\"target_us\":0"),
+        ("\"deadline_us\":7500000", "\"deadline_us\":400000"),
+        ("\"deadline_us\":7500000", "\"deadline_us\":36000000000"),
+        (
+            "fragile\",\"target_us\":1500000,\"deadline_us\":7500000",
+            "fragile\",\"target_us\":9,\"deadline_us\":9",
+        ),
+        ("\"semantics\":\"fragile\"", "\"semantics\":\"dedup\""),
+        ("\"key_ttl_us\":5000000", "\"key_ttl_us\":0"),
     ];
     for (usual, other) in changes {
         let mut rig = Rig::new(|_| Play::Usual);
