After a refusal discovery is asked for the news, not for the whole list again

At fault: Calls::next_list, which began anew with a whole list (16 entries, and a watch behind it) where a watch from the version it held would do.

Change: the version held is kept; after a refusal the next call asks for what is newer, on a new connection, and waits for it. After silence or any other failure the whole list is asked for, as before.

The new test fails without it.

--- a/crates/ivyward-platform/src/discovery.rs
+++ b/crates/ivyward-platform/src/discovery.rs
@@ -87,28 +87,43 @@
     }
 }
 
-/// A connection on which a list was answered, and its version: the next call on it is a watch.
-struct Watched {
-    wire: Wire,
-    version: u64,
+/// What a call asks for.
+enum Asked {
+    /// The whole list, at once.
+    Whole,
+    /// What is newer than a version, when there is something: on the connection of the call before, or on a new one.
+    NewerThan { version: u64, wire: Option<Wire> },
 }
 
 /// A call that is out.
 struct PendingCall {
     began: Micros,
+    /// How long it was asked to wait for news.
+    wait: Micros,
     /// Bytes of its answer that came, and as many as were seen last.
     came: Arc<AtomicU64>,
     seen: u64,
     answer: BoxFuture<Result<(Wire, List), Missed>>,
 }
 
+/// A call that was answered.
+struct Answered {
+    wire: Wire,
+    list: List,
+    /// How much later than it was asked for the word came that there is no news.
+    late: Option<Micros>,
+}
+
 /// Calls to discovery at one address.
 struct Calls {
     world: WorldRef,
     address: SocketAddr,
     limits: Limits,
     pace: Watch,
-    watched: Option<Watched>,
+    /// The version of the list as it is held.
+    newest: Option<u64>,
+    /// The connection on which it was answered.
+    wire: Option<Wire>,
     pending: Vec<PendingCall>,
     /// Nothing was answered since something went wrong.
     failing: bool,
@@ -121,7 +136,8 @@
             address,
             limits: *limits,
             pace: Watch::new(TOLD_WITHIN, costly, world.random()),
-            watched: None,
+            newest: None,
+            wire: None,
             pending: Vec::new(),
             failing: false,
         }
@@ -130,44 +146,43 @@
     /// The next list that any call brings: news of the watch, or the whole list.
     async fn next_list(&mut self) -> List {
         let world = self.world.clone();
-        let watched = self.watched.take();
-        let newest = watched.as_ref().map(|w| w.version);
-        let answer_due = world.now().saturating_add(self.pace.wait());
-        let mut next_at = match &watched {
-            Some(_) => answer_due.saturating_add(self.pace.silence()),
-            None => world.now().saturating_add(self.pace.beside()),
-        };
-        self.begin(watched);
+        let mut next_at = self.begin_news();
+        let mut turned_away = false;
         loop {
             let answered = before(&world, next_at, self.answered()).await;
             let now = world.now();
-            match answered.map(|answer| answer.and_then(|a| newer(a, newest))) {
-                Some(Ok((wire, list))) => {
-                    // Only a watch that waited in vain tells how late its answer is.
-                    match newest.filter(|_| !list.full && list.servers.is_empty()) {
-                        Some(_) => self.pace.watch_came(now.saturating_sub(answer_due)),
+            match answered.map(|answer| answer.and_then(|a| self.newer(a))) {
+                Some(Ok(Answered { wire, list, late })) => {
+                    match late {
+                        Some(late) => self.pace.watch_came(late),
                         None => self.pace.came(),
                     }
                     self.failing = false;
                     // The others are asked the same.
                     self.pending.clear();
-                    self.watched = Some(Watched { wire, version: list.version });
+                    (self.newest, self.wire) = (Some(list.version), Some(wire));
                     return list;
                 }
                 Some(Err(Missed { how, error })) => {
                     self.fails(&error);
+                    turned_away = how == Miss::TurnedAway;
                     next_at = match how {
                         Miss::Failed | Miss::TurnedAway => now.saturating_add(self.pace.missed(how)),
                         Miss::Silent | Miss::Slow => next_at.min(now.saturating_add(self.pace.missed(how))),
                     };
                 }
+                // Of a service that turned a call away the news are asked for again, not the whole list, which costs it more.
+                None if turned_away && self.pending.is_empty() => {
+                    turned_away = false;
+                    next_at = self.begin_news();
+                }
                 None if self.bytes_come() => next_at = now.saturating_add(self.pace.silence()),
                 None => {
                     if !self.pending.is_empty() {
                         self.fails(&io::ErrorKind::TimedOut.into());
                     }
                     if self.pending.len() < self.pace.most_calls() {
-                        self.begin(None);
+                        self.begin(Asked::Whole);
                     }
                     next_at = now.saturating_add(self.pace.beside());
                 }
@@ -192,9 +207,27 @@
         come
     }
 
-    /// Begins a watch, or a call for the whole list on a connection of its own.
-    fn begin(&mut self, watched: Option<Watched>) {
+    /// Asks for what is newer than the list as it is held, or for the whole list where there is none; when the next call
+    /// begins beside it.
+    fn begin_news(&mut self) -> Micros {
+        let now = self.world.now();
+        match self.newest {
+            Some(version) => {
+                let wire = self.wire.take();
+                self.begin(Asked::NewerThan { version, wire });
+                now.saturating_add(self.pace.wait() + self.pace.silence())
+            }
+            None => {
+                self.begin(Asked::Whole);
+                now.saturating_add(self.pace.beside())
+            }
+        }
+    }
+
+    /// Begins a call.
+    fn begin(&mut self, asked: Asked) {
         let came = Arc::default();
+        let wait = if let Asked::NewerThan { .. } = &asked { self.pace.wait() } else { 0 };
         let call = Call {
             world: self.world.clone(),
             address: self.address,
@@ -202,12 +235,12 @@
             pace: self.pace.clone(),
             came: Arc::clone(&came),
         };
-        let answer = Box::pin(call.run(watched));
-        self.pending.push(PendingCall { began: self.world.now(), came, seen: 0, answer });
+        let answer = Box::pin(call.run(asked));
+        self.pending.push(PendingCall { began: self.world.now(), wait, came, seen: 0, answer });
     }
 
     /// The first call that ends, whichever way; it is out no longer.
-    async fn answered(&mut self) -> Result<(Wire, List), Missed> {
+    async fn answered(&mut self) -> Result<Answered, Missed> {
         let (index, answer) = poll_fn(|cx| {
             for (index, call) in self.pending.iter_mut().enumerate() {
                 if let Poll::Ready(answer) = call.answer.as_mut().poll(cx) {
@@ -219,25 +252,31 @@
         .await;
         let call = self.pending.remove(index);
         let took = self.world.now() - call.began;
-        match &answer {
-            Ok((_, list)) => {
+        match answer {
+            Ok((wire, list)) => {
                 let (version, full, entries) = (list.version, list.full, list.servers.len());
                 debug!(took, version, full, entries, "a call for the list was answered");
+                // Only a call that waited for news in vain tells how late its answer is.
+                let idle = call.wait > 0 && !list.full && list.servers.is_empty();
+                let late = idle.then(|| took.saturating_sub(call.wait));
+                Ok(Answered { wire, list, late })
+            }
+            Err(missed) => {
+                debug!(took, how = ?missed.how, error = %missed.error, "a call for the list brought nothing");
+                Err(missed)
             }
-            Err(Missed { how, error }) => debug!(took, ?how, %error, "a call for the list brought nothing"),
         }
-        answer
     }
-}
 
-/// Guards against a change that is undone by an older one: what holds is asked for as a whole.
-fn newer((wire, list): (Wire, List), newest: Option<u64>) -> Result<(Wire, List), Missed> {
-    match newest.filter(|newest| !list.full && list.version < *newest) {
-        None => Ok((wire, list)),
-        Some(newest) => {
-            let text = format!("changes of version {} after version {newest}", list.version);
-            Err(Missed::new(Miss::Failed, io::Error::new(io::ErrorKind::InvalidData, text)))
-        }
+    /// Guards against a change that is undone by an older one: what holds is asked for as a whole.
+    fn newer(&mut self, answered: Answered) -> Result<Answered, Missed> {
+        let list = &answered.list;
+        let Some(newest) = self.newest.filter(|newest| !list.full && list.version < *newest) else {
+            return Ok(answered);
+        };
+        self.newest = None;
+        let text = format!("changes of version {} after version {newest}", list.version);
+        Err(Missed::new(Miss::Failed, io::Error::new(io::ErrorKind::InvalidData, text)))
     }
 }
 
@@ -251,13 +290,13 @@
 }
 
 impl Call {
-    async fn run(self, watched: Option<Watched>) -> Result<(Wire, List), Missed> {
-        let (wire, wait, target) = match watched {
-            Some(Watched { wire, version }) => {
+    async fn run(self, asked: Asked) -> Result<(Wire, List), Missed> {
+        let (wire, wait, target) = match asked {
+            Asked::NewerThan { version, wire } => {
                 let wait = self.pace.wait();
-                (Some(wire), wait, format!("/v1/servers?from={version}&hold_ms={}", wait / 1_000))
+                (wire, wait, format!("/v1/servers?from={version}&hold_ms={}", wait / 1_000))
             }
-            None => (None, 0, "/v1/servers".to_owned()),
+            Asked::Whole => (None, 0, "/v1/servers".to_owned()),
         };
         let mut wire = match wire {
             Some(wire) => wire,
--- a/crates/ivyward-platform/tests/common/mod.rs
+++ b/crates/ivyward-platform/tests/common/mod.rs
@@ -520,6 +520,8 @@
     pub silent_below: usize,
     pub connections: usize,
     pub calls: usize,
+    /// What was asked for, in order.
+    pub targets: Vec<String>,
 }
 
 impl Faults {
@@ -570,6 +572,7 @@
         let does = {
             let mut faults = faults.lock().unwrap();
             faults.calls += 1;
+            faults.targets.push(request.target.clone());
             let does = faults.next.pop_front();
             does.or(faults.always.clone()).unwrap_or(Told::Usual)
         };
--- a/crates/ivyward-platform/tests/told.rs
+++ b/crates/ivyward-platform/tests/told.rs
@@ -112,6 +112,30 @@
     });
 }
 
+/// A service that turns calls away is asked for the news again, which cost it less than the whole list; after any other
+/// failure the whole list is asked for.
+#[test]
+fn after_a_refusal_the_news_are_asked_for_again() {
+    for (fault, news) in [(Told::Status(503), true), (Told::Status(429), true), (Told::Status(500), false)] {
+        Rig::new(|_| Play::Usual).play(move |scene| async move {
+            scene.relist(list(&["up"; 4]));
+            scene.world.sleep(100 * MS).await;
+            let asked = {
+                let mut faults = scene.faults.lock().unwrap();
+                faults.next = [fault.clone()].into();
+                faults.targets.len()
+            };
+            until(&scene.world, "three calls", || scene.faults.lock().unwrap().targets.len() >= asked + 3)
+                .await;
+            let targets = scene.faults.lock().unwrap().targets[asked..asked + 3].to_vec();
+            // The fault meets the watch that follows the one that is out.
+            let again: Vec<bool> = targets.iter().map(|t| t.contains("from=2")).collect();
+            assert_eq!(again[1], news, "{fault:?}: {targets:?}");
+            assert!(again[2], "{fault:?}: {targets:?}");
+        });
+    }
+}
+
 /// A service that needs 1.6 s for each call, and more while many wait, is heard all the same: a call that it was asked is not
 /// given up for the next one, and it is not run against.
 #[test]
