A keyed repeat leaves on a new connection only

Found by reading: what may not be sent again has no time-out of its own, so a repeat that left within its window on a connection of before, into a cut, waits there and lands when the cut ends, after the window: an effect twice. At fault: Attempt::run, which took any idle connection of a proven time.

Change: PlatformCall keeps that an attempt with an effect may have run, and its repeats are written to a connection that came up just now (Reuse::Never). What is left is a cut that begins in the moment in which the bytes leave.

--- a/crates/ivyward-platform/src/call.rs
+++ b/crates/ivyward-platform/src/call.rs
@@ -2,6 +2,7 @@
 
 use event_listener::Event;
 use ivyward::answer::{Buffer, Final};
+use ivyward::core::interface::Outcome;
 use ivyward::engines::Call;
 use ivyward::world::Peer;
 use ivyward_http1::Request;
@@ -87,6 +88,8 @@
     moved: Event,
     client: Arc<dyn Peer>,
     left: AtomicBool,
+    /// An attempt that has an effect may have run.
+    may_have_run: AtomicBool,
     /// The engine's events. A slow client holds up its own engine: no more is read while the bound waits.
     pub(crate) outlet: Buffer<u8>,
 }
@@ -111,6 +114,7 @@
             moved: Event::new(),
             client,
             left: AtomicBool::new(false),
+            may_have_run: AtomicBool::new(false),
             outlet: Buffer::new(bound),
         }
     }
@@ -126,6 +130,16 @@
         }
         self.left.load(Ordering::SeqCst)
     }
+    /// Takes note of how an attempt that has an effect ended.
+    pub(crate) fn note_outcome(&self, outcome: Outcome) {
+        if matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            self.may_have_run.store(true, Ordering::SeqCst);
+        }
+    }
+    /// Whether the next attempt repeats something that may have run and is not harmless to repeat.
+    pub(crate) fn repeats_effect(&self) -> bool {
+        !self.again && self.may_have_run.load(Ordering::SeqCst)
+    }
     pub(crate) fn prompt(&self) -> Option<Arc<Prompt>> {
         lock(&self.prompt).clone()
     }
--- a/crates/ivyward-platform/src/engine/attempt.rs
+++ b/crates/ivyward-platform/src/engine/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt at an engine, from its connection to its one outcome.
 
 use super::events::Events;
-use super::link::{CallError, EngineLink};
+use super::link::{CallError, EngineLink, Reuse};
 use super::pool::EngineConnection;
 use crate::call::{PlatformCall, Progress};
 use crate::config::LIMITS;
@@ -39,8 +39,13 @@
             return End::new(Outcome::NotSent, "no time left");
         }
         let mut timer = world.sleep_until(job.leave_by);
-        let again = job.reads || self.call.again;
-        let mut wire = match job.heed(&mut timer, link.connect(job.leave_by, again, 0)).await {
+        let reuse = match (job.reads || self.call.again, self.call.repeats_effect()) {
+            (true, _) => Reuse::Any,
+            (false, false) => Reuse::ProvenSafe,
+            // Guards against a repeat that leaves within its window into a cut, and lands when the cut ends.
+            (false, true) => Reuse::Never,
+        };
+        let mut wire = match job.heed(&mut timer, link.connect(job.leave_by, reuse, 0)).await {
             Woken::Next(Ok(wire)) => wire,
             // Of an engine that was not asked nothing is known.
             Woken::Next(Err(why @ CallError::NoDescriptor)) => {
--- a/crates/ivyward-platform/src/engine/link.rs
+++ b/crates/ivyward-platform/src/engine/link.rs
@@ -37,6 +37,17 @@
     Unanswered(String),
 }
 
+/// Which idle connections may carry a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reuse {
+    /// Any: it may be sent again.
+    Any,
+    /// Those idle for a time that has proven safe.
+    ProvenSafe,
+    /// None: only a connection that comes up now shows that its bytes will not wait in a cut.
+    Never,
+}
+
 /// One engine as this node reaches it.
 pub(crate) struct EngineLink {
     pub(crate) id: ServerId,
@@ -90,15 +101,20 @@
         self.last_failure.store(self.engines.world.now(), Ordering::Relaxed);
     }
 
-    /// A connection that stands and may be used, or a new one; `again` where the request may be sent again.
+    /// An idle connection that may be used, or a new one.
     pub(super) async fn connect(
         &self,
         until: Micros,
-        again: bool,
+        reuse: Reuse,
         spare: usize,
     ) -> Result<EngineConnection, CallError> {
         let world = &self.engines.world;
-        if let Some(wire) = self.take_idle(again) {
+        let idle = match reuse {
+            Reuse::Any => self.take_idle(true),
+            Reuse::ProvenSafe => self.take_idle(false),
+            Reuse::Never => None,
+        };
+        if let Some(wire) = idle {
             return Ok(wire);
         }
         let permit = self.engines.permit(spare).ok_or(CallError::NoDescriptor)?;
@@ -166,7 +182,7 @@
         target: &str,
         until: Micros,
     ) -> Result<(u16, Report), CallError> {
-        let mut wire = self.connect(until, true, self.engines.spare).await?;
+        let mut wire = self.connect(until, Reuse::Any, self.engines.spare).await?;
         let ended = |text: String| CallError::Unanswered(text);
         let asked = async {
             self.ask(&mut wire, method, target).await.map_err(|e| ended(e.to_string()))?;
@@ -228,6 +244,9 @@
             };
             // A connection that is not kept is closed when this returns, so that nothing follows beside the attempt.
             let end = Attempt { link: &self, job: &job, call }.run().await;
+            if !job.reads {
+                call.note_outcome(end.outcome);
+            }
             call.mark(Progress::Ended(job.attempt));
             end
         })
@@ -247,7 +266,7 @@
             let until = world.now().saturating_add(self.engines.hold_wait);
             let mut left = false;
             let asked = async {
-                let Ok(mut wire) = self.connect(until, true, 0).await else { return Held::No };
+                let Ok(mut wire) = self.connect(until, Reuse::Any, 0).await else { return Held::No };
                 // Told during the dial: nothing new goes to an engine that drains or is gone.
                 if self.closing.load(Ordering::Relaxed) || job.is_over() || call.left() {
                     return Held::No;
--- a/crates/ivyward-platform/tests/engines.rs
+++ b/crates/ivyward-platform/tests/engines.rs
@@ -5,6 +5,8 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ivyward::core::interface::Micros;
 use ivyward::world::WorldExt;
+use ivyward_sim::{HostId, Sim};
+use std::sync::{Arc, OnceLock};
 
 #[test]
 fn a_request_is_read_then_written_and_passes_unchanged() {
@@ -66,6 +68,48 @@
     });
 }
 
+/// A keyed request that may have run at one writer is repeated at the other within its window. That one is cut off just then:
+/// bytes that left on a connection of before would land when the cut ends, after the window.
+#[test]
+fn a_keyed_repeat_does_not_land_after_a_cut() {
+    // Set when the rig stands: the network, the node's host and the engines'.
+    let network: Arc<OnceLock<(Sim, HostId, Vec<HostId>)>> = Arc::default();
+    let cut: Arc<OnceLock<usize>> = Arc::default();
+    let (cuts, cut_now) = (network.clone(), cut.clone());
+    let mut rig = Rig::new(move |seen| {
+        if !writes(seen) || seen.id != "keyed" || cut_now.get().is_some() {
+            return Play::Usual;
+        }
+        let other = 5 - seen.engine;
+        let (sim, node, engines) = cuts.get().unwrap();
+        sim.cut(*node, engines[other], true);
+        sim.cut(engines[other], *node, true);
+        cut_now.set(other).unwrap();
+        Play::SayAndClose(Vec::new())
+    });
+    let hosts: Vec<HostId> = rig.engines.iter().map(|e| e.id()).collect();
+    assert!(network.set((rig.sim.clone(), rig.node.id(), hosts)).is_ok());
+    let keyed = rig.config.replace("\"fragile\"", "\"dedup\"");
+    rig.config = keyed.replace("\"key_ttl_us\":5000000", "\"key_ttl_us\":1000000");
+    rig.play(move |scene| async move {
+        // Connections to both writers, idle for less than they are kept.
+        while !(2..4).all(|engine| scene.seen().iter().any(|s| writes(s) && s.engine == engine)) {
+            let id = format!("warm{}", scene.seen().len());
+            assert_eq!(scene.ask(&id, "send").await.status, 200);
+        }
+        let mut conn = scene.connect().await;
+        conn.write_all(&request("keyed", "send", 4_800)).await.unwrap();
+        until(&scene.world, "a write", || cut.get().is_some()).await;
+        let other = *cut.get().unwrap();
+        scene.world.sleep(3_000_000).await;
+        scene.cut(&[other], false);
+        got(&scene.client, &mut conn).await;
+        scene.world.sleep(2_000_000).await;
+        let writes: Vec<Seen> = scene.sends("keyed").into_iter().filter(writes).collect();
+        assert_eq!(writes.len(), 1, "{writes:?}");
+    });
+}
+
 /// Spoilt before the first event: the attempt may have run, so a safe request is sent again and an unsafe one is not.
 #[test]
 fn what_is_spoilt_before_its_first_event_may_have_run() {
