A keyed request that may have run is read in its group and window, too

Excluded: the window (6 ms of 4 s), places held, sessions, cuts.

Change: readers of a repeat are those of its group; leave_by holds the window for them as well; the platform writes such reads to new connections only.

Measured: the new test fails without it.

--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -490,7 +490,8 @@
         let session = if r.a.session != 0 { r.a.session } else { r.a.id.0 };
         let key = if r.a.prefix != 0 { r.a.prefix } else { session };
         let spread = self.spread(now, true, r);
-        let mut ring: Vec<&Server> = self.pool(true).filter(|s| !r.tried.contains(&s.entry.id)).collect();
+        let may = |s: &&Server| !r.tried.contains(&s.entry.id) && self.repeat_allowed(r, s, now);
+        let mut ring: Vec<&Server> = self.pool(true).filter(may).collect();
         let place = |s: &Server, key: u64| {
             // All nodes (of a zone) are to name the same homes: what is learned moves only in a jam.
             let far = s.entry.zone != self.cfg.zone && self.cfg.cross_zone_price > 0.0;
@@ -501,8 +502,7 @@
         };
         ring.sort_by_cached_key(|s| (place(s, key).to_bits(), s.entry.id));
         let asked = self.prefixes.get(&key).map_or(0.0, |p| p.left(now, CELL_AGE).0);
-        let few = SHARE_PRIOR * self.asked.mean();
-        let share = asked / (self.asked.left(now, CELL_AGE).0 + few).max(1.0);
+        let share = asked / (self.asked.left(now, CELL_AGE).0 + SHARE_PRIOR * self.asked.mean()).max(1.0);
         let homes = |ring: &Vec<&Server>| ((share * ring.len() as f64 * HOMES) as usize + 1).min(ring.len());
         // Guards a cold home of an opening that many nodes ask for: more of them use an open lot there.
         let (mut rank, all) = (0.., homes(&ring));
@@ -783,8 +783,8 @@
         let held_part = if left > 1 { HELD_DIAL } else { 1.0 };
         let dial = |until: Micros| now + (until.saturating_sub(now) as f64 * held_part) as Micros;
         // Guards against a repeat that leaves after its window, as its connection came up late.
-        let repeat = self.repeat_until(&r).filter(|_| op != Op::Read);
-        let leave_by = self.held_until(&r).map(dial).into_iter().chain(repeat).min().unwrap_or(0);
+        let leave_by =
+            self.held_until(&r).map(dial).into_iter().chain(self.repeat_until(&r)).min().unwrap_or(0);
         out.push(Action::Send { request: r.a.id, server: to, timeout, leave_by });
         let window = self.cfg.fall_window;
         self.sent[usize::from(op == Op::Read)].add(now, self.cfg.fall_window as f64, 0.0);
--- a/crates/ivyward-core/tests/five_rules.rs
+++ b/crates/ivyward-core/tests/five_rules.rs
@@ -133,8 +133,28 @@
     assert_ne!(rig.end(1, 0, Outcome::Reset), Some(ServerId(12)), "it is in another zone");
 }
 
+/// Once a keyed request may have run, whatever is sent for it stays in its group and window: reads as well.
+#[test]
+fn twice_a_keyed_repeat_is_read_in_its_group_too() {
+    let reader = |id: u64, zone: u8, condition| ServerEntry { zone, condition, ..server(id, 0) };
+    for zone in [0, 1] {
+        // Without readers the first attempt is read where it is written.
+        let mut rig = Rig::new(settings(), &[server(11, 1)]);
+        assert_eq!(rig.ask(Arrival { class: 2, ..arrival(1, 5, 1_000.0) }), Some(ServerId(11)));
+        rig.fleet(ListKind::Changes, &[reader(1, zone, Condition::Ready)]);
+        let sent = rig.now;
+        rig.now += 100_000;
+        let next = rig.end(1, 0, Outcome::Reset);
+        assert_eq!(next, (zone == 0).then_some(ServerId(1)), "zone {zone}");
+        if zone == 0 {
+            let leave_by = rig.leave_by().unwrap();
+            assert!(leave_by > rig.now && leave_by <= sent + 5 * SECOND, "{leave_by}");
+        }
+    }
+}
+
 /// The window counts from the first attempt that may have run, and holds until the repeat's last byte has left: a dial may
-/// take long. A read is no effect and may leave at any time.
+/// take long.
 #[test]
 fn twice_a_keyed_repeat_leaves_within_its_window() {
     let mut settings = settings();
--- a/crates/ivyward-platform/src/engine/attempt.rs
+++ b/crates/ivyward-platform/src/engine/attempt.rs
@@ -39,11 +39,11 @@
             return End::new(Outcome::NotSent, "no time left");
         }
         let mut timer = world.sleep_until(job.leave_by);
-        let reuse = match (job.reads || self.call.again, self.call.repeats_effect()) {
-            (true, _) => Reuse::Any,
-            (false, false) => Reuse::ProvenSafe,
+        let reuse = match (self.call.repeats_effect(), job.reads || self.call.again) {
             // Guards against a repeat that leaves within its window into a cut, and lands when the cut ends.
-            (false, true) => Reuse::Never,
+            (true, _) => Reuse::Never,
+            (false, true) => Reuse::Any,
+            (false, false) => Reuse::ProvenSafe,
         };
         let mut wire = match job.heed(&mut timer, link.connect(job.leave_by, reuse, 0)).await {
             Woken::Next(Ok(wire)) => wire,
