A stop waits for connections that were told to close until they have closed

Found by reading: Service::stop ended when the table was empty, and connections that are told to close leave it at once. One whose request crossed that word takes its place again (set_busy), but only when its task runs: by then the stop could be over and the process 20 ms from its end, so a request that was taken is lost. At fault: the condition of the loop in Service::stop.

Change: it counts those that have not closed. The module of the table has tests of its own.

--- a/crates/ivyward-platform/src/server.rs
+++ b/crates/ivyward-platform/src/server.rs
@@ -53,6 +53,10 @@
     pub(crate) fn connections(&self) -> usize {
         self.table.len()
     }
+    /// Connections that have not closed yet, those that were told to among them.
+    pub(crate) fn unclosed(&self) -> usize {
+        self.table.unclosed()
+    }
     pub(crate) fn prompt_bytes(&self) -> usize {
         self.budget.held()
     }
--- a/crates/ivyward-platform/src/server/table.rs
+++ b/crates/ivyward-platform/src/server/table.rs
@@ -49,6 +49,13 @@
         lock(&self.connections).len()
     }
 
+    /// Connections that have not closed yet, those that were told to among them: each may still bring a request that
+    /// crosses the word.
+    pub(super) fn unclosed(&self) -> usize {
+        let connections = lock(&self.connections);
+        connections.len() + self.closing.load(Ordering::SeqCst)
+    }
+
     /// Takes a new connection, if need be in another one's place: its id, and what ends when it is to close. `None` where
     /// all have a request.
     pub(super) fn admit(&self, now: Micros) -> Option<(u64, async_channel::Receiver<()>)> {
@@ -134,3 +141,6 @@
         self.closed.notify(usize::MAX);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -152,8 +152,9 @@
         let _ = self.accepting.recv().await;
         self.server.close_idle();
         let mut told = false;
-        // Guards against a node that ends in the midst of a cut and leaves pinned what it held.
-        while self.node.open() > 0 || self.server.connections() > 0 || self.node.owed() > 0 {
+        // Guards against a node that ends in the midst of a cut and leaves pinned what it held, and against one that ends
+        // before a connection that was told to close, and may bring a request just then, has closed.
+        while self.node.open() > 0 || self.server.unclosed() > 0 || self.node.owed() > 0 {
             if self.node.open() == 0 && !std::mem::replace(&mut told, true) {
                 self.releases.ends();
             }
--- a/crates/ivyward-platform/tests/service.rs
+++ b/crates/ivyward-platform/tests/service.rs
@@ -157,3 +157,43 @@
         assert_eq!(second.node().metrics().requests.get(), 1);
     });
 }
+
+/// A request on a resting connection, in the very moment in which a stopping node closes it: it is answered, or not read at
+/// all. Nothing is sent on once the stop is over, for the process ends then.
+#[test]
+fn a_request_in_the_moment_of_its_connections_end_is_answered_or_not_read() {
+    let (mut answered, mut closed) = (0, 0);
+    // The node closes it 650 ms after the word to stop; the way to it takes 200 us.
+    for sent_at in 649_780..649_820 {
+        let (tell, told) = std::sync::mpsc::channel();
+        let rig = Rig::new(|_| Play::Usual);
+        rig.sim.net(|net| net.jitter = 0);
+        rig.play(move |mut scene| async move {
+            let client = scene.client.clone();
+            let mut resting = scene.connect().await;
+            resting.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").await.unwrap();
+            assert_eq!(got(&client, &mut resting).await.status, 200);
+            let (done, answer) = async_channel::bounded(1);
+            scene.client.run(async move {
+                client.sleep(sent_at).await;
+                // It may be closed by now.
+                let _ = resting.write_all(&request("crosses", "send", 4_800)).await;
+                done.send(got(&client, &mut resting).await).await.unwrap();
+            });
+            scene.service.stop().await;
+            let stopped = scene.world.now();
+            scene.world.sleep(2_000_000).await;
+            let sends = scene.sends("crosses");
+            assert!(sends.iter().all(|s| s.at <= stopped), "{sent_at}: sent on after the end: {sends:?}");
+            let answer = answer.recv().await.unwrap();
+            assert_eq!(sends.is_empty(), answer.status == 0, "{sent_at}: {answer:?}");
+            assert!(answer.status == 0 || (answer.status == 200 && answer.whole && answer.closes));
+            tell.send(answer.status).unwrap();
+        });
+        match told.recv().unwrap() {
+            0 => closed += 1,
+            _ => answered += 1,
+        }
+    }
+    assert!(answered > 0 && closed > 0, "both sides of the moment: {answered} answered, {closed} closed");
+}
