--- a/crates/ivyward-platform/tests/held.rs
+++ b/crates/ivyward-platform/tests/held.rs
@@ -203,6 +203,17 @@
     }
 }
 
+/// A keyed class whose engines remember nothing is served, and nothing of it is repeated.
+#[test]
+fn a_keyed_class_without_a_window_starts_and_repeats_nothing() {
+    let mut rig = Rig::new(|seen| if writes(seen) { Play::SayAndClose(Vec::new()) } else { Play::Usual });
+    rig.config = rig.config.replace("fragile", "dedup").replace("\"key_ttl_us\":5000000", "\"key_ttl_us\":0");
+    rig.play(|scene| async move {
+        assert_ne!(scene.ask("one", "send").await.status, 200);
+        assert_eq!(scene.sends("one").iter().filter(|s| writes(s)).count(), 1);
+    });
+}
+
 /// Requests that hang at engines end together, over a hundred of them, of three hundred that came at once.
 #[test]
 fn releases_get_through_while_all_descriptors_are_used() {
