--- a/crates/ivyward-platform/src/server/response.rs
+++ b/crates/ivyward-platform/src/server/response.rs
@@ -116,7 +116,7 @@
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
-        400 => "RequestError Request",
+        400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
@@ -124,9 +124,12 @@
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
-        502 => "RequestError Gateway",
+        502 => "Bad Gateway",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
         _ => "Error",
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/ivyward-platform/src/server/response/tests.rs
@@ -0,0 +1,25 @@
+//! What stands in an answer's first line.
+
+use super::reason;
+
+/// The phrases of RFC 9110 for every status that the server sends.
+#[test]
+fn reason_phrases_are_the_standard_ones() {
+    let phrases = [
+        (200, "OK"),
+        (400, "Bad Request"),
+        (404, "Not Found"),
+        (405, "Method Not Allowed"),
+        (408, "Request Timeout"),
+        (409, "Conflict"),
+        (413, "Content Too Large"),
+        (429, "Too Many Requests"),
+        (431, "Request Header Fields Too Large"),
+        (502, "Bad Gateway"),
+        (503, "Service Unavailable"),
+        (504, "Gateway Timeout"),
+    ];
+    for (status, phrase) in phrases {
+        assert_eq!(reason(status), phrase, "{status}");
+    }
+}
