What may have run is said once; a call for the list computes its wait once

Found on reading the change again, no behaviour: - call.rs listed anew the outcomes after which an attempt may have run, as rules.rs does: Outcome::may_have_run serves both. The line that it frees gives on_ended back the two plain steps that were folded into one. - Call::run computed the wait that Calls::begin had computed for the same call; it is kept in Call. - The next call's time after a miss had two arms that say the same: a miss that was waited out is followed at once, as its pause is 0.

--- a/crates/ivyward-core/src/interface.rs
+++ b/crates/ivyward-core/src/interface.rs
@@ -249,6 +249,13 @@
     NotSent,
 }
 
+impl Outcome {
+    /// Whether an attempt that ended so, without an answer, may have run or may run yet.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+    }
+}
+
 /// A load report; values in the order of [`Settings::report_fields`].
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
--- a/crates/ivyward-core/src/rules.rs
+++ b/crates/ivyward-core/src/rules.rs
@@ -902,7 +902,8 @@
     }
 
     fn on_ended(&mut self, now: Micros, id: RequestId, no: u16, end: (Outcome, u32, bool), out: &mut Out) {
-        let ((outcome, kept, finished), Some(mut r)) = (end, self.open.remove(&id)) else { return };
+        let (outcome, kept, finished) = end;
+        let Some(mut r) = self.open.remove(&id) else { return };
         let Some(t) = r.attempts.get_mut(usize::from(no)).filter(|t| t.out) else {
             self.open.insert(id, r);
             return;
@@ -958,9 +959,7 @@
         if came && (op == Op::Read || r.held.is_some()) {
             r.held = Some(now);
         }
-        let may_run =
-            matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
-        if may_run && op != Op::Read && r.may_have_run.is_none() {
+        if outcome.may_have_run() && op != Op::Read && r.may_have_run.is_none() {
             r.may_have_run = Some((to, sent));
         }
         if r.held_at == Some(to) && outcome != Outcome::Read && op != Op::Read {
--- a/crates/ivyward-platform/src/call.rs
+++ b/crates/ivyward-platform/src/call.rs
@@ -132,7 +132,7 @@
     }
     /// Takes note of how an attempt that has an effect ended.
     pub(crate) fn note_outcome(&self, outcome: Outcome) {
-        if matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+        if outcome.may_have_run() {
             self.may_have_run.store(true, Ordering::SeqCst);
         }
     }
--- a/crates/ivyward-platform/src/discovery.rs
+++ b/crates/ivyward-platform/src/discovery.rs
@@ -166,10 +166,7 @@
                 Some(Err(Missed { how, error })) => {
                     self.fails(&error);
                     turned_away = how == Miss::TurnedAway;
-                    next_at = match how {
-                        Miss::Failed | Miss::TurnedAway => now.saturating_add(self.pace.missed(how)),
-                        Miss::Silent | Miss::Slow => next_at.min(now.saturating_add(self.pace.missed(how))),
-                    };
+                    next_at = now.saturating_add(self.pace.missed(how));
                 }
                 // Of a service that turned a call away the news are asked for again, not the whole list, which costs it more.
                 None if turned_away && self.pending.is_empty() => {
@@ -233,6 +230,7 @@
             address: self.address,
             limits: self.limits,
             pace: self.pace.clone(),
+            wait,
             came: Arc::clone(&came),
         };
         let answer = Box::pin(call.run(asked));
@@ -286,24 +284,25 @@
     address: SocketAddr,
     limits: Limits,
     pace: Watch,
+    /// How long discovery is asked to wait for news.
+    wait: Micros,
     came: Arc<AtomicU64>,
 }
 
 impl Call {
     async fn run(self, asked: Asked) -> Result<(Wire, List), Missed> {
-        let (wire, wait, target) = match asked {
+        let (wire, target) = match asked {
             Asked::NewerThan { version, wire } => {
-                let wait = self.pace.wait();
-                (wire, wait, format!("/v1/servers?from={version}&hold_ms={}", wait / 1_000))
+                (wire, format!("/v1/servers?from={version}&hold_ms={}", self.wait / 1_000))
             }
-            Asked::Whole => (None, 0, "/v1/servers".to_owned()),
+            Asked::Whole => (None, "/v1/servers".to_owned()),
         };
         let mut wire = match wire {
             Some(wire) => wire,
             None => self.dial().await?,
         };
         wire.count(self.came.clone());
-        let list = self.list(&mut wire, &target, wait).await?;
+        let list = self.list(&mut wire, &target).await?;
         Ok((wire, list))
     }
 
@@ -317,13 +316,13 @@
     }
 
     /// One call, given up when nothing of its answer comes for too long, or when it comes for too long.
-    async fn list(&self, wire: &mut Wire, target: &str, wait: Micros) -> Result<List, Missed> {
+    async fn list(&self, wire: &mut Wire, target: &str) -> Result<List, Missed> {
         let world = &self.world;
         let late = |how| Err(Missed::new(how, io::ErrorKind::TimedOut));
         let mut asked = pin!(ask(wire, target, self.address, &self.limits));
         let step = self.pace.silence() / LOOKS;
         // Nothing has come: the answer's first byte is waited for beyond the time that discovery may wait itself.
-        let (mut last, mut seen) = (world.now().saturating_add(wait), 0);
+        let (mut last, mut seen) = (world.now().saturating_add(self.wait), 0);
         let mut patience = self.pace.patience();
         let mut whole_by = Micros::MAX;
         loop {
