Stricter terms on the gRPC side: deadlines told, leaving clients, answers at a stop

What was found:

- Deadlines: gRPC calls told engines none (attempt.rs and grpc.rs passed an empty HeaderMap).
Calls now carry grpc-timeout, worked out in the moment in which they leave (Channel::call_before), so a late dial or a wait for a stream is in it.
Reads: the attempt's own end; writes: when the node ends the stream, none where the client stated none; holds: the client's time for a first token.
The stand-in engine drops what is over, also behind a cut, and the auditor checks what is told.
What has not left is now given up as soon as the request has its final answer.
- Stop: the daemon slept 50 ms after the last answer was given and ended; a client that reads slowly lost the end of its stream (332 of its tokens, then a reset).
Node::stop now waits for the client connections to close, until the stop's time.

--- a/crates/ivyward-core/tests/cold_sum.rs
+++ b/crates/ivyward-core/tests/cold_sum.rs
@@ -1,5 +1,6 @@
 //! What all processes together send to one cold server, against the settings' budget N: beyond it only 2 * sqrt(N) + 2 is
-//! chance, with two, twenty, thirty or three hundred processes.
+//! chance, with one, two, twenty, thirty or three hundred processes. That is the term for budgets of 30 calls and more; under 30,
+//! where 3 * sqrt(N) + 3 would do, the same bound is held to.
 //!
 //! `IVYWARD_SEEDS` sets how many seeds are played (a few without it); `--nocapture` prints the distribution.
 
@@ -105,7 +106,7 @@
 
 fn scenes() -> Vec<(&'static str, Scene)> {
     let mut all = Vec::new();
-    for nodes in [2, 20, 30, 300] {
+    for nodes in [1, 2, 20, 30, 300] {
         let plain = Scene { nodes, ..PLAIN };
         all.extend([
             ("plain", plain),
--- a/crates/ivyward-lab/src/seeds.rs
+++ b/crates/ivyward-lab/src/seeds.rs
@@ -341,6 +341,10 @@
     pub fn of(sim: &Sim) -> Hosts {
         Hosts { sim: sim.clone(), silent: Arc::default(), last: Mutex::new(0) }
     }
+    /// The process that was started last.
+    pub fn last(&self) -> HostId {
+        *lock(&self.last)
+    }
 }
 
 impl Host for Hosts {
@@ -516,7 +520,7 @@
                     self.log.add(Sight::Dark { engine: id, on: false });
                 }
                 if up.is_ok() {
-                    let host = *lock(&self.hosts.last);
+                    let host = self.hosts.last();
                     lock(&self.engines[engine]).1 = host;
                     self.register(engine, self.world.unix_micros());
                 }
@@ -621,7 +625,7 @@
                 // Another fault may have brought it back.
                 let up = lock(&self.store).come_up();
                 if up.is_ok() {
-                    *lock(&self.store_host) = *lock(&self.hosts.last);
+                    *lock(&self.store_host) = self.hosts.last();
                 }
             }
             Fault::StoreCompacts => {
@@ -916,13 +920,13 @@
     for spec in fleet(size.racks) {
         let spec = Spec { read_rate: 20_000.0, fetch_rate: 200_000.0, token_gap: 3_000, ..spec };
         let engine = Engine::start(&host, &log, spec).map_err(|e| e.to_string())?;
-        let id = *lock(&hosts.last);
+        let id = hosts.last();
         engines.push(Mutex::new((engine, id)));
     }
     let mut store = Store::start(&host, 1).map_err(|e| e.to_string())?;
     // One for each node, and one for the engines, so that what was shown to whom is told apart.
     store.open_doors(size.nodes + 1).map_err(|e| e.to_string())?;
-    let store_host = Mutex::new(*lock(&hosts.last));
+    let store_host = Mutex::new(hosts.last());
     let base = settings();
     let settings = NodeSettings {
         classes: classes(),
--- a/crates/ivyward-lab/tests/auditor.rs
+++ b/crates/ivyward-lab/tests/auditor.rs
@@ -9,7 +9,7 @@
 use ivyward_standins::sight::{Effect, Heard, Key, Kind, Sight};
 use ivyward_standins::{audit_so_far, Role, Spec};
 use ivyward_wire::{encode, Call, Channel, Options};
-use ivyward_world::{WorldExt, WorldRef};
+use ivyward_world::{World, WorldExt, WorldRef};
 use std::sync::Arc;
 
 const NODE: u64 = 77;
@@ -21,18 +21,19 @@
     build(make)
 }
 
-/// What the auditor finds broken, by rule; attempts side by side last.
-fn broken(scene: &Scene) -> [bool; 6] {
+/// What the auditor finds broken, by rule; then attempts side by side, and deadlines told to engines.
+fn broken(scene: &Scene) -> [bool; 7] {
     let audit = scene.audit();
-    let mut out = [false; 6];
+    let mut out = [false; 7];
     for (i, rule) in audit.rules.iter().enumerate() {
         out[i] = rule.count > 0;
     }
     out[5] = audit.overlap.count > 0;
+    out[6] = audit.deadlines.count > 0;
     out
 }
 
-fn only(rule: usize) -> [bool; 6] {
+fn only(rule: usize) -> [bool; 7] {
     std::array::from_fn(|i| i == rule)
 }
 
@@ -100,7 +101,7 @@
                 to_end::<pb::WriteEvent>(write(&scene, 0, 1, 0, 1).await).await;
             }
         });
-        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "{how:?}");
+        assert_eq!(broken(&scene), rule.map_or([false; 7], only), "{how:?}");
     }
     // One that was never heard of again.
     let scene = engines(pools(0, 1));
@@ -125,7 +126,7 @@
             scene.settle(1_000_000).await;
             heard(&scene, 1, how);
         });
-        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "{effect:?} run {runs} times, {how:?}");
+        assert_eq!(broken(&scene), rule.map_or([false; 7], only), "{effect:?} run {runs} times, {how:?}");
     }
 }
 
@@ -139,7 +140,7 @@
             scene.world.sleep(wait).await;
             to_end::<pb::WriteEvent>(write(&scene, 0, 1, 0, 1).await).await;
         });
-        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "after {wait} us");
+        assert_eq!(broken(&scene), rule.map_or([false; 7], only), "after {wait} us");
     }
 }
 
@@ -167,7 +168,7 @@
                 }
             }
         });
-        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "{calls} calls");
+        assert_eq!(broken(&scene), rule.map_or([false; 7], only), "{calls} calls");
         assert_eq!(scene.engine(0).up(), rule.is_none());
     }
 }
@@ -189,7 +190,7 @@
             }
             seen(&scene, |s| matches!(s, Sight::LetGo { .. })).await;
         });
-        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "released: {release}");
+        assert_eq!(broken(&scene), rule.map_or([false; 7], only), "released: {release}");
     }
 }
 
@@ -218,7 +219,7 @@
             run.await;
             seen(&scene, |s| matches!(s, Sight::Ended { key, .. } if key.attempt == 0)).await;
         });
-        assert_eq!(broken(&scene), rule.map_or([false; 6], only), "beside: {beside}");
+        assert_eq!(broken(&scene), rule.map_or([false; 7], only), "beside: {beside}");
     }
 }
 
@@ -236,8 +237,36 @@
     // An attempt beside one that has not ended.
     for attempt in 0..2 {
         let key = Key { node: NODE, request: 1, attempt };
-        scene.log.add(Sight::Arrived { engine: u64::from(attempt) + 1, key, call: 1, kind: Kind::Write });
+        scene.log.add(Sight::Arrived {
+            engine: u64::from(attempt) + 1,
+            key,
+            call: 1,
+            kind: Kind::Write,
+            timeout: None,
+        });
     }
     assert_eq!(broken(0).1, 0, "the first's end may be under way");
     assert_eq!(broken(100_000).1, 1);
 }
+
+#[test]
+fn a_deadline_told_to_an_engine_past_the_clients() {
+    for (more, broken_rule) in [(100_000, None), (400_000, Some(6))] {
+        let scene = engines(pools(0, 1));
+        block_on(async {
+            called(&scene, 1, Effect::Safe);
+            let ask = pb::WriteRequest {
+                header: header(&scene, 0, 1, 0, 1),
+                prompt: prompt(1, 10),
+                max_output_tokens: 5,
+                ..pb::WriteRequest::default()
+            };
+            let path = "/ivyward.engine.v1.Engine/Write";
+            let deadline = scene.world.now() + 1_000_000 + more;
+            let call = dial(&scene, 0).await.call_before(path, encode(&ask), Some(deadline)).await;
+            to_end::<pb::WriteEvent>(call.unwrap()).await;
+            heard(&scene, 1, Heard::Served);
+        });
+        assert_eq!(broken(&scene), broken_rule.map_or([false; 7], only), "{more} us past its end");
+    }
+}
--- a/crates/ivyward-lab/tests/stage/mod.rs
+++ b/crates/ivyward-lab/tests/stage/mod.rs
@@ -25,6 +25,8 @@
     pub world: WorldRef,
     pub log: Log,
     pub engines: Vec<Engine>,
+    /// The engines' processes, in the same order.
+    pub engine_hosts: Vec<HostId>,
 }
 
 /// Three readers and two writers; no jitter, so that who else talks does not change how long anything takes.
@@ -33,13 +35,18 @@
     let script = sim.host(0);
     let world = script.world();
     let log = Log::new(&world);
-    let host: Arc<dyn Processes> = Arc::new(Hosts::of(&sim));
+    let hosts = Arc::new(Hosts::of(&sim));
+    let host: Arc<dyn Processes> = hosts.clone();
     let spec = |id| {
         let role = if id <= 3 { Role::Reader } else { Role::Writer };
         Spec { read_rate: 4_000.0, fetch_rate: 8_000.0, token_gap: 3_000, ..Spec::small(id, role) }
     };
-    let engines = (1..=5).map(|id| Engine::start(&host, &log, spec(id)).unwrap()).collect();
-    Stage { sim, script, world, log, engines }
+    let (mut engines, mut engine_hosts) = (Vec::new(), Vec::new());
+    for id in 1..=5 {
+        engines.push(Engine::start(&host, &log, spec(id)).unwrap());
+        engine_hosts.push(hosts.last());
+    }
+    Stage { sim, script, world, log, engines, engine_hosts }
 }
 
 impl Stage {
@@ -50,9 +57,12 @@
     }
     /// The same, with the number of its process.
     pub fn node_at(&self, seed: u64) -> (Node, SocketAddr, Memory, HostId) {
-        let (host, memory) = (self.sim.host(seed), Memory::default());
+        self.node_with(NodeSettings { seed, ..settings() })
+    }
+    /// The same, with settings of its own.
+    pub fn node_with(&self, settings: NodeSettings) -> (Node, SocketAddr, Memory, HostId) {
+        let (host, memory) = (self.sim.host(settings.seed), Memory::default());
         let world = host.world();
-        let settings = NodeSettings { seed, ..settings() };
         let node = Node::start(world.clone(), settings, Some(Box::new(memory.clone()))).unwrap();
         let listener = world.listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
         let address = listener.address();
--- /dev/null
+++ b/crates/ivyward-platform/tests/deadline.rs
@@ -0,0 +1,89 @@
+//! The time told to an engine is at most what its client has left, 0.15 s of slack: on first and further attempts, after late
+//! dials, after a wait behind other work and beside holds. And a request that was read on a new connection is answered.
+
+mod common;
+use common::*;
+use futures_lite::AsyncWriteExt;
+use ivyward::core::interface::Micros;
+use ivyward::world::WorldExt;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+const MS: Micros = 1_000;
+const SLACK: Micros = 150 * MS;
+/// Says nothing of what ran: the next attempt follows where that is allowed.
+const FAILS: &str = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+
+#[test]
+fn engines_are_told_what_the_client_has_left() {
+    for lag in [0, 80 * MS] {
+        // One attempt of nine fails, two are turned away, one is late.
+        let count = AtomicUsize::new(0);
+        let rig = Rig::new(move |seen| {
+            if !reads(seen) && !writes(seen) {
+                return Play::Usual;
+            }
+            match count.fetch_add(1, Ordering::SeqCst) % 9 {
+                0 => say(FAILS),
+                3 | 5 => say(AWAY),
+                7 => Play::Late(200 * MS),
+                _ => Play::Usual,
+            }
+        });
+        for engine in &rig.engines {
+            rig.sim.lag(rig.node.id(), engine.id(), lag);
+        }
+        rig.play(move |scene| async move {
+            let (mut sent, mut further) = (0, 0);
+            for n in 0..40_u64 {
+                let (id, timeout_ms) = (format!("r{n}"), 1_200 + 100 * n);
+                // Long enough for engines that failed to be tried again.
+                scene.world.sleep(3_000 * MS).await;
+                let mut conn = scene.connect().await;
+                let began = scene.world.now();
+                conn.write_all(&request(&id, "draft", timeout_ms)).await.unwrap();
+                got(&scene.client, &mut conn).await;
+                let sends = scene.sends(&id);
+                for send in &sends {
+                    let left = (began + timeout_ms * MS).saturating_sub(send.at);
+                    let told = send.timeout_ms * MS;
+                    assert!(told <= left + SLACK, "{id}: {told} us told, {left} us left");
+                    assert!(send.timeout_ms > 0, "{id}: no time was told");
+                }
+                sent += sends.len();
+                further += sends.len().saturating_sub(2);
+            }
+            assert!(sent >= 40, "{sent} sent");
+            // Where dials take as long, what a read left is let go of before a write can leave.
+            assert!(lag > 0 || further >= 10, "{further} further ones of {sent}");
+        });
+    }
+}
+
+/// A request on a new connection, in the very moment in which the node closes it for silence: answered, or not read at all,
+/// which the client sees as a reset or as a close before its request was sent on.
+#[test]
+fn a_request_in_the_moment_of_a_new_connections_end_is_answered_or_not_read() {
+    let (mut answered, mut closed) = (0, 0);
+    // A connection on which nothing came is closed after 2 s; the way to it takes 200 us.
+    for sent_at in (1_998_500..2_001_000).step_by(50) {
+        let (tell, told) = std::sync::mpsc::channel();
+        let rig = Rig::new(|_| Play::Usual);
+        rig.sim.net(|net| net.jitter = 0);
+        rig.play(move |scene| async move {
+            let mut silent = scene.connect().await;
+            scene.client.sleep(sent_at).await;
+            // It may be closed by now.
+            let _ = silent.write_all(&request("crosses", "send", 4_800)).await;
+            let answer = got(&scene.client, &mut silent).await;
+            scene.world.sleep(2_000 * MS).await;
+            assert_eq!(scene.sends("crosses").is_empty(), answer.status == 0, "{sent_at}: {answer:?}");
+            assert!(answer.status == 0 || answer.status == 200 && answer.whole, "{sent_at}: {answer:?}");
+            tell.send(answer.status).unwrap();
+        });
+        match told.recv().unwrap() {
+            0 => closed += 1,
+            _ => answered += 1,
+        }
+    }
+    assert!(answered > 0 && closed > 0, "both sides of the moment: {answered} answered, {closed} closed");
+}
--- a/crates/ivyward-standins/src/audit.rs
+++ b/crates/ivyward-standins/src/audit.rs
@@ -40,6 +40,8 @@
 
 /// What was sent to a machine that is gone without a word may be out for so long after it is there again.
 const UNSEEN: Micros = 1_000_000;
+/// How far the time told to an engine may lie past its client's end.
+const DEADLINE_SLACK: Micros = 150_000;
 /// Most breaks that are kept in words for each rule.
 const WORDS: usize = 20;
 
@@ -62,6 +64,8 @@
     pub rules: [Rule; 5],
     /// No two attempts out at once.
     pub overlap: Rule,
+    /// No engine is told a deadline past its client's.
+    pub deadlines: Rule,
     /// The longest overlap seen, in microseconds.
     pub longest_overlap: Micros,
     /// Ends of calls as clients heard them.
@@ -75,17 +79,19 @@
     ["no request lost", "no effect twice", "drains kept", "cold not pushed", "nothing pinned"];
 
 impl Audit {
-    /// Rules that were kept; attempts side by side count against the second.
+    /// Rules that were kept; deadlines past the client's count against the first, attempts side by side against the
+    /// second.
     pub fn kept(&self) -> usize {
-        let broken = |i: usize| self.rules[i].count > 0 || i == 1 && self.overlap.count > 0;
-        (0..5).filter(|i| !broken(*i)).count()
+        let beside = [self.deadlines.count, self.overlap.count, 0, 0, 0];
+        self.rules.iter().zip(beside).filter(|(rule, beside)| rule.count + beside == 0).count()
     }
     /// All that was found broken, in words.
     pub fn broken(&self) -> Vec<String> {
         let rules =
             self.rules.iter().zip(RULES).flat_map(|(r, name)| r.broken.iter().map(move |b| (name, b)));
         let overlap = self.overlap.broken.iter().map(|b| ("attempts side by side", b));
-        rules.chain(overlap).map(|(name, b)| format!("{name}: {b}")).collect()
+        let deadlines = self.deadlines.broken.iter().map(|b| ("deadline told to an engine", b));
+        rules.chain(overlap).chain(deadlines).map(|(name, b)| format!("{name}: {b}")).collect()
     }
 }
 
@@ -123,6 +129,7 @@
         facts.take(seen);
         facts.drains(seen, limits, &mut out);
         facts.cold(seen, limits, &mut out);
+        facts.deadline(seen, limits, &mut out);
     }
     facts.calls.keys().for_each(|call| facts.lost(*call, limits, &mut out));
     facts.operations.keys().for_each(|operation| facts.twice(*operation, limits, &mut out));
@@ -151,6 +158,7 @@
         let facts = &self.facts;
         facts.drains(seen, limits, &mut out);
         facts.cold(seen, limits, &mut out);
+        facts.deadline(seen, limits, &mut out);
         let mut of_call = |call: u64| {
             if let Some(known) = facts.calls.get(&call) {
                 facts.lost(call, limits, &mut out);
@@ -214,7 +222,7 @@
     fn take(&mut self, seen: &Seen) {
         let Seen { at, what } = *seen;
         match what {
-            Sight::Arrived { engine, key, call, kind } => {
+            Sight::Arrived { engine, key, call, kind, .. } => {
                 self.arrivals.entry(engine).or_default().push(at);
                 if kind == Kind::Hold {
                     self.holds.entry(call).or_default().push((at, engine));
@@ -432,6 +440,19 @@
         }
     }
 
+    /// The time that a call tells its engine ends with the client's, give or take what is allowed.
+    fn deadline(&self, seen: &Seen, limits: &Limits, out: &mut Audit) {
+        let Sight::Arrived { call, timeout: Some(timeout), engine, key, .. } = seen.what else { return };
+        let Some(known) = self.calls.get(&call) else { return };
+        let left = known.until.saturating_sub(seen.at);
+        // On a busy machine a call may be on its way for longer, and its time was told when it left.
+        let slack = DEADLINE_SLACK.max(limits.flight);
+        out.deadlines.check(timeout <= left.saturating_add(slack), || {
+            let attempt = key.attempt;
+            format!("engine {engine:x} was told {timeout} us by attempt {attempt} of call {call:x}, {left} us are left")
+        });
+    }
+
     fn pinned(&self, kept: &KeptThing, limits: &Limits, end: Micros, out: &mut Audit) {
         let (engine, key, place, from, to) = kept;
         let how = to.map(|t| t.1);
--- a/crates/ivyward-standins/src/client.rs
+++ b/crates/ivyward-standins/src/client.rs
@@ -5,7 +5,7 @@
 use futures_lite::future::or;
 use http::{HeaderMap, HeaderValue};
 use ivyward_proto::front::{GenerateRequest, Tokens};
-use ivyward_wire::{encode, Cause, Channel, Options};
+use ivyward_wire::{encode, encode_timeout, Cause, Channel, Options, TIMEOUT_HEADER};
 use ivyward_world::{before, Micros, WorldExt, WorldRef};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -74,8 +74,8 @@
 /// A call's headers that tell the door how long its client waits.
 pub fn deadline(patience: Micros) -> HeaderMap {
     let mut headers = HeaderMap::new();
-    if let Ok(value) = HeaderValue::from_str(&format!("{}u", patience.min(99_999_999))) {
-        headers.insert("grpc-timeout", value);
+    if let Ok(value) = HeaderValue::from_str(&encode_timeout(patience)) {
+        headers.insert(TIMEOUT_HEADER, value);
     }
     headers
 }
--- a/crates/ivyward-standins/src/engine.rs
+++ b/crates/ivyward-standins/src/engine.rs
@@ -12,7 +12,7 @@
 use h2::{Reason, RecvStream, SendStream};
 use http::{HeaderMap, HeaderValue, Response};
 use ivyward_proto::engine as pb;
-use ivyward_wire::{encode, Channel, Decoder, Options};
+use ivyward_wire::{encode, parse_timeout, Channel, Decoder, Options, TIMEOUT_HEADER};
 use ivyward_world::io::Io;
 use ivyward_world::{before, Conn, Micros, SmolWorld, WorldExt, WorldRef};
 use prost::Message;
@@ -319,6 +319,15 @@
     }
 }
 
+/// gRPC's status of a call whose time was over.
+const DEADLINE_EXCEEDED: u32 = 4;
+
+/// How long a call's caller waits, as its headers say; one that cannot be read says nothing.
+fn stated_timeout(headers: &HeaderMap) -> Option<Micros> {
+    let text = headers.get(TIMEOUT_HEADER)?.to_str().ok()?;
+    parse_timeout(text).ok()
+}
+
 fn status(code: u32, text: &'static str) -> HeaderMap {
     let mut trailers = HeaderMap::new();
     trailers.insert("grpc-status", HeaderValue::from(code));
@@ -462,6 +471,7 @@
 
     async fn call(self: Arc<Self>, request: http::Request<RecvStream>, respond: SendResponse<Bytes>) {
         let path = request.uri().path().to_owned();
+        let timeout = stated_timeout(request.headers());
         let mut body = request.into_body();
         let mut decoder = Decoder::new(16 << 20);
         while let Some(Ok(chunk)) = body.data().await {
@@ -473,9 +483,13 @@
             self.going().await;
         }
         match method {
-            Some("Read") => self.taken(decoder.pop::<pb::ReadRequest>().ok().flatten(), respond).await,
-            Some("Write") => self.taken(decoder.pop::<pb::WriteRequest>().ok().flatten(), respond).await,
-            Some("Hold") => self.hold(decoder.pop().ok().flatten(), respond).await,
+            Some("Read") => {
+                self.taken(decoder.pop::<pb::ReadRequest>().ok().flatten(), timeout, respond).await
+            }
+            Some("Write") => {
+                self.taken(decoder.pop::<pb::WriteRequest>().ok().flatten(), timeout, respond).await
+            }
+            Some("Hold") => self.hold(decoder.pop().ok().flatten(), timeout, respond).await,
             Some("Release") => self.release(decoder.pop().ok().flatten(), respond),
             Some("Fetch") => self.fetched(decoder.pop().ok().flatten(), respond),
             Some("Probe") => {
@@ -500,7 +514,12 @@
     }
 
     /// A read or a write, with what may go wrong before it is begun.
-    async fn taken<A: Work>(&self, ask: Option<A>, mut respond: SendResponse<Bytes>) {
+    async fn taken<A: Work>(
+        &self,
+        ask: Option<A>,
+        timeout: Option<Micros>,
+        mut respond: SendResponse<Bytes>,
+    ) {
         let Some((ask, header)) = ask.and_then(|a| a.header().cloned().map(|h| (a, h))) else {
             return refuse(respond, status(3, "the request is malformed"));
         };
@@ -508,7 +527,10 @@
         if header.engine != self.spec.id {
             return refuse(respond, status(9, "another engine is meant"));
         }
-        self.log.add(Sight::Arrived { engine: self.spec.id, key, call: header.call_id, kind: A::KIND });
+        let (engine, call) = (self.spec.id, header.call_id);
+        self.log.add(Sight::Arrived { engine, key, call, kind: A::KIND, timeout });
+        // What its caller no longer waits for is dropped, wherever it stands.
+        let due = timeout.map_or(Micros::MAX, |span| self.world.now().saturating_add(span));
         let _open = Open { inner: self, key };
         if self.pushed() {
             return;
@@ -516,6 +538,9 @@
         if !self.going_on(&mut respond).await {
             return;
         }
+        if self.world.now() >= due {
+            return refuse(respond, status(DEADLINE_EXCEEDED, "its time was over before it was begun"));
+        }
         let faults = self.faults();
         if self.chance(faults.refuse_stream) {
             return respond.send_reset(Reason::REFUSED_STREAM);
@@ -540,11 +565,16 @@
         let Ok(response) = response else { return };
         let Ok(stream) = respond.send_response(response, false) else { return };
         let out = Out(Arc::new(Mutex::new(stream)));
-        let done = or(async { Some(ask.run(self, key, &header, &fate, &out).await) }, async {
+        let work = async { Some(ask.run(self, key, &header, &fate, &out).await) };
+        let left = async {
             out.left().await;
             None
-        })
-        .await;
+        };
+        let over = async {
+            self.world.sleep_until(due).await;
+            Some(Ok(status(DEADLINE_EXCEEDED, "its time is over")))
+        };
+        let done = or(work, or(left, over)).await;
         match done {
             None => {}
             Some(Ok(trailers)) => out.end(trailers),
@@ -635,11 +665,17 @@
         }
     }
 
-    async fn hold(&self, ask: Option<pb::HoldRequest>, mut respond: SendResponse<Bytes>) {
+    async fn hold(
+        &self,
+        ask: Option<pb::HoldRequest>,
+        timeout: Option<Micros>,
+        mut respond: SendResponse<Bytes>,
+    ) {
         let header = ask.as_ref().and_then(|a| a.header.clone());
         let (Some(ask), Some(header)) = (ask, header) else { return refuse(respond, status(3, "malformed")) };
         let Some(key) = key(header.key) else { return refuse(respond, status(3, "no attempt key")) };
-        self.log.add(Sight::Arrived { engine: self.spec.id, key, call: header.call_id, kind: Kind::Hold });
+        let (engine, call) = (self.spec.id, header.call_id);
+        self.log.add(Sight::Arrived { engine, key, call, kind: Kind::Hold, timeout });
         // It crossed the socket; while the engine hangs nothing is done for it, nor after a reset.
         if !self.going_on(&mut respond).await {
             return self.log.add(Sight::Ended { engine: self.spec.id, key });
--- a/crates/ivyward-standins/src/sight.rs
+++ b/crates/ivyward-standins/src/sight.rs
@@ -92,6 +92,8 @@
         call: u64,
         /// What it asks.
         kind: Kind,
+        /// How long its answer is waited for, as the call says; counted from here.
+        timeout: Option<Micros>,
     },
     /// An engine began to do what has an effect.
     Ran {
--- a/crates/ivyward-wire/src/channel.rs
+++ b/crates/ivyward-wire/src/channel.rs
@@ -1,6 +1,7 @@
 //! One connection to a server, its calls, pings and close.
 
 use crate::frame::{Decoder, FrameError};
+use crate::timeout::{encode_timeout, TIMEOUT_HEADER};
 use crate::watch::{Trace, Watched};
 use bytes::Bytes;
 use futures_lite::future::{or, poll_fn};
@@ -70,6 +71,9 @@
 /// What ended a call.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Cause {
+    /// Its deadline was over before it could leave.
+    #[error("no time was left before the call could leave")]
+    Late,
     /// The connection broke, or was closed by either side.
     #[error("the connection broke: {0}")]
     Broken(String),
@@ -132,6 +136,17 @@
     world: WorldRef,
 }
 
+/// How a call begins.
+#[derive(Debug, Default)]
+struct Opening {
+    /// Headers of its own.
+    headers: HeaderMap,
+    /// When its answer is of no use any more; told to the server as what is left when the call leaves.
+    deadline: Option<Micros>,
+    /// More messages may follow the first one.
+    more: bool,
+}
+
 /// Counts a call among those open.
 struct Counted(Arc<AtomicUsize>);
 
@@ -210,7 +225,21 @@
     /// # Errors
     /// When the call could not even begin; it never ran then.
     pub async fn call(&self, path: &'static str, body: Bytes, headers: HeaderMap) -> Result<Call, CallError> {
-        self.begin_call(path, body, headers, false).await
+        self.begin_call(path, body, Opening { headers, ..Opening::default() }).await
+    }
+
+    /// Makes a call with one request message, and tells the server how long its answer is waited for: what is left to
+    /// `deadline` in the moment in which the call leaves, however long it waited for a stream.
+    ///
+    /// # Errors
+    /// When the call could not even begin, or no time is left; it never ran then.
+    pub async fn call_before(
+        &self,
+        path: &'static str,
+        body: Bytes,
+        deadline: Option<Micros>,
+    ) -> Result<Call, CallError> {
+        self.begin_call(path, body, Opening { deadline, ..Opening::default() }).await
     }
 
     /// Makes a call whose request goes on: more messages follow by [`Call::send`].
@@ -218,16 +247,10 @@
     /// # Errors
     /// When the call could not even begin; it never ran then.
     pub async fn open(&self, path: &'static str, body: Bytes, headers: HeaderMap) -> Result<Call, CallError> {
-        self.begin_call(path, body, headers, true).await
+        self.begin_call(path, body, Opening { headers, more: true, ..Opening::default() }).await
     }
 
-    async fn begin_call(
-        &self,
-        path: &'static str,
-        body: Bytes,
-        headers: HeaderMap,
-        more: bool,
-    ) -> Result<Call, CallError> {
+    async fn begin_call(&self, path: &'static str, body: Bytes, opening: Opening) -> Result<Call, CallError> {
         let never = |cause| CallError { cause, never_ran: true };
         let broken = |e: h2::Error| never(Cause::Broken(e.to_string()));
         let mut send = self.send.clone().ready().await.map_err(broken)?;
@@ -240,7 +263,16 @@
             .path_and_query(path)
             .build()
             .map_err(|e| never(Cause::Broken(e.to_string())))?;
-        *request.headers_mut() = headers;
+        *request.headers_mut() = opening.headers;
+        if let Some(deadline) = opening.deadline {
+            let left = deadline.saturating_sub(self.world.now());
+            if left == 0 {
+                return Err(never(Cause::Late));
+            }
+            let value = HeaderValue::from_str(&encode_timeout(left));
+            let value = value.map_err(|e| never(Cause::Broken(e.to_string())))?;
+            request.headers_mut().insert(HeaderName::from_static(TIMEOUT_HEADER), value);
+        }
         let fixed = [("content-type", "application/grpc"), ("te", "trailers")];
         for (name, value) in fixed {
             request.headers_mut().insert(HeaderName::from_static(name), HeaderValue::from_static(value));
@@ -251,7 +283,7 @@
             stream: u32::from(upload.stream_id()),
             upload,
             body: Some(body),
-            more,
+            more: opening.more,
             answer: Answer::Awaited(response),
             decoder: Decoder::new(self.options.most_message),
             channel: self.clone(),
@@ -335,7 +367,8 @@
         CallError { cause, never_ran }
     }
 
-    fn poll_next<M: Message + Default>(
+    /// The next message, as [`Call::next`] returns it.
+    pub fn poll_message<M: Message + Default>(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Result<Option<M>, CallError>> {
@@ -409,7 +442,7 @@
     /// # Errors
     /// [`CallError`] when the call ended in any other way; it says whether the call provably never ran.
     pub async fn next<M: Message + Default>(&mut self) -> Result<Option<M>, CallError> {
-        poll_fn(|cx| self.poll_next(cx)).await
+        poll_fn(|cx| self.poll_message(cx)).await
     }
 
     /// Adds a message to the request of a call that was opened for more. It leaves in [`Call::next`].
@@ -422,13 +455,18 @@
 
     /// The next message if it is there already.
     pub async fn ready<M: Message + Default>(&mut self) -> Option<Result<Option<M>, CallError>> {
-        poll_fn(|cx| match self.poll_next(cx) {
+        poll_fn(|cx| match self.poll_message(cx) {
             Poll::Pending => Poll::Ready(None),
             Poll::Ready(next) => Poll::Ready(Some(next)),
         })
         .await
     }
 
+    /// Whether its whole request was handed to the connection.
+    pub fn uploaded(&self) -> bool {
+        self.body.is_none()
+    }
+
     /// Whether anything of it left the socket.
     pub fn left(&self) -> bool {
         self.channel.trace.left(self.stream)
--- a/crates/ivyward/src/engines/mod.rs
+++ b/crates/ivyward/src/engines/mod.rs
@@ -119,6 +119,8 @@
     pub state: Option<(LinkRef, u16)>,
     /// When it ends without a first token.
     pub until: Micros,
+    /// When the node ends the stream, if the client stated a time for the whole answer.
+    pub end_by: Option<Micros>,
     /// When it ends unless its last byte left: something is held meanwhile, and its time runs on.
     pub leave_by: Micros,
     pub(crate) stop: async_channel::Receiver<Stop>,
@@ -210,6 +212,8 @@
     pub request: u64,
     /// The attempt beside which it is asked for.
     pub attempt: u16,
+    /// When the client's time for a first token is over: a place is of no use from then on.
+    pub until: Micros,
     pub(crate) stopped: async_channel::Receiver<()>,
 }
 
--- a/crates/ivyward/src/node.rs
+++ b/crates/ivyward/src/node.rs
@@ -4,6 +4,7 @@
 use crate::metrics::Metrics;
 use crate::record::Recorder;
 use crate::request::answer::{Buffer, Failure, Final, Part, Refusal};
+use crate::request::clients::ClientConnections;
 use crate::request::driver::Driver;
 use crate::request::grpc::{Grpc, GrpcCall};
 use crate::request::notices::{Inbox, Notice, Taken};
@@ -14,7 +15,7 @@
 use ivyward_core::interface::{Arrival, Effect, ListKind, Micros, RequestId};
 use ivyward_core::planted::{self, Defect};
 use ivyward_proto::front::GenerateRequest;
-use ivyward_world::{WorldExt, WorldRef};
+use ivyward_world::{before, WorldExt, WorldRef};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -31,10 +32,15 @@
     Recording(#[from] std::io::Error),
 }
 
+/// How long answers that were given in the moment of a stop's end may take to their clients, in microseconds.
+const LAST_ANSWERS: Micros = 50_000;
+
 /// A running node. Clones are handles to the same one. It ends by [`Node::stop`], or with its world.
 #[derive(Clone)]
 pub struct Node {
     pub(crate) shared: Arc<Shared>,
+    /// What its listeners have accepted.
+    pub(crate) clients: Arc<ClientConnections>,
     inbox: Inbox,
     done: async_channel::Receiver<()>,
 }
@@ -87,7 +93,7 @@
             driver.run().await;
             drop(finished);
         });
-        Ok(Node { shared, inbox, done })
+        Ok(Node { shared, clients: Arc::default(), inbox, done })
     }
 
     /// Tells the node of engines, and returns when it took that in: from then on nothing new goes to one that
@@ -243,19 +249,29 @@
     }
 
     /// Takes nothing new, lets what is under way end for `within` microseconds at most, fails the rest, and returns
-    /// when the node is done.
+    /// when the node is done and its clients have their answers.
     pub async fn stop(&self, within: Micros) {
+        let by = self.shared.world.now().saturating_add(within);
         self.shared.stopping.store(true, Ordering::SeqCst);
         self.shared.stop_told.notify(usize::MAX);
-        self.inbox.tell(Notice::Stop { by: self.shared.world.now().saturating_add(within) });
+        self.inbox.tell(Notice::Stop { by });
         // Ends with an error when the driver is done.
         let _ = self.done.recv().await;
+        self.flush_answers(by).await;
         // Only now: until then it was still sending, and counts.
         if let Some(peers) = self.shared.peers.get() {
             peers.leave().await;
         }
     }
 
+    /// Waits until client connections have closed, which each does behind its last answer. Guards against a process that
+    /// ends while answers are on their way: a slow client would never get the end of its own.
+    async fn flush_answers(&self, by: Micros) {
+        let world = &self.shared.world;
+        let by = by.max(world.now().saturating_add(LAST_ANSWERS));
+        before(world, by, self.clients.all_closed()).await;
+    }
+
     pub(crate) fn tell(&self, notice: Notice) {
         self.inbox.tell(notice);
     }
--- a/crates/ivyward/src/request/answer.rs
+++ b/crates/ivyward/src/request/answer.rs
@@ -142,6 +142,16 @@
         wakers.into_iter().flatten().for_each(Waker::wake);
         true
     }
+    /// Ready when the request has its final answer. For the time before the answer begins: it takes the place of
+    /// [`Buffer::poll_room`].
+    pub(crate) fn poll_over(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut inner = self.lock();
+        if inner.end.is_some() {
+            return Poll::Ready(());
+        }
+        inner.writer = Some(cx.waker().clone());
+        Poll::Pending
+    }
     /// All items that wait, with the place of the first one in the answer, or the end.
     pub fn poll_items(&self, cx: &mut Context<'_>) -> Poll<Result<(u32, Vec<T>), Final>> {
         let mut inner = self.lock();
--- a/crates/ivyward/src/request/attempt.rs
+++ b/crates/ivyward/src/request/attempt.rs
@@ -6,14 +6,17 @@
 use crate::engines::link::{DialError, GrpcLink};
 use crate::engines::{End, Job, Stall, Stop, Woken};
 use crate::request::answer::{Buffer, Over};
-use futures_lite::future::or;
-use ivyward_core::interface::{Outcome, Report, ReportField};
+use futures_lite::future::{or, poll_fn};
+use ivyward_core::interface::{Micros, Outcome, Report, ReportField};
 use ivyward_core::planted::{self, Defect};
 use ivyward_proto::engine as pb;
 use ivyward_wire::{encode, Call, CallError, Cause};
 use prost::Message;
+use std::future::Future;
 use std::ops::Deref;
+use std::pin::pin;
 use std::sync::Arc;
+use std::task::Poll;
 
 /// What an attempt asks of its engine.
 pub(crate) enum Ask {
@@ -45,6 +48,33 @@
     }
 }
 
+impl Work {
+    /// When the engine's answer is of no use any more. A write may take as long as its client waits for the end, and has
+    /// no bound where the client stated none.
+    fn deadline(&self) -> Option<Micros> {
+        match self.ask {
+            Ask::Read(_) => Some(self.job.until),
+            Ask::Write(_) => self.job.end_by,
+        }
+    }
+}
+
+/// Goes on with what leads to a call, unless the request has its final answer first. Guards against an attempt that begins
+/// after its client left, where a connection comes up late and attempts may not be called off.
+async fn unless_over<T>(job: &Work, next: impl Future<Output = T>) -> Option<T> {
+    let mut next = pin!(next);
+    poll_fn(|cx| match job.buffer.poll_over(cx) {
+        Poll::Ready(()) => Poll::Ready(None),
+        Poll::Pending => next.as_mut().poll(cx).map(Some),
+    })
+    .await
+}
+
+/// Waits for what comes next, or the driver's word.
+async fn heeding<T>(job: &Work, next: impl Future<Output = T>) -> Woken<T> {
+    or(async { Woken::Next(next.await) }, async { Woken::Stopped(job.stopped().await) }).await
+}
+
 /// What a failed call counts as. Proofs that it never ran: it did not leave the socket (a failed connection),
 /// REFUSED_STREAM, or a GOAWAY below its stream (turned away). Everything else may have run: a break or reset after
 /// its bytes left, a status (which may come from anything between), bytes that are no message.
@@ -54,7 +84,7 @@
         (_, true) => Outcome::ConnectFailed,
         (Cause::Reset(_), false) if planted::is(Defect::ResetAsProof) => Outcome::Full,
         (Cause::Status(_), false) if planted::is(Defect::StatusAsProof) => Outcome::Full,
-        (Cause::Broken(_) | Cause::Reset(_), false) => Outcome::Reset,
+        (Cause::Broken(_) | Cause::Reset(_) | Cause::Late, false) => Outcome::Reset,
         (Cause::Status(_) | Cause::Frame(_), false) => Outcome::Error,
     }
 }
@@ -103,15 +133,13 @@
     if job.until <= world.now() {
         return End::new(Outcome::NotSent, "no time left");
     }
-    let channel = {
-        let dial = async { Woken::Next(job.link.channel(job.until.min(job.leave_by)).await) };
-        match or(dial, async { Woken::Stopped(job.stopped().await) }).await {
-            Woken::Next(Ok(channel)) => channel,
-            Woken::Next(Err(e @ (DialError::Failed(..) | DialError::Late(_)))) => {
-                return End::new(Outcome::ConnectFailed, e.to_string());
-            }
-            _ => return End::new(Outcome::NotSent, "called off before it was sent"),
+    let leave_by = job.until.min(job.leave_by);
+    let channel = match unless_over(job, heeding(job, job.link.channel(leave_by))).await {
+        Some(Woken::Next(Ok(channel))) => channel,
+        Some(Woken::Next(Err(e @ (DialError::Failed(..) | DialError::Late(_))))) => {
+            return End::new(Outcome::ConnectFailed, e.to_string());
         }
+        _ => return End::new(Outcome::NotSent, "called off before it was sent"),
     };
     // Told during the dial: nothing new goes to an engine that drains or is gone.
     if job.link.closing() && !planted::is(Defect::ClosingIgnored) {
@@ -121,16 +149,19 @@
         Ask::Read(read) => ("/ivyward.engine.v1.Engine/Read", encode(read)),
         Ask::Write(write) => ("/ivyward.engine.v1.Engine/Write", encode(write)),
     };
-    let mut call = match channel.call(path, body.clone(), http::HeaderMap::new()).await {
-        Ok(call) => call,
-        Err(e) => return End::new(Outcome::ConnectFailed, e.to_string()),
+    let deadline = job.deadline();
+    let mut call = match unless_over(job, channel.call_before(path, body.clone(), deadline)).await {
+        Some(Ok(call)) => call,
+        Some(Err(CallError { cause: Cause::Late, .. })) => return End::new(Outcome::NotSent, "no time left"),
+        Some(Err(e)) => return End::new(Outcome::ConnectFailed, e.to_string()),
+        None => return End::new(Outcome::NotSent, "the client left before it was sent"),
     };
     let mut end = match job.ask {
         Ask::Read(_) => read(job, &mut call).await,
         Ask::Write(_) => write(job, &mut call).await,
     };
     if planted::is(Defect::SentTwice) && matches!((&job.ask, end.outcome), (Ask::Write(_), Outcome::Reset)) {
-        if let Ok(again) = channel.call(path, body, http::HeaderMap::new()).await {
+        if let Ok(again) = channel.call_before(path, body, deadline).await {
             call = again;
             end = write(job, &mut call).await;
         }
@@ -149,7 +180,20 @@
 /// The first message, or the end of an attempt without one.
 async fn first<M: Message + Default>(job: &Work, call: &mut Call) -> Result<M, End> {
     let mut timer = job.shared.world.sleep_until(job.until);
-    match job.wait(&mut timer, call.next::<M>()).await {
+    // Guards against an attempt that begins after its client left: what is still leaving comes to its engine in parts.
+    let next = poll_fn(|cx| {
+        if !call.uploaded() && job.buffer.poll_over(cx).is_ready() {
+            return Poll::Ready(None);
+        }
+        call.poll_message::<M>(cx).map(Some)
+    });
+    let woken = match job.wait(&mut timer, next).await {
+        Woken::Next(Some(next)) => Woken::Next(next),
+        Woken::Next(None) => Woken::Stopped(Stop::GiveUp),
+        Woken::Stopped(stop) => Woken::Stopped(stop),
+        Woken::Late => Woken::Late,
+    };
+    match woken {
         Woken::Stopped(_) => Err(End::new(Outcome::Cancelled, "called off")),
         Woken::Late => Err(End::new(Outcome::TimedOut, "no answer in time")),
         Woken::Next(Err(e)) => Err(End::new(never_ran(&e, call.left()), e.to_string())),
@@ -271,7 +315,7 @@
 /// Once a stream has begun, nothing proves that it never ran.
 fn streaming(error: &CallError) -> Outcome {
     match error.cause {
-        Cause::Broken(_) | Cause::Reset(_) => Outcome::Reset,
+        Cause::Broken(_) | Cause::Reset(_) | Cause::Late => Outcome::Reset,
         Cause::Status(_) | Cause::Frame(_) => Outcome::Error,
     }
 }
--- a/crates/ivyward/src/request/door.rs
+++ b/crates/ivyward/src/request/door.rs
@@ -7,11 +7,10 @@
 use ivyward_core::interface::Micros;
 use ivyward_proto::front::front_server::{Front, FrontServer};
 use ivyward_proto::front::{GenerateRequest, Tokens};
+use ivyward_wire::{parse_timeout, TIMEOUT_HEADER};
 use ivyward_world::io::{Io, Tasks};
 use ivyward_world::{Listener, WorldExt};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tonic::metadata::{MetadataMap, MetadataValue};
@@ -26,26 +25,11 @@
 /// Bytes of encoded prompt for each token allowed: a varint of 32 bits has five at most.
 const TOKEN_BYTES: usize = 5;
 
-/// The patience that a call's `grpc-timeout` states: at most eight digits and a unit.
+/// The patience that a call's `grpc-timeout` states.
 fn grpc_timeout(metadata: &MetadataMap) -> Result<Option<Micros>, String> {
-    let Some(value) = metadata.get("grpc-timeout") else { return Ok(None) };
+    let Some(value) = metadata.get(TIMEOUT_HEADER) else { return Ok(None) };
     let text = value.to_str().map_err(|_| "grpc-timeout is not text".to_string())?;
-    let bad = || format!("grpc-timeout {text:?} is not up to eight digits and one of H M S m u n");
-    let unit_at = text.len().checked_sub(1).filter(|at| (1..=8).contains(at)).ok_or_else(bad)?;
-    let (digits, unit) = (text.get(..unit_at).ok_or_else(bad)?, text.get(unit_at..).ok_or_else(bad)?);
-    if !digits.bytes().all(|b| b.is_ascii_digit()) {
-        return Err(bad());
-    }
-    let number: u64 = digits.parse().map_err(|_| bad())?;
-    Ok(Some(match unit {
-        "H" => number * 3_600_000_000,
-        "M" => number * 60_000_000,
-        "S" => number * 1_000_000,
-        "m" => number * 1_000,
-        "u" => number,
-        "n" => number / 1_000,
-        _ => return Err(bad()),
-    }))
+    parse_timeout(text).map(Some).map_err(|e| e.to_string())
 }
 
 /// A final answer as a gRPC status; served ones are OK.
@@ -149,7 +133,6 @@
     /// call is answered.
     pub async fn serve(&self, mut listener: Box<dyn Listener>) {
         let world = self.shared.world.clone();
-        let clients = Arc::new(AtomicUsize::new(0));
         let most = self.shared.settings.most_prompt * TOKEN_BYTES + (64 << 10);
         let service = FrontServer::new(Service(self.clone())).max_decoding_message_size(most);
         loop {
@@ -167,13 +150,11 @@
                     continue;
                 }
             };
-            if clients.fetch_add(1, Ordering::SeqCst) >= self.shared.settings.most_clients {
-                clients.fetch_sub(1, Ordering::SeqCst);
+            let Some(counted) = self.clients.admit(self.shared.settings.most_clients) else {
                 self.shared.metrics.clients_turned_away.add(1);
                 continue;
-            }
-            let (service, clients, node) =
-                (TowerToHyperService::new(service.clone()), clients.clone(), self.clone());
+            };
+            let (service, node) = (TowerToHyperService::new(service.clone()), self.clone());
             let tasks = Tasks(world.clone());
             world.run(async move {
                 let mut builder = hyper::server::conn::http2::Builder::new(tasks);
@@ -195,7 +176,7 @@
                     // Errors concern this client alone.
                     let _ = connection.await;
                 }
-                clients.fetch_sub(1, Ordering::SeqCst);
+                drop(counted);
             });
         }
     }
--- a/crates/ivyward/src/request/driver.rs
+++ b/crates/ivyward/src/request/driver.rs
@@ -55,6 +55,12 @@
     }
 }
 
+/// When a request whose time is over at `by` gets its answer whatever the module and the attempts do: half the margin before
+/// its client's patience ends.
+fn final_deadline(shared: &Shared, by: Micros) -> Micros {
+    by.saturating_add(shared.settings.answer_margin / 2)
+}
+
 pub(crate) struct Driver {
     shared: Arc<Shared>,
     protocol: Arc<dyn Protocol>,
@@ -330,7 +336,7 @@
         let id = arrival.id.0;
         // The module's time ends at once with ours, whenever this notice was taken up.
         arrival.patience = taken.first_by.saturating_sub(now);
-        let deadline = self.backstop(taken.first_by);
+        let deadline = final_deadline(&self.shared, taken.first_by);
         self.deadlines.insert((deadline, id));
         let open = Open {
             taken,
@@ -353,11 +359,6 @@
         self.sweep(id);
     }
 
-    /// When a client gets its answer whatever the module and the attempts do: half the margin before its end.
-    fn backstop(&self, by: Micros) -> Micros {
-        by.saturating_add(self.shared.settings.answer_margin / 2)
-    }
-
     fn on_gone(&mut self, id: u64) {
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
         if planted::is(Defect::LeavingIgnored) && !open.streaming && id % 4 == 0 {
@@ -385,9 +386,8 @@
         open.holds.clear();
         self.deadlines.remove(&(open.deadline, id));
         // From now on only the call's own deadline counts; first_by is that less the margin.
-        open.deadline = open.taken.end_by.unwrap_or(Micros::MAX);
+        open.deadline = open.taken.end_by.map_or(Micros::MAX, |by| final_deadline(&self.shared, by));
         if open.deadline != Micros::MAX {
-            open.deadline = open.deadline.saturating_add(self.shared.settings.answer_margin / 2);
             self.deadlines.insert((open.deadline, id));
         }
         // What the writer fetched or took is let go by that; the rest is let go now.
@@ -580,13 +580,28 @@
         let attempt = Attempt { link: found.clone().map(|f| f.0), reads, out: true, stop: stop_tx };
         let job = found.filter(|_| !ill).map(|(link, _)| {
             let first_by = open.taken.first_by;
+            // The engine is told when this node will end the stream, so that it never does so first.
+            let end_by = open.taken.end_by.map(|by| final_deadline(&shared, by));
             let until = if timeout == 0 { first_by } else { first_by.min(now.saturating_add(timeout)) };
             let leave_by = if leave_by == 0 { until } else { until.min(leave_by) };
             let (shared, call) = (shared.clone(), open.taken.call.clone());
             let state = open.state.clone().filter(|_| !reads);
             let inbox = self.inbox.clone();
             let first = Box::new(move || inbox.tell(Notice::First(id, no)));
-            (link, Job { shared, call, request: id, attempt: no, reads, state, until, leave_by, stop, first })
+            let job = Job {
+                shared,
+                call,
+                request: id,
+                attempt: no,
+                reads,
+                state,
+                until,
+                end_by,
+                leave_by,
+                stop,
+                first,
+            };
+            (link, job)
         });
         // Guards against places that outlast their request: a writer takes the one that was held beside the read whose
         // state it fetches. It knows nothing of one held beside a read that failed, and a hold whose answer is not
@@ -646,8 +661,10 @@
         open.holds.push(stop);
         self.shared.owe(1);
         let (shared, call, inbox) = (self.shared.clone(), open.taken.call.clone(), self.inbox.clone());
+        let until = open.taken.first_by;
         shared.world.clone().run(async move {
-            let job = HoldJob { shared: shared.clone(), call: call.clone(), request: id, attempt, stopped };
+            let job =
+                HoldJob { shared: shared.clone(), call: call.clone(), request: id, attempt, until, stopped };
             let held = link.clone().hold(job).await;
             inbox.tell(Notice::Place { request: id, attempt, link, call, held });
         });
--- a/crates/ivyward/src/request/grpc.rs
+++ b/crates/ivyward/src/request/grpc.rs
@@ -180,7 +180,7 @@
 /// for a connection is never sent, one that has left is let go of at once.
 async fn hold(link: &Arc<GrpcLink>, body: bytes::Bytes, job: &HoldJob) -> Held {
     let shared = &job.shared;
-    let until = shared.world.now().saturating_add(2 * shared.settings.dial_timeout);
+    let until = job.until.min(shared.world.now().saturating_add(2 * shared.settings.dial_timeout));
     let dialed = or(async { link.channel(until).await.ok() }, async {
         job.over().await;
         None
@@ -191,7 +191,7 @@
         return Held::No;
     }
     let path = "/ivyward.engine.v1.Engine/Hold";
-    let Ok(mut call) = channel.call(path, body, http::HeaderMap::new()).await else { return Held::No };
+    let Ok(mut call) = channel.call_before(path, body, Some(until)).await else { return Held::No };
     let reply = or(async { before(&shared.world, until, call.next::<pb::HoldReply>()).await }, async {
         job.over().await;
         None
@@ -222,7 +222,7 @@
 ) -> Option<M> {
     let until = world.now().saturating_add(2 * shared.settings.dial_timeout);
     let channel = link.channel(until).await.ok()?;
-    let mut call = channel.call(path, body, http::HeaderMap::new()).await.ok()?;
+    let mut call = channel.call_before(path, body, Some(until)).await.ok()?;
     let reply = before(world, until, call.next::<M>()).await;
     drop(call);
     link.call_ended();
--- a/crates/ivyward/src/request/mod.rs
+++ b/crates/ivyward/src/request/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub(crate) mod attempt;
+pub(crate) mod clients;
 pub mod door;
 pub(crate) mod driver;
 pub(crate) mod grpc;
--- a/crates/ivywardd/src/main.rs
+++ b/crates/ivywardd/src/main.rs
@@ -124,8 +124,6 @@
         }
         info!(open = node.open(), within_us = flags.stop_within, "stopping");
         node.stop(flags.stop_within).await;
-        // The last answers are on their way to their clients.
-        world.sleep(50_000).await;
     });
     info!("stopped");
     smol.stop();
