A node counts its traffic by kind of peer; its connections can be opened ahead

Change: ivyward-world::metered is a world whose handles count bytes, messages, connections and the time that their tasks are polled. Connections to engines, the list's and the peers' store clients, datagrams and clients each go through one; the admin port tells them as ivyward_traffic_*, ivyward_connections and ivyward_connections_opened_total by part. Node::open_connections asks listed engines how they are, 32 at once, which leaves a connection to each; the module is told nothing. Not on the platform's side, whose connections do not go through it.

--- a/crates/ivyward-world/src/lib.rs
+++ b/crates/ivyward-world/src/lib.rs
@@ -2,14 +2,17 @@
 //!
 //! - [`World`]: what a node, an engine stand-in or a client may ask of its surroundings.
 //! - [`SmolWorld`]: the real surroundings, on async-io and async-executor.
+//! - [`metered`]: the same world, with what goes through a handle counted.
 //! - [`io`]: the same connections under the I/O traits of hyper and h2.
 //!
 //! Nothing above this package names a socket, a timer or a clock of the system, so that a virtual clock and a
 //! virtual network can drive the very same code.
 
 pub mod io;
+mod metered;
 mod smol;
 
+pub use metered::{metered, Meter, Usage};
 pub use smol::SmolWorld;
 
 use futures_lite::{AsyncRead, AsyncWrite};
--- a/crates/ivyward/src/membership/follow.rs
+++ b/crates/ivyward/src/membership/follow.rs
@@ -13,7 +13,7 @@
 use ivyward_core::starts::Starts;
 pub use ivyward_etcd::EtcdOptions;
 use ivyward_etcd::{mvccpb, Client, Notice};
-use ivyward_world::{before, WorldExt, WorldRef};
+use ivyward_world::{before, metered, WorldExt, WorldRef};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -148,7 +148,7 @@
 impl Node {
     /// Follows engines until the node stops. While the store cannot be reached the last list stands.
     pub async fn follow(&self, follow: Follow) {
-        let world = self.shared.world.clone();
+        let world = metered(&self.shared.world, &self.shared.metrics.list_traffic);
         let mut follower = Follower {
             client: Client::new(&world, follow.endpoints.clone(), follow.etcd.clone()),
             decider: Membership::new(MembershipSettings {
--- a/crates/ivyward/src/metrics.rs
+++ b/crates/ivyward/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Plain counters, and their text form for whoever scrapes them.
 
 use ivyward_core::interface::Outcome;
+use ivyward_world::Meter;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 
 /// A number that only this node changes.
 #[derive(Debug, Default)]
@@ -80,6 +82,14 @@
     pub peer_changes: Counter,
     /// Client connections turned away at the door's bound.
     pub clients_turned_away: Counter,
+    /// Connections to engines.
+    pub engine_traffic: Arc<Meter>,
+    /// The store, as far as the list of engines goes.
+    pub list_traffic: Arc<Meter>,
+    /// Other nodes.
+    pub peer_traffic: Arc<Meter>,
+    /// Clients.
+    pub client_traffic: Arc<Meter>,
 }
 
 /// How attempts end, as the metrics name it.
@@ -144,6 +154,32 @@
         for (counter, (_, name)) in self.outcomes.iter().zip(OUTCOMES) {
             let _ = writeln!(out, "ivyward_attempt_ends_total{{outcome=\"{name}\"}} {}", counter.get());
         }
+        self.traffic_text(&mut out);
         out
     }
+    /// What goes to and comes from each kind of peer, and what its tasks cost.
+    fn traffic_text(&self, out: &mut String) {
+        let parts = [
+            ("engines", &self.engine_traffic),
+            ("list", &self.list_traffic),
+            ("peers", &self.peer_traffic),
+            ("clients", &self.client_traffic),
+        ];
+        for (part, meter) in parts {
+            let usage = meter.usage();
+            let lines = [
+                ("traffic_bytes_total", ",way=\"in\"", usage.bytes_in),
+                ("traffic_bytes_total", ",way=\"out\"", usage.bytes_out),
+                ("traffic_messages_total", ",way=\"in\"", usage.reads),
+                ("traffic_messages_total", ",way=\"out\"", usage.writes),
+                ("traffic_busy_us_total", "", usage.busy),
+                ("connections", "", usage.open),
+                ("connections_opened_total", "", usage.opened),
+            ];
+            for (name, way, value) in lines {
+                // Writing to a String cannot fail.
+                let _ = writeln!(out, "ivyward_{name}{{part=\"{part}\"{way}}} {value}");
+            }
+        }
+    }
 }
--- a/crates/ivyward/src/node.rs
+++ b/crates/ivyward/src/node.rs
@@ -32,6 +32,8 @@
     Recording(#[from] std::io::Error),
 }
 
+/// Engines that are asked at once how they are.
+const PROBES_AT_ONCE: usize = 32;
 /// How long answers that were given in the moment of a stop's end may take to their clients, in microseconds.
 const LAST_ANSWERS: Micros = 50_000;
 
@@ -276,6 +278,31 @@
         self.inbox.tell(notice);
     }
 
+    /// Asks the first `most` engines of the list, by their ids, how they are, which leaves a connection to each. How many
+    /// answered. For measurements and for warming a node up before it takes requests; the module is told nothing.
+    pub async fn open_connections(&self, most: usize) -> usize {
+        let (reply, links) = async_channel::bounded(1);
+        self.inbox.tell(Notice::Links(reply));
+        // An error means that the node ended.
+        let links = links.recv().await.unwrap_or_default();
+        let mut answered = 0;
+        for some in links[..most.min(links.len())].chunks(PROBES_AT_ONCE) {
+            let (tell, told) = async_channel::bounded(PROBES_AT_ONCE);
+            for link in some {
+                let (link, shared, tell) = (link.clone(), self.shared.clone(), tell.clone());
+                self.shared.world.run(async move {
+                    let (alive, _) = link.probe(shared).await;
+                    let _ = tell.try_send(alive);
+                });
+            }
+            drop(tell);
+            while let Ok(alive) = told.recv().await {
+                answered += usize::from(alive);
+            }
+        }
+        answered
+    }
+
     /// Writes what was recorded so far through to its file.
     pub async fn flush_recording(&self) {
         let (done, wait) = async_channel::bounded(1);
--- a/crates/ivyward/src/peers/mod.rs
+++ b/crates/ivyward/src/peers/mod.rs
@@ -17,7 +17,7 @@
 use ivyward_core::peers::{Card, Out, PeerId, PeerSettings, Peers, Standing};
 use ivyward_core::planted::{self, Defect};
 use ivyward_etcd::EtcdOptions;
-use ivyward_world::{Datagrams, WorldExt, MOST_DATAGRAM};
+use ivyward_world::{metered, Datagrams, WorldExt, MOST_DATAGRAM};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tracing::{error, info, warn};
@@ -272,7 +272,7 @@
     /// [`PeerError`].
     pub fn peers(&self, options: PeerOptions) -> Result<PeersHandle, PeerError> {
         options.check()?;
-        let world = self.shared.world.clone();
+        let world = metered(&self.shared.world, &self.shared.metrics.peer_traffic);
         let listen = options.listen;
         let socket = world.datagrams(listen).map_err(|error| PeerError::Listen { address: listen, error })?;
         let address = socket.address();
--- a/crates/ivyward/src/peers/records.rs
+++ b/crates/ivyward/src/peers/records.rs
@@ -6,7 +6,7 @@
 use ivyward_core::interface::Micros;
 use ivyward_core::peers::{Card, PeerId};
 use ivyward_etcd::{mvccpb, Client, EtcdError, Kept, Notice};
-use ivyward_world::{before, WorldExt, WorldRef};
+use ivyward_world::{before, metered, WorldExt, WorldRef};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -110,7 +110,7 @@
 
 /// Writes this node's record and follows those of the others, until the node ends.
 pub(crate) fn begin(node: &Node, store: &PeerStore, me: Card, orders: async_channel::Sender<Order>) {
-    let world = node.shared.world.clone();
+    let world = metered(&node.shared.world, &node.shared.metrics.peer_traffic);
     let client = |world: &WorldRef| Client::new(world, store.endpoints.clone(), store.etcd.clone());
     let keeper = client(&world);
     let (key, seconds) = (NodeRecord::key(&store.prefix, me.id), store.lease);
--- a/crates/ivyward/src/request/door.rs
+++ b/crates/ivyward/src/request/door.rs
@@ -9,7 +9,7 @@
 use ivyward_proto::front::{GenerateRequest, Tokens};
 use ivyward_wire::{parse_timeout, TIMEOUT_HEADER};
 use ivyward_world::io::{Io, Tasks};
-use ivyward_world::{Listener, WorldExt};
+use ivyward_world::{metered, Listener, WorldExt};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -132,7 +132,8 @@
     /// Serves gRPC on a listener until the node stops: then it closes the door, and each connection once its last
     /// call is answered.
     pub async fn serve(&self, mut listener: Box<dyn Listener>) {
-        let world = self.shared.world.clone();
+        let traffic = &self.shared.metrics.client_traffic;
+        let world = metered(&self.shared.world, traffic);
         let most = self.shared.settings.most_prompt * TOKEN_BYTES + (64 << 10);
         let service = FrontServer::new(Service(self.clone())).max_decoding_message_size(most);
         loop {
@@ -142,7 +143,7 @@
             });
             let conn = match accepted.await {
                 None => return,
-                Some(Ok((conn, _))) => conn,
+                Some(Ok((conn, _))) => traffic.watch(conn),
                 Some(Err(e)) => {
                     // Out of descriptors, most likely: a pause lets some come free.
                     debug!(error = %e, "a connection could not be accepted");
--- a/crates/ivyward/src/request/driver.rs
+++ b/crates/ivyward/src/request/driver.rs
@@ -244,6 +244,10 @@
                 self.flush();
                 let _ = done.try_send(());
             }
+            Notice::Links(reply) => {
+                // The one who asked may have left.
+                let _ = reply.try_send(self.links.values().map(|(link, _)| link.clone()).collect());
+            }
         }
     }
 
--- a/crates/ivyward/src/request/grpc.rs
+++ b/crates/ivyward/src/request/grpc.rs
@@ -11,7 +11,7 @@
 use ivyward_core::planted::{self, Defect};
 use ivyward_proto::engine as pb;
 use ivyward_wire::encode;
-use ivyward_world::{before, BoxFuture, WorldExt, WorldRef};
+use ivyward_world::{before, metered, BoxFuture, WorldExt, WorldRef};
 use std::any::Any;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,7 +43,8 @@
 
 impl Protocol for Grpc {
     fn link(&self, shared: &Arc<Shared>, engine: &Engine) -> LinkRef {
-        GrpcLink::new(&shared.world, engine.entry.id, engine.address, &shared.settings)
+        let world = metered(&shared.world, &shared.metrics.engine_traffic);
+        GrpcLink::new(&world, engine.entry.id, engine.address, &shared.settings)
     }
     fn one_by_one(&self) -> bool {
         true
--- a/crates/ivyward/src/request/notices.rs
+++ b/crates/ivyward/src/request/notices.rs
@@ -49,6 +49,8 @@
         by: Micros,
     },
     Flush(async_channel::Sender<()>),
+    /// Who asks wants the links to all engines in the list.
+    Links(async_channel::Sender<Vec<LinkRef>>),
 }
 
 /// The way to the driver. It holds at most a few notices for each open request (its arrival, its end, and each attempt's
