ivyward-lab scale and capacity: what each role uses, and what a size takes

The operators' size (350 nodes, 1,100 engines) fits on no machine here, so what a role uses has to be known by slopes.

Bounded in processes, descriptors, memory and time, checked before anything starts. `--vary` plays one of eight quantities alone at six sizes, draws lines by least squares through four and compares two with them. What is read: /proc, and each process's own counters by part.

--- a/crates/ivyward-lab/src/cluster/process.rs
+++ b/crates/ivyward-lab/src/cluster/process.rs
@@ -91,10 +91,21 @@
     /// # Errors
     /// [`ClusterError`] with what it said instead.
     pub fn start(binary: &Path, flags: &[String], key: &str) -> Result<Process, ClusterError> {
+        Process::start_with(binary, flags, Some(key))
+    }
+    /// The same, for one that speaks to its peers without a key.
+    ///
+    /// # Errors
+    /// As for [`Process::start`].
+    pub fn start_without_key(binary: &Path, flags: &[String]) -> Result<Process, ClusterError> {
+        Process::start_with(binary, flags, None)
+    }
+
+    fn start_with(binary: &Path, flags: &[String], key: Option<&str>) -> Result<Process, ClusterError> {
         let failed = |what: String| ClusterError::Start { program: binary.display().to_string(), what };
         let mut child = Command::new(binary)
             .env_clear()
-            .env("IVYWARD_PEER_KEY", key)
+            .envs(key.map(|key| ("IVYWARD_PEER_KEY", key)))
             .args(flags)
             .args(["--listen=127.0.0.1:0", "--admin=127.0.0.1:0", "--threads=1", "--log-format=json"])
             .stdin(Stdio::null())
@@ -143,6 +154,10 @@
         Ok(Process { child, door, admin, run, lines })
     }
 
+    /// Its number, for /proc.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
     fn signal(&self, signal: Signal) {
         // It is our own child and was not waited for, so its number is still its own.
         if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
--- a/crates/ivyward-lab/src/lib.rs
+++ b/crates/ivyward-lab/src/lib.rs
@@ -5,15 +5,18 @@
 //! - [`load`]: sessions and their turns.
 //! - [`badday`]: plays a plan under a load and reports.
 //! - [`byhand`]: a fleet to try a daemon with, and one request.
+//! - [`capacity`]: what a deployment of a size takes, from slopes that scale runs kept.
 //! - [`cluster`]: daemons as processes, a relay on each directed link, faults between them.
 //! - [`drains`]: how soon a node follows a notice, and what a change costs.
 //! - [`enlist`]: writes engines' records into etcd.
 //! - [`peernet`]: many peers on a network of datagrams in virtual time, and what is measured there.
 //! - [`peerscene`]: peers in the whole scenes of `seeds`.
 //! - [`relay`]: what a node adds to a stream.
+//! - [`scale`]: what each role uses as a deployment grows.
 
 pub mod badday;
 pub mod byhand;
+pub mod capacity;
 pub mod cluster;
 pub mod drains;
 pub mod enlist;
@@ -22,5 +25,6 @@
 pub mod peerscene;
 pub mod plan;
 pub mod relay;
+pub mod scale;
 pub mod scene;
 pub mod seeds;
--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -155,6 +155,23 @@
         #[arg(long, value_name = "FILE")]
         keep: Option<PathBuf>,
     },
+    /// Plays a scale run on processes of this machine: hollow nodes and engines beside daemons with requests through them, and
+    /// what each role uses. Or, with --vary, one quantity alone at several sizes.
+    Scale {
+        #[command(flatten)]
+        flags: ivyward_lab::scale::command::ScaleFlags,
+    },
+    /// Works out what a deployment of a size takes, from slopes that scale runs kept; without flags, of the size to plan for.
+    Capacity {
+        #[command(flatten)]
+        flags: ivyward_lab::capacity::command::CapacityFlags,
+    },
+    /// A hollow process of a scale run, which starts it.
+    #[command(name = ivyward_lab::scale::child::SUBCOMMAND, hide = true)]
+    Hollow {
+        /// What it is, as JSON.
+        role: String,
+    },
     /// Plays scenes in a virtual world, one a seed, under faults drawn from it, and checks the rules.
     Seeds {
         /// The first seed.
@@ -305,6 +322,12 @@
     },
 }
 
+/// Runs a hollow process of a scale run.
+fn hollow(role: &str) -> Result<(), String> {
+    let role = serde_json::from_str(role).map_err(|e| format!("{role:?}: {e}"))?;
+    ivyward_lab::scale::hollow::run(role).map_err(|e| e.to_string())
+}
+
 /// Where the store is.
 #[derive(clap::Args)]
 struct StoreFlags {
@@ -439,6 +462,15 @@
                 _ => Ok(ExitCode::SUCCESS),
             }
         }
+        What::Scale { flags } => flags.play().map(|()| ExitCode::SUCCESS).map_err(|e| e.to_string()),
+        What::Capacity { flags } => {
+            let answer = flags.answer().map_err(|e| e.to_string());
+            answer.map(|text| {
+                print!("{text}");
+                ExitCode::SUCCESS
+            })
+        }
+        What::Hollow { role } => hollow(&role).map(|()| ExitCode::SUCCESS),
         What::Cluster { daemon, seed, nodes, engines, episodes, plan, store, keep } => {
             let size = cluster::Size {
                 nodes: nodes as usize,
--- /dev/null
+++ b/crates/ivyward-lab/src/scale/command.rs
@@ -0,0 +1,165 @@
+//! The `scale` subcommand: its flags, and its report as text.
+
+use crate::scale::run::{run, Part, Report};
+use crate::scale::size::Size;
+use crate::scale::stage::Programs;
+use crate::scale::sweep::{sweep, Quantity, Sweep};
+use crate::scale::ScaleError;
+use serde::Serialize;
+use std::path::{Path, PathBuf};
+
+/// The flags of a scale run.
+#[derive(Debug, clap::Args)]
+pub struct ScaleFlags {
+    /// Hollow nodes, the measured one among them.
+    #[arg(long, default_value_t = 10)]
+    nodes: u64,
+    /// Hollow engines.
+    #[arg(long, default_value_t = 40)]
+    engines: u64,
+    /// Daemons that take requests.
+    #[arg(long, default_value_t = 1)]
+    real_nodes: u64,
+    /// Connections that the measured hollow node opens and keeps; one to each engine if left out.
+    #[arg(long)]
+    connections: Option<u64>,
+    /// Tenants that nodes are told of.
+    #[arg(long, default_value_t = 10)]
+    tenants: u64,
+    /// Request classes that nodes are told of.
+    #[arg(long, default_value_t = 4)]
+    classes: u64,
+    /// Sessions of requests at each daemon.
+    #[arg(long, default_value_t = 200)]
+    sessions: u64,
+    /// Requests a second at each daemon.
+    #[arg(long, default_value_t = 4.0)]
+    rate: f64,
+    /// Seconds that each part is measured.
+    #[arg(long, default_value_t = 5)]
+    seconds: u64,
+    /// Feeds all choices.
+    #[arg(long, env = "IVYWARD_LAB_SEED", default_value_t = 1)]
+    seed: u64,
+    /// Varies one quantity alone instead, at sizes of its own, and draws lines through what each role used.
+    #[arg(long)]
+    vary: Option<Quantity>,
+    /// Plays of each size, with --vary.
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=20))]
+    plays: u64,
+    /// Keeps the report in this file, as JSON.
+    #[arg(long, value_name = "FILE")]
+    keep: Option<PathBuf>,
+    /// The daemon's program; the one beside this program if left out.
+    #[arg(long, value_name = "PATH")]
+    daemon: Option<PathBuf>,
+}
+
+impl ScaleFlags {
+    fn size(&self) -> Size {
+        Size {
+            nodes: self.nodes,
+            engines: self.engines,
+            real_nodes: self.real_nodes,
+            connections: self.connections.unwrap_or(self.engines),
+            tenants: self.tenants,
+            classes: self.classes,
+            sessions: self.sessions,
+            rate: self.rate,
+            changes: 0,
+            seconds: self.seconds,
+            seed: self.seed,
+        }
+    }
+
+    fn programs(&self) -> Result<Programs, ScaleError> {
+        let lab = std::env::current_exe().map_err(ScaleError::io("finding this program"))?;
+        let daemon = self.daemon.clone().unwrap_or_else(|| lab.with_file_name("ivywardd"));
+        Ok(Programs { lab, daemon })
+    }
+
+    /// Plays it, prints what came of it, and keeps it where that was asked for.
+    ///
+    /// # Errors
+    /// When the size is out of bounds, or something did not come about.
+    pub fn play(&self) -> Result<(), ScaleError> {
+        let programs = self.programs()?;
+        if let Some(quantity) = self.vary {
+            let told = |value, play| eprintln!("{} {value}, play {play}", quantity.name());
+            let swept = sweep(quantity, self.plays, &programs, told)?;
+            print!("{}", sweep_text(&swept));
+            return self.keep(&swept);
+        }
+        let report = run(self.size(), programs)?;
+        print!("{}", report_text(&report));
+        self.keep(&report)
+    }
+
+    fn keep(&self, what: &impl Serialize) -> Result<(), ScaleError> {
+        let Some(path) = &self.keep else { return Ok(()) };
+        write_json(path, what)
+    }
+}
+
+/// Writes a report as JSON.
+///
+/// # Errors
+/// When the file cannot be written.
+pub fn write_json(path: &Path, what: &impl Serialize) -> Result<(), ScaleError> {
+    let text = serde_json::to_string_pretty(what).map_err(|e| ScaleError::Process(e.to_string()))?;
+    std::fs::write(path, text + "\n").map_err(ScaleError::io(path.display().to_string()))
+}
+
+fn part_text(part: &Part) -> String {
+    let mut text = format!("{}\n", part.name);
+    for (what, took) in &part.took_ms {
+        text += &format!("  {what}: {took:.0} ms\n");
+    }
+    for (role, rates) in &part.roles {
+        text += &format!(
+            "  {role:<8} {:6.2}% of a core  {:8.0} KiB  {:6.0} descriptors",
+            rates.core_percent, rates.resident_kib, rates.descriptors
+        );
+        for (name, part) in &rates.parts {
+            text += &format!(
+                "  {name} {:.0} B/s in, {:.0} out, {:.2}%",
+                part.bytes_in, part.bytes_out, part.busy_percent
+            );
+        }
+        text.push('\n');
+    }
+    if let Some(seen) = &part.clients {
+        text += &format!(
+            "  clients: {} requests ended, {} served, {} refused, {} failed, {} tokens, first token {:.0} ms, 95 in 100 {:.0} ms\n",
+            seen.requests, seen.served, seen.refused, seen.failed, seen.tokens, seen.first_token_ms[0], seen.first_token_ms[1]
+        );
+    }
+    text
+}
+
+fn report_text(report: &Report) -> String {
+    report.parts.iter().map(part_text).collect()
+}
+
+fn sweep_text(swept: &Sweep) -> String {
+    let mut text = String::new();
+    for (role, fits) in &swept.fits {
+        for (figure, fit) in fits {
+            text += &format!(
+                "{role}.{figure}: {:.4} a {} and {:.2}, residual {:.3};",
+                fit.slope,
+                swept.quantity.name(),
+                fit.intercept,
+                fit.residual
+            );
+            for p in &fit.predictions {
+                text += &format!(
+                    " at {} predicted {:.2}, measured {:.2} ({:+.0}%);",
+                    p.size, p.predicted, p.measured, p.error_percent
+                );
+            }
+            text.push('\n');
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/ivyward-lab/src/scale/load.rs
@@ -0,0 +1,149 @@
+//! Requests at a steady rate, through the daemons of a run, and what their clients saw.
+
+use crate::scale::stage::Stage;
+use crate::scale::ScaleError;
+use hdrhistogram::Histogram;
+use ivyward_proto::front::GenerateRequest;
+use ivyward_standins::sight::{Effect, Heard};
+use ivyward_standins::{Ask, Client, End, Habit, Log};
+use ivyward_world::{Micros, WorldExt, WorldRef};
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Output tokens that a request asks for. Stand-in engines answer with half to all of them: 306 in the mean, the target's.
+const OUTPUT_TOKENS: u32 = 408;
+/// Prompt tokens of a request.
+const PROMPT_TOKENS: u64 = 200;
+/// How long clients wait for the whole answer.
+const PATIENCE: Micros = 60_000_000;
+
+/// What clients saw.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Requests that ended.
+    pub requests: u64,
+    /// Those that were served.
+    pub served: u64,
+    /// Those that were refused.
+    pub refused: u64,
+    /// Those that failed, or had no answer.
+    pub failed: u64,
+    /// Output tokens that came.
+    pub tokens: u64,
+    /// Time to the first token, in milliseconds: the median, and for 95 in 100.
+    pub first_token_ms: [f64; 2],
+}
+
+struct Tally {
+    seen: Seen,
+    first: Histogram<u64>,
+}
+
+/// Clients that send at a rate; dropping it stops new requests.
+pub struct Load {
+    tally: Arc<Mutex<Tally>>,
+    _stop: async_channel::Sender<()>,
+}
+
+fn lock(tally: &Mutex<Tally>) -> MutexGuard<'_, Tally> {
+    tally.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn histogram() -> Result<Histogram<u64>, ScaleError> {
+    Histogram::new_with_max(PATIENCE, 3).map_err(|e| ScaleError::Process(e.to_string()))
+}
+
+impl Load {
+    /// Begins to send `rate` requests a second to each daemon, in so many sessions.
+    ///
+    /// # Errors
+    /// When a daemon cannot be reached.
+    pub fn start(stage: &Stage, rate: f64, sessions: u64) -> Result<Load, ScaleError> {
+        let world: WorldRef = stage.world.clone();
+        let tally = Arc::new(Mutex::new(Tally { seen: Seen::default(), first: histogram()? }));
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        for (number, real) in stage.real.iter().enumerate() {
+            let log = Log::forgetful(&world);
+            let client = stage.world.block_on(Client::connect(&world, &log, real.door));
+            let client = client.map_err(ScaleError::io("connecting to a daemon"))?;
+            let one = Sender { world: world.clone(), client, tally: tally.clone(), rate, sessions };
+            let stopped = stopped.clone();
+            world.run(async move {
+                let until = async {
+                    // Ends when the load is dropped.
+                    let _ = stopped.recv().await;
+                };
+                futures_lite::future::or(one.send_all(number as u64 + 1), until).await;
+            });
+        }
+        Ok(Load { tally, _stop: stop })
+    }
+
+    /// What clients saw since this was asked last.
+    ///
+    /// # Errors
+    /// When there is no memory for the next figures.
+    pub fn take(&self) -> Result<Seen, ScaleError> {
+        let fresh = Tally { seen: Seen::default(), first: histogram()? };
+        let tally = std::mem::replace(&mut *lock(&self.tally), fresh);
+        let at = |quantile| tally.first.value_at_quantile(quantile) as f64 / 1e3;
+        Ok(Seen { first_token_ms: [at(0.5), at(0.95)], ..tally.seen })
+    }
+}
+
+struct Sender {
+    world: WorldRef,
+    client: Client,
+    tally: Arc<Mutex<Tally>>,
+    rate: f64,
+    sessions: u64,
+}
+
+impl Sender {
+    /// Sends at even pauses, whatever becomes of what was sent before.
+    async fn send_all(&self, node: u64) {
+        let pause = (1e6 / self.rate) as Micros;
+        let mut at = self.world.now();
+        for number in 0.. {
+            let (client, tally, ask) = (self.client.clone(), self.tally.clone(), self.ask(node, number));
+            self.world.run(async move {
+                let end = client.ask(&ask).await;
+                count(&tally, &end);
+            });
+            at += pause;
+            self.world.sleep_until(at).await;
+        }
+    }
+
+    fn ask(&self, node: u64, number: u64) -> Ask {
+        let call = node << 32 | number;
+        let session = number % self.sessions;
+        // A session's prompts have the same beginning.
+        let words = (0..PROMPT_TOKENS).map(|i| (session * 1_000 + i) as u32);
+        let last = [number as u32];
+        let request = GenerateRequest {
+            prompt: words.chain(last).collect(),
+            max_output_tokens: OUTPUT_TOKENS,
+            session: format!("{node}-{session}"),
+            call_id: call,
+            ..GenerateRequest::default()
+        };
+        let habit = Habit { patience: PATIENCE, ..Habit::default() };
+        Ask { request, operation: call, effect: Effect::Safe, node: node as usize, habit }
+    }
+}
+
+fn count(tally: &Mutex<Tally>, end: &End) {
+    let mut tally = lock(tally);
+    tally.seen.requests += 1;
+    tally.seen.tokens += u64::from(end.tokens);
+    match end.how {
+        Heard::Served => tally.seen.served += 1,
+        Heard::Refused => tally.seen.refused += 1,
+        _ => tally.seen.failed += 1,
+    }
+    if let Some(first) = end.first {
+        // At most the patience, which the histogram holds.
+        let _ = tally.first.record(first);
+    }
+}
