Keepalive of connections to engines within a budget, checked before use after a rest

Cause: Channel's ping task pinged each connection in every second without a byte, calls in flight or not.

Change: ivyward-core::keepalive decides (no I/O, no clock); ivyward-wire carries it out a connection, ivyward::engines shares one budget among a node's connections. PPD is not touched, nor is the platform's side, which has no such pings. The pool's channel() is three functions now; connections depend on settings and nothing above them.

Hard cases, lab tests/keepalive.rs in the virtual world: an engine replaced, cuts in one direction or both, a zone lost, a hang with a call in flight, a close as a call leaves, lists that change, a node that slept, all at rest or awake at once; settings at their ends in core and daemon tests.

--- a/crates/ivyward-core/src/lib.rs
+++ b/crates/ivyward-core/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`rules::Router`] holds the decisions on requests, [`interface`] the types it speaks; [`membership`] decides what lists
 //! and notices of engines mean, [`starts`] what their told start times do, [`pace`] how often the module is told of changes,
-//! [`peers`] which other nodes are here, [`keep`] which kept connections carry a request, [`release`] who is asked to let
+//! [`peers`] which other nodes are here, [`keep`] which kept connections carry a request,
+//! [`keepalive`] when connections are checked, [`release`] who is asked to let
 //! go of what is held, [`watch`] how a list is followed.
 //! It does no I/O and has no clock:
 //! give it events, carry out the actions it returns.
@@ -41,6 +42,7 @@
 
 pub mod interface;
 pub mod keep;
+pub mod keepalive;
 pub mod membership;
 pub mod pace;
 pub mod peers;
--- a/crates/ivyward-core/src/planted.rs
+++ b/crates/ivyward-core/src/planted.rs
@@ -47,8 +47,27 @@
     AnswersToSource,
     /// A node that slept takes the others for dead.
     NeverDoubtsItself,
+    /// A call leaves on a connection that rested for long, unchecked.
+    UncheckedUse,
+    /// A call leaves on a connection whose check was not answered.
+    DoubtfulReused,
+    /// Connections at rest are checked whatever the budget says.
+    BudgetIgnored,
+    /// All connections at rest ask for their checks in one moment.
+    NoJitter,
+    /// Connections that calls take up still count as resting.
+    RousedUncounted,
 }
 
+/// Those of the keepalive, which their own scenes find.
+pub const KEEPALIVE: [Defect; 5] = [
+    Defect::UncheckedUse,
+    Defect::DoubtfulReused,
+    Defect::BudgetIgnored,
+    Defect::NoJitter,
+    Defect::RousedUncounted,
+];
+
 /// Those of the peers, which their own scenes find.
 pub const PEERS: [Defect; 5] = [
     Defect::RefutationKept,
--- a/crates/ivyward-lab/src/relay.rs
+++ b/crates/ivyward-lab/src/relay.rs
@@ -51,7 +51,7 @@
     settings.rules.fall_multiple = 0.0;
     // A thousand streams at full speed keep one core busy for longer than a dial may take.
     (settings.dial_timeout, settings.rules.drain_grace) = (10_000_000, 10_000_000);
-    (settings.ping_every, settings.stream_stall) = (0, 60_000_000);
+    (settings.ping_every, settings.resting_checks, settings.stream_stall) = (0, 0, 60_000_000);
     settings
 }
 
--- a/crates/ivyward-lab/src/scale/usage/tests.rs
+++ b/crates/ivyward-lab/src/scale/usage/tests.rs
@@ -33,7 +33,7 @@
     assert_eq!(rates.parts["driver"].busy_percent, 0.0);
     let mean = Rates::mean(&[rates.clone(), Rates::default()]);
     assert_eq!((mean.core_percent, mean.parts["engines"].bytes_out), (12.5, 10.0));
-    assert_eq!(Rates::mean(&[rates.clone()]), rates);
+    assert_eq!(Rates::mean(std::slice::from_ref(&rates)), rates);
 }
 
 #[test]
--- a/crates/ivyward-lab/src/scene.rs
+++ b/crates/ivyward-lab/src/scene.rs
@@ -672,6 +672,7 @@
     flag("seed", settings.seed.to_string());
     flag("fall-multiple", rules.fall_multiple.to_string());
     flag("start-capacity", rules.start_capacity.to_string());
+    flag("resting-checks", settings.resting_checks.to_string());
     flag("max-attempts", rules.max_attempts.to_string());
     flag("nodes", rules.nodes.to_string());
     flag("most-open", settings.most_open.to_string());
--- a/crates/ivyward-lab/tests/stage/mod.rs
+++ b/crates/ivyward-lab/tests/stage/mod.rs
@@ -31,6 +31,11 @@
 
 /// Three readers and two writers; no jitter, so that who else talks does not change how long anything takes.
 pub fn stage() -> Stage {
+    stage_of(3, 2)
+}
+
+/// The same with so many readers and writers, whose ids follow the readers'.
+pub fn stage_of(readers: u64, writers: u64) -> Stage {
     let sim = Sim::new(11, Net { jitter: 0, ..Net::default() });
     let script = sim.host(0);
     let world = script.world();
@@ -38,11 +43,11 @@
     let hosts = Arc::new(Hosts::of(&sim));
     let host: Arc<dyn Processes> = hosts.clone();
     let spec = |id| {
-        let role = if id <= 3 { Role::Reader } else { Role::Writer };
+        let role = if id <= readers { Role::Reader } else { Role::Writer };
         Spec { read_rate: 4_000.0, fetch_rate: 8_000.0, token_gap: 3_000, ..Spec::small(id, role) }
     };
     let (mut engines, mut engine_hosts) = (Vec::new(), Vec::new());
-    for id in 1..=5 {
+    for id in 1..=readers + writers {
         engines.push(Engine::start(&host, &log, spec(id)).unwrap());
         engine_hosts.push(hosts.last());
     }
--- a/crates/ivyward-wire/src/channel.rs
+++ b/crates/ivyward-wire/src/channel.rs
@@ -1,6 +1,7 @@
 //! One connection to a server, its calls, pings and close.
 
 use crate::frame::{Decoder, FrameError};
+use crate::keepalive::{Activity, Keepalive, RestingChecks};
 use crate::timeout::{encode_timeout, TIMEOUT_HEADER};
 use crate::watch::{Trace, Watched};
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use ivyward_world::{before, Conn, Micros, WorldExt, WorldRef};
 use prost::Message;
 use std::future::Future;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
@@ -25,7 +26,8 @@
     pub streams: u32,
     /// Largest message taken, in bytes.
     pub most_message: usize,
-    /// A ping is sent when nothing came in for this span; 0 for never.
+    /// A ping is sent when nothing came in for this span, with calls in flight or without; 0 for never. Connections that are
+    /// begun with [`Channel::begin_resting`] are pinged so only with calls in flight.
     pub ping_every: Micros,
     /// A connection on which a ping stays without answer for this span is closed.
     pub ping_timeout: Micros,
@@ -131,7 +133,9 @@
     send: SendRequest<Bytes>,
     trace: Arc<Trace>,
     close: async_channel::Sender<()>,
-    open: Arc<AtomicUsize>,
+    activity: Arc<Activity>,
+    /// How many bytes had come in when a check was not answered in time; none more since: it may be gone.
+    unanswered: Arc<AtomicU64>,
     options: Options,
     world: WorldRef,
 }
@@ -148,22 +152,45 @@
 }
 
 /// Counts a call among those open.
-struct Counted(Arc<AtomicUsize>);
+struct Counted(Arc<Activity>);
+
+impl Counted {
+    fn begin(activity: &Arc<Activity>) -> Counted {
+        activity.begin();
+        Counted(activity.clone())
+    }
+}
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.end();
     }
 }
 
+/// No check was left unanswered.
+const ALL_ANSWERED: u64 = u64::MAX;
+
 impl Channel {
     /// Begins HTTP/2 on a connection. Its frames and pings run as a task of the world until it closes.
     ///
     /// # Errors
     /// When the preface cannot be written.
     pub async fn begin(world: &WorldRef, conn: Conn, options: Options) -> Result<Channel, h2::Error> {
+        Channel::begin_resting(world, conn, options, None).await
+    }
+
+    /// The same, where `resting` decides when the connection is checked while no call is in flight on it.
+    ///
+    /// # Errors
+    /// When the preface cannot be written.
+    pub async fn begin_resting(
+        world: &WorldRef,
+        conn: Conn,
+        options: Options,
+        resting: Option<Arc<dyn RestingChecks>>,
+    ) -> Result<Channel, h2::Error> {
         let trace = Arc::new(Trace::default());
-        let watched = Watched::new(conn, trace.clone());
+        let watched = Watched::new(conn, trace.clone(), world.clone());
         let window = options.stream_window.saturating_mul(options.streams).max(1 << 16);
         let (send, mut connection) = h2::client::Builder::new()
             .initial_window_size(options.stream_window)
@@ -174,7 +201,15 @@
             .await?;
         let (close, closed) = async_channel::bounded::<()>(1);
         let pings = connection.ping_pong();
-        let (task_trace, task_world) = (trace.clone(), world.clone());
+        let activity = Arc::new(Activity::default());
+        let (task_trace, world_ref) = (trace.clone(), world.clone());
+        let keepalive = Keepalive {
+            world: world_ref,
+            options,
+            trace: trace.clone(),
+            activity: activity.clone(),
+            resting,
+        };
         world.run(async move {
             let frames = async {
                 // Errors reach the calls by themselves.
@@ -185,7 +220,7 @@
             };
             let pinging = async {
                 if let Some(pings) = pings.filter(|_| options.ping_every > 0) {
-                    ping(&task_world, pings, &task_trace, options).await;
+                    keepalive.run(pings).await;
                 } else {
                     std::future::pending::<()>().await;
                 }
@@ -194,8 +229,8 @@
             or(frames, or(told, pinging)).await;
             task_trace.close();
         });
-        let open = Arc::new(AtomicUsize::new(0));
-        Ok(Channel { send, trace, close, open, options, world: world.clone() })
+        let unanswered = Arc::new(AtomicU64::new(ALL_ANSWERED));
+        Ok(Channel { send, trace, close, activity, unanswered, options, world: world.clone() })
     }
 
     /// Whether new calls may be made on it.
@@ -208,7 +243,41 @@
     }
     /// Calls open on it.
     pub fn calls(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
+        self.activity.calls.load(Ordering::SeqCst)
+    }
+    /// When bytes last came in, or when it was opened.
+    pub fn heard(&self) -> Micros {
+        self.trace.heard()
+    }
+    /// Whether a check was not answered in time, and nothing came in since.
+    pub fn doubtful(&self) -> bool {
+        self.unanswered.load(Ordering::SeqCst) == self.trace.received()
+    }
+    /// Returns when something comes in, or when it has closed.
+    pub async fn answered(&self) {
+        let seen = self.trace.received();
+        self.stirred_since(seen).await;
+    }
+    async fn stirred_since(&self, seen: u64) {
+        loop {
+            let stirred = self.trace.listen();
+            if self.trace.closed() || self.trace.received() != seen {
+                return;
+            }
+            stirred.await;
+        }
+    }
+    /// Pings it now and waits for any bytes; whether some came within this span.
+    pub async fn check(&self, within: Micros) -> bool {
+        let seen = self.trace.received();
+        self.activity.ask_check();
+        let by = self.world.now().saturating_add(within);
+        before(&self.world, by, self.stirred_since(seen)).await;
+        let answered = self.trace.received() != seen;
+        if !answered {
+            self.unanswered.store(seen, Ordering::SeqCst);
+        }
+        answered && !self.closed()
     }
     /// Streams that the server takes at once, as far as it told.
     pub fn room(&self) -> usize {
@@ -277,8 +346,8 @@
         for (name, value) in fixed {
             request.headers_mut().insert(HeaderName::from_static(name), HeaderValue::from_static(value));
         }
+        let counted = Counted::begin(&self.activity);
         let (response, upload) = send.send_request(request, false).map_err(broken)?;
-        self.open.fetch_add(1, Ordering::Relaxed);
         Ok(Call {
             stream: u32::from(upload.stream_id()),
             upload,
@@ -288,30 +357,11 @@
             decoder: Decoder::new(self.options.most_message),
             channel: self.clone(),
             over: false,
-            _counted: Counted(self.open.clone()),
+            _counted: counted,
         })
     }
 }
 
-/// Pings when nothing comes in; returns when the peer is held to be gone.
-async fn ping(world: &WorldRef, mut pings: h2::PingPong, trace: &Trace, options: Options) {
-    let mut seen = trace.received();
-    loop {
-        world.sleep(options.ping_every).await;
-        let now = trace.received();
-        if now != seen {
-            seen = now;
-            continue;
-        }
-        let answered =
-            before(world, world.now() + options.ping_timeout, pings.ping(h2::Ping::opaque())).await;
-        if !matches!(answered, Some(Ok(_))) {
-            return;
-        }
-        seen = trace.received();
-    }
-}
-
 enum Answer {
     Awaited(ResponseFuture),
     Body(RecvStream),
--- a/crates/ivyward-wire/src/watch.rs
+++ b/crates/ivyward-wire/src/watch.rs
@@ -4,8 +4,9 @@
 //! stream a GOAWAY promises that work was done, and when a RST_STREAM was written. Only frame heads (nine
 //! bytes) and the first bytes of GOAWAY are looked at.
 
+use event_listener::{Event, EventListener};
 use futures_lite::{AsyncRead, AsyncWrite};
-use ivyward_world::Conn;
+use ivyward_world::{Conn, Micros, WorldRef};
 use std::collections::BTreeMap;
 use std::io;
 use std::pin::Pin;
@@ -20,7 +21,11 @@
 
 /// What is known of a connection's frames. Shared by the connection and its calls.
 #[derive(Debug, Default)]
-pub struct Trace(Mutex<Known>);
+pub struct Trace {
+    known: Mutex<Known>,
+    /// Bytes came in, or the connection closed.
+    stirred: Event,
+}
 
 #[derive(Debug, Default)]
 struct Known {
@@ -31,13 +36,15 @@
     /// Who waits for which stream's reset to be written. One entry an abandoned call: bounded by the calls.
     resets: BTreeMap<u32, async_channel::Sender<()>>,
     closed: bool,
-    /// When bytes last came in, as counted by the reader.
+    /// Bytes that came in so far.
     received: u64,
+    /// When some last did, or when the connection was opened.
+    heard: Micros,
 }
 
 impl Trace {
     fn known(&self) -> MutexGuard<'_, Known> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
     /// Whether a stream's HEADERS began to leave the socket.
     pub fn left(&self, stream: u32) -> bool {
@@ -59,6 +66,21 @@
     pub fn received(&self) -> u64 {
         self.known().received
     }
+    /// When bytes last came in, or when the connection was opened.
+    pub fn heard(&self) -> Micros {
+        self.known().heard
+    }
+    /// Hears of the next bytes that come in, or of the connection's end.
+    pub(crate) fn listen(&self) -> EventListener {
+        self.stirred.listen()
+    }
+    pub(crate) fn hear(&self, bytes: usize, now: Micros) {
+        let mut known = self.known();
+        known.received += bytes as u64;
+        known.heard = known.heard.max(now);
+        drop(known);
+        self.stirred.notify(usize::MAX);
+    }
     /// Ends with an item when the stream's reset is written, or empty when the connection closes.
     pub(crate) fn await_reset(&self, stream: u32) -> async_channel::Receiver<()> {
         let (told, wait) = async_channel::bounded(1);
@@ -72,6 +94,8 @@
         let mut known = self.known();
         known.closed = true;
         known.resets.clear();
+        drop(known);
+        self.stirred.notify(usize::MAX);
     }
     fn wrote(&self, head: &Head) {
         let mut known = self.known();
@@ -141,16 +165,19 @@
 pub struct Watched {
     conn: Conn,
     trace: Arc<Trace>,
+    world: WorldRef,
     out: Follower,
     back: Follower,
 }
 
 impl Watched {
     /// Notes the frames of a client's connection from its first byte on.
-    pub fn new(conn: Conn, trace: Arc<Trace>) -> Watched {
+    pub fn new(conn: Conn, trace: Arc<Trace>, world: WorldRef) -> Watched {
+        trace.hear(0, world.now());
         Watched {
             conn,
             trace,
+            world,
             out: Follower { skip: PREFACE, ..Follower::default() },
             back: Follower::default(),
         }
@@ -166,7 +193,7 @@
         let me = &mut *self;
         let got = ready!(Pin::new(&mut me.conn).poll_read(cx, buf))?;
         let trace = &me.trace;
-        trace.known().received += got as u64;
+        trace.hear(got, me.world.now());
         me.back.follow(&buf[..got], |head, body| {
             if head.kind == GOAWAY && body.len() == 4 {
                 let last = u32::from_be_bytes([body[0], body[1], body[2], body[3]]) & 0x7fff_ffff;
--- /dev/null
+++ b/crates/ivyward/src/engines/keepalive.rs
@@ -0,0 +1,55 @@
+//! The budget of checks of connections at rest, shared by a node's connections to all engines.
+
+use crate::settings::NodeSettings;
+use ivyward_core::interface::Micros;
+use ivyward_core::keepalive::{Ask, BeforeUse, Keepalive, KeepaliveSettings};
+use ivyward_wire::RestingChecks;
+use ivyward_world::{WorldExt, WorldRef};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// The decider, as all connections share it.
+pub(crate) struct EngineKeepalive {
+    decider: Mutex<Keepalive>,
+    world: WorldRef,
+}
+
+impl EngineKeepalive {
+    pub(crate) fn new(world: &WorldRef, settings: &NodeSettings) -> Arc<EngineKeepalive> {
+        let settings = KeepaliveSettings {
+            silence: settings.ping_every,
+            timeout: settings.ping_timeout,
+            resting_checks: settings.resting_checks,
+            dial_timeout: settings.dial_timeout,
+        };
+        Arc::new(EngineKeepalive { decider: Mutex::new(Keepalive::new(settings)), world: world.clone() })
+    }
+
+    fn decider(&self) -> MutexGuard<'_, Keepalive> {
+        self.decider.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What is to be done before a call leaves on a connection on which something was last heard at `heard`.
+    pub(crate) fn before_use(&self, heard: Micros) -> BeforeUse {
+        self.decider().before_use(self.world.now(), heard)
+    }
+}
+
+impl RestingChecks for EngineKeepalive {
+    fn rested(&self) {
+        self.decider().rested();
+    }
+    fn roused(&self) {
+        self.decider().roused();
+    }
+    fn next_check(&self, now: Micros) -> Option<Micros> {
+        let jitter = self.world.unit();
+        self.decider().next_check(now, jitter)
+    }
+    fn ask_again(&self, now: Micros) -> Option<Micros> {
+        let jitter = self.world.unit();
+        match self.decider().ask(now, jitter) {
+            Ask::Check => None,
+            Ask::Again(at) => Some(at),
+        }
+    }
+}
--- a/crates/ivyward/src/engines/link.rs
+++ b/crates/ivyward/src/engines/link.rs
@@ -1,10 +1,12 @@
 //! Connections to one engine: pooled, dialled by need, and again with growing and jittered pauses.
 
+use crate::engines::keepalive::EngineKeepalive;
 use crate::settings::NodeSettings;
 use event_listener::Event;
 use ivyward_core::interface::{Micros, ServerId};
+use ivyward_core::keepalive::BeforeUse;
 use ivyward_core::planted::{self, Defect};
-use ivyward_wire::{Channel, Options};
+use ivyward_wire::{Channel, Options, RestingChecks};
 use ivyward_world::{before, WorldExt, WorldRef};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -39,6 +41,7 @@
     pub(crate) address: SocketAddr,
     world: WorldRef,
     options: Options,
+    keepalive: Arc<EngineKeepalive>,
     per_channel: usize,
     most: usize,
     dial_timeout: Micros,
@@ -49,6 +52,16 @@
     closing: AtomicBool,
 }
 
+/// What a pool has for a call.
+enum Found {
+    /// A connection that is known to be good.
+    Ready(Channel),
+    /// One that rested for long, and how long the answer to its check is waited for.
+    Unchecked(Channel, Micros),
+    /// None with room.
+    Nothing,
+}
+
 /// Counts a call among those that wait.
 struct Waiting<'a>(&'a GrpcLink);
 
@@ -71,6 +84,7 @@
         id: ServerId,
         address: SocketAddr,
         settings: &NodeSettings,
+        keepalive: &Arc<EngineKeepalive>,
     ) -> Arc<GrpcLink> {
         let options = Options {
             streams: settings.calls_per_connection as u32,
@@ -83,6 +97,7 @@
             address,
             world: world.clone(),
             options,
+            keepalive: keepalive.clone(),
             per_channel: settings.calls_per_connection,
             most: settings.connections_per_engine,
             dial_timeout: settings.dial_timeout,
@@ -107,54 +122,111 @@
         self.pool().channels.drain(..).for_each(|c| c.close());
     }
 
-    /// A connection with room for a call, dialled if need be.
+    /// A connection with room for a call, dialled if need be. One that rested for long is checked first.
     ///
     /// # Errors
     /// When the dial that this call waited for failed, or none was there in time.
     pub(crate) async fn channel(self: &Arc<Self>, until: Micros) -> Result<Channel, DialError> {
-        let until = until.min(self.world.now().saturating_add(self.dial_timeout));
-        let mut waited = None;
+        let in_dial_time = || until.min(self.world.now().saturating_add(self.dial_timeout));
+        let mut dial_by = in_dial_time();
+        // Dials that had ended when this call began to wait for one.
+        let mut dials_before = None;
+        let mut may_check = true;
         loop {
-            let listener = self.changed.listen();
-            {
-                let mut pool = self.pool();
-                let stale = planted::is(Defect::StaleConnection);
-                pool.channels.retain(|c| c.usable() || c.calls() > 0 && !c.closed() || stale);
-                let room =
-                    |c: &&Channel| (c.usable() || stale) && c.calls() < self.per_channel.min(c.room().max(1));
-                if let Some(channel) = pool.channels.iter().filter(room).min_by_key(|c| c.calls()).cloned() {
-                    (pool.failed, pool.next_dial) = (0, 0);
-                    return Ok(channel);
-                }
-                // Also when dials succeed and the engine closes each connection at once.
-                if self.world.now() >= until {
-                    return Err(DialError::Late(self.address));
-                }
-                if waited.is_some_and(|dials| dials < pool.dials) && pool.last_failed {
-                    return Err(DialError::Failed(self.address, pool.error.clone()));
+            let changed = self.changed.listen();
+            let found = self.find(may_check);
+            match found {
+                Found::Ready(channel) => return Ok(channel),
+                Found::Unchecked(channel, wait) => {
+                    let left = until.saturating_sub(self.world.now());
+                    // One check a call: with a second one it would be later than by a dial.
+                    let answered = self.check(&channel, wait.min(left)).await;
+                    if !answered && planted::is(Defect::DoubtfulReused) {
+                        return Ok(channel);
+                    }
+                    may_check = answered;
+                    // Guards against engines that are far away: after the check a dial has its whole time.
+                    dial_by = in_dial_time();
                 }
-                waited.get_or_insert(pool.dials);
-                // As many dials as those who wait need; where none succeeds, one at a time.
-                let needed = if pool.failed > 0 { 1 } else { pool.waiting / self.per_channel + 1 };
-                if pool.dialing < needed && pool.channels.len() + pool.dialing < self.most {
-                    if pool.next_dial >= until {
-                        let text = format!("{}; next dial later", pool.error);
-                        return Err(DialError::Failed(self.address, text));
+                Found::Nothing => {
+                    self.dial_if_needed(dial_by, &mut dials_before)?;
+                    let _waiting = Waiting::new(self);
+                    if before(&self.world, dial_by, changed).await.is_none() {
+                        return Err(DialError::Late(self.address));
                     }
-                    pool.dialing += 1;
-                    let link = self.clone();
-                    let at = pool.next_dial;
-                    self.world.run(async move { link.dial(at).await });
                 }
             }
-            let told = {
-                let _waiting = Waiting::new(self);
-                before(&self.world, until, listener).await
-            };
-            if told.is_none() {
-                return Err(DialError::Late(self.address));
+        }
+    }
+
+    /// The best connection of the pool: one that is known to be good before one that has to be checked.
+    fn find(&self, may_check: bool) -> Found {
+        let mut pool = self.pool();
+        let stale = planted::is(Defect::StaleConnection);
+        pool.channels.retain(|c| c.usable() || c.calls() > 0 && !c.closed() || stale);
+        // Guards against a call that leaves on a connection whose engine did not answer its last check.
+        let room = |c: &Channel| c.calls() < self.per_channel.min(c.room().max(1));
+        let eligible = |c: &&Channel| (c.usable() || stale) && !c.doubtful() && room(c);
+        let rated = pool.channels.iter().filter(eligible).map(|c| (self.check_before_use(c), c));
+        let best = rated.min_by_key(|(check, c)| (check.is_some(), c.calls()));
+        match best.map(|(check, channel)| (check, channel.clone())) {
+            Some((None, channel)) => {
+                (pool.failed, pool.next_dial) = (0, 0);
+                Found::Ready(channel)
             }
+            Some((Some(wait), channel)) if may_check => Found::Unchecked(channel, wait),
+            _ => Found::Nothing,
+        }
+    }
+
+    /// How long the answer to a check is waited for before a call leaves on a connection; `None` where it needs none.
+    fn check_before_use(&self, channel: &Channel) -> Option<Micros> {
+        match self.keepalive.before_use(channel.heard()) {
+            BeforeUse::Check(wait) => Some(wait),
+            BeforeUse::Nothing => None,
+        }
+    }
+
+    /// Checks a connection; whether it answered. One that answers later is used by whoever waits then.
+    async fn check(self: &Arc<Self>, channel: &Channel, wait: Micros) -> bool {
+        if channel.check(wait).await {
+            return true;
+        }
+        let (link, channel) = (self.clone(), channel.clone());
+        self.world.run(async move {
+            channel.answered().await;
+            link.changed.notify(usize::MAX);
+        });
+        false
+    }
+
+    /// Begins as many dials as those who wait need; where none succeeds, one at a time.
+    fn dial_if_needed(
+        self: &Arc<Self>,
+        until: Micros,
+        dials_before: &mut Option<u64>,
+    ) -> Result<(), DialError> {
+        let mut pool = self.pool();
+        // Also when dials succeed and the engine closes each connection at once.
+        if self.world.now() >= until {
+            return Err(DialError::Late(self.address));
+        }
+        if dials_before.is_some_and(|dials| dials < pool.dials) && pool.last_failed {
+            return Err(DialError::Failed(self.address, pool.error.clone()));
+        }
+        dials_before.get_or_insert(pool.dials);
+        let needed = if pool.failed > 0 { 1 } else { pool.waiting / self.per_channel + 1 };
+        if pool.dialing >= needed || pool.channels.len() + pool.dialing >= self.most {
+            return Ok(());
+        }
+        if pool.next_dial >= until {
+            let text = format!("{}; next dial later", pool.error);
+            return Err(DialError::Failed(self.address, text));
         }
+        pool.dialing += 1;
+        let (link, at) = (self.clone(), pool.next_dial);
+        self.world.run(async move { link.dial(at).await });
+        Ok(())
     }
 
     async fn dial(self: Arc<Self>, at: Micros) {
@@ -163,7 +235,9 @@
         }
         let dial = async {
             let conn = self.world.connect(self.address).await.map_err(|e| e.to_string())?;
-            Channel::begin(&self.world, conn, self.options).await.map_err(|e| e.to_string())
+            let resting: Option<Arc<dyn RestingChecks>> = Some(self.keepalive.clone());
+            let channel = Channel::begin_resting(&self.world, conn, self.options, resting).await;
+            channel.map_err(|e| e.to_string())
         };
         let result = before(&self.world, self.world.now() + self.dial_timeout, dial).await;
         let result = result.unwrap_or_else(|| Err("no answer in time".into()));
--- a/crates/ivyward/src/node.rs
+++ b/crates/ivyward/src/node.rs
@@ -57,7 +57,8 @@
         settings: NodeSettings,
         recording: Option<Box<dyn std::io::Write + Send>>,
     ) -> Result<Node, StartError> {
-        Node::start_with(world, settings, recording, Arc::new(Grpc))
+        let protocol = Arc::new(Grpc::new(&world, &settings));
+        Node::start_with(world, settings, recording, protocol)
     }
 
     /// Starts a node that speaks to engines by another protocol.
--- a/crates/ivyward/src/request/grpc.rs
+++ b/crates/ivyward/src/request/grpc.rs
@@ -1,10 +1,12 @@
 //! gRPC to engines, behind the seam of [`crate::engines`].
 
+use crate::engines::keepalive::EngineKeepalive;
 use crate::engines::link::GrpcLink;
 use crate::engines::Engine;
 use crate::engines::{Call, End, Held, HoldJob, Job, Link, LinkRef, Protocol, ReleaseJob};
 use crate::request::answer::{Buffer, Final};
 use crate::request::attempt::{self, Ask, Work};
+use crate::settings::NodeSettings;
 use crate::shared::Shared;
 use futures_lite::future::or;
 use ivyward_core::interface::{Arrival, Outcome, Report, ServerId};
@@ -39,12 +41,20 @@
 }
 
 /// Engines that speak `ivyward.engine.v1`.
-pub(crate) struct Grpc;
+pub(crate) struct Grpc {
+    keepalive: Arc<EngineKeepalive>,
+}
+
+impl Grpc {
+    pub(crate) fn new(world: &WorldRef, settings: &NodeSettings) -> Grpc {
+        Grpc { keepalive: EngineKeepalive::new(world, settings) }
+    }
+}
 
 impl Protocol for Grpc {
     fn link(&self, shared: &Arc<Shared>, engine: &Engine) -> LinkRef {
         let world = metered(&shared.world, &shared.metrics.engine_traffic);
-        GrpcLink::new(&world, engine.entry.id, engine.address, &shared.settings)
+        GrpcLink::new(&world, engine.entry.id, engine.address, &shared.settings, &self.keepalive)
     }
     fn one_by_one(&self) -> bool {
         true
--- a/crates/ivyward/src/settings.rs
+++ b/crates/ivyward/src/settings.rs
@@ -56,10 +56,13 @@
     pub calls_per_connection: usize,
     /// Connections to one engine.
     pub connections_per_engine: usize,
-    /// Idle span after which a connection to an engine is pinged.
+    /// Span without a byte after which a connection to an engine with calls in flight is pinged; 0 for no pings at all.
     pub ping_every: Micros,
     /// A ping without an answer for this span closes the connection.
     pub ping_timeout: Micros,
+    /// Connections without calls that are pinged in a second, over all engines; 0 for none. Each is pinged as well before a
+    /// call leaves on it, unless something came in within `ping_every` and `ping_timeout` together.
+    pub resting_checks: u32,
     /// Requests that the node has in hand; one more is refused.
     pub most_open: usize,
     /// Connections that the door takes; one more is closed at once.
@@ -105,6 +108,7 @@
             connections_per_engine: 8,
             ping_every: 1_000_000,
             ping_timeout: 1_000_000,
+            resting_checks: RESTING_CHECKS,
             most_open: 20_000,
             most_clients: 4_096,
             most_prompt: 200_000,
@@ -114,6 +118,11 @@
     }
 }
 
+/// Connections at rest that a node checks in a second where nothing else is said.
+pub const RESTING_CHECKS: u32 = 16;
+/// Most that it may be told to.
+const MOST_RESTING_CHECKS: u32 = 10_000;
+
 /// A setting that cannot hold: which, its value, and why.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{flag} {value}: {reason}")]
@@ -206,6 +215,14 @@
                 return Err(SettingsError::new(flag, ms(span), "an hour at most"));
             }
         }
+        if self.ping_every == 0 && self.resting_checks > 0 {
+            let reason = "connections at rest cannot be checked where --ping-every is 0: set one of them";
+            return Err(SettingsError::new("--resting-checks", self.resting_checks, reason));
+        }
+        if self.resting_checks > MOST_RESTING_CHECKS {
+            let reason = format!("{MOST_RESTING_CHECKS} a second at most");
+            return Err(SettingsError::new("--resting-checks", self.resting_checks, reason));
+        }
         if self.redial_first > self.redial_most {
             let reason = format!("longer than --redial-most, which is {}", ms(self.redial_most));
             return Err(SettingsError::new("--redial-first", ms(self.redial_first), reason));
--- a/crates/ivywardd/src/flags.rs
+++ b/crates/ivywardd/src/flags.rs
@@ -9,6 +9,7 @@
 };
 use ivyward::core::peers::PeerSettings;
 use ivyward::follow::{EtcdOptions, Follow};
+use ivyward::settings::RESTING_CHECKS;
 use ivyward::{Class, Engine, NodeSettings, PeerOptions, PeerStore, SettingsError, Tenant};
 use std::collections::BTreeMap;
 use std::ffi::OsString;
@@ -194,12 +195,16 @@
     /// A release that finds no engine is tried again for so long.
     #[arg(long, env = "IVYWARD_RELEASE_TRIES", value_name = "SPAN", default_value = "10s", value_parser = span)]
     pub release_tries: Micros,
-    /// An idle connection to an engine is pinged after this.
+    /// A connection to an engine with calls in flight is pinged after so long without a byte; 0us for no pings at all.
     #[arg(long, env = "IVYWARD_PING_EVERY", value_name = "SPAN", default_value = "1s", value_parser = span)]
     pub ping_every: Micros,
     /// A ping without an answer by then closes the connection.
     #[arg(long, env = "IVYWARD_PING_TIMEOUT", value_name = "SPAN", default_value = "1s", value_parser = span)]
     pub ping_timeout: Micros,
+    /// Connections without calls that are pinged in a second, over all engines; 0 for none. 16 if left out, and none where
+    /// --ping-every is 0us.
+    #[arg(long, env = "IVYWARD_RESTING_CHECKS")]
+    pub resting_checks: Option<u32>,
     /// Tokens that wait for a slow client.
     #[arg(long, env = "IVYWARD_STREAM_BUFFER", default_value_t = 1024)]
     pub stream_buffer: usize,
@@ -435,6 +440,11 @@
 }
 
 impl Flags {
+    /// Checks of connections at rest: as many as usual, or none where there are no pings.
+    fn resting_checks(&self) -> u32 {
+        let usual = if self.ping_every == 0 { 0 } else { RESTING_CHECKS };
+        self.resting_checks.unwrap_or(usual)
+    }
     /// Where and how to follow the engines; without endpoints nobody is followed.
     pub fn follow(&self) -> Follow {
         let login = self.etcd_user.clone().zip(self.etcd_password.clone());
@@ -509,6 +519,7 @@
             connections_per_engine: self.connections_per_engine,
             ping_every: self.ping_every,
             ping_timeout: self.ping_timeout,
+            resting_checks: self.resting_checks(),
             most_open: self.most_open,
             most_clients: self.most_clients,
             most_prompt: self.most_prompt,
--- a/crates/ivywardd/tests/flags.rs
+++ b/crates/ivywardd/tests/flags.rs
@@ -140,3 +140,18 @@
     refused(&["--check", &file], &["line 1", "not a flag"]);
     std::fs::remove_file(&path).unwrap();
 }
+
+/// Checks of connections at rest: none and most are taken, more is not, and they need pings.
+#[test]
+fn checks_at_rest_need_pings_and_have_a_bound() {
+    let with = |more: &[&'static str]| [&GOOD[..], more].concat();
+    for good in [&["--resting-checks=0"][..], &["--resting-checks=10000"], &["--ping-every=0us"]] {
+        let output = run(&with(good));
+        assert!(output.status.success(), "{good:?}: {output:?}");
+    }
+    refused(&with(&["--resting-checks=10001"]), &["--resting-checks", "10001", "10000 a second at most"]);
+    refused(
+        &with(&["--resting-checks=5", "--ping-every=0us"]),
+        &["--resting-checks", "5", "--ping-every is 0"],
+    );
+}
