Engines depend on nothing above them: final answers and the peers' handle moved

Need: nine files of ivyward/src depended on each other in a circle (engines, node, peers, request, shared); the wanted order has connections to engines near the bottom.

Change: the final answers and the buffer to a client stand in `answer`, beside settings and metrics; `Shared` no longer holds the peers' handle, the node does. So engines know answer, settings, metrics and shared alone, and shared knows neither peers nor request. Left: node, peers and request still know each other, and `shared` is still there.

Measured: none; behaviour is as it was. Suites of this package and the virtual scenes of terms and keepalive pass.

--- a/crates/ivyward/src/engines/mod.rs
+++ b/crates/ivyward/src/engines/mod.rs
@@ -7,7 +7,7 @@
 pub(crate) mod keepalive;
 pub(crate) mod link;
 
-use crate::request::answer::{Buffer, Final, Over};
+use crate::answer::{Buffer, Final, Over};
 use crate::shared::Shared;
 use futures_lite::future::{or, poll_fn};
 use ivyward_core::interface::{Micros, Outcome, Report, ServerEntry, ServerId};
--- a/crates/ivyward/src/lib.rs
+++ b/crates/ivyward/src/lib.rs
@@ -6,16 +6,18 @@
 //!
 //! - [`settings`]: what a node is told, and the checks on it.
 //! - [`Node`], [`Answer`]: the handles of owner and client.
-//! - [`request`]: the way of a request; the final answers, the door, the driver, the attempts.
+//! - [`answer`]: the final answers, and the bounded buffer to a client.
+//! - [`request`]: the way of a request; the door, the driver, the attempts.
 //! - [`engines`]: the seam between the driver and the protocols that engines speak, and the links of one of them.
 //! - [`membership`]: which engines there are.
 //! - [`peers`]: other nodes, by datagrams and by records in the store.
 //! - [`record`]: recordings of what the module was told and did, and their replay.
 //! - [`metrics`]: counters; [`admin`]: health and metrics over HTTP.
 //!
-//! `shared` lies below all of these and knows none of them.
+//! `settings`, `metrics`, `answer` and `shared` lie below all others and know none of them; `engines` knows these alone.
 
 pub mod admin;
+pub mod answer;
 pub mod engines;
 pub mod membership;
 pub mod metrics;
@@ -26,12 +28,12 @@
 pub mod settings;
 mod shared;
 
+pub use answer::{Failure, Final, Part, Refusal, Run};
 pub use engines::Engine;
 pub use membership::{follow, registration, snapshot};
 pub use node::{Answer, Node, StartError};
 pub use peers::{PeerError, PeerOptions, PeerStore, PeersHandle};
-pub use request::answer::{Failure, Final, Part, Refusal, Run};
-pub use request::{answer, door};
+pub use request::door;
 pub use settings::{Class, NodeSettings, SettingsError, Tenant, KINDS};
 pub use shared::Shared;
 
--- a/crates/ivyward/src/node.rs
+++ b/crates/ivyward/src/node.rs
@@ -1,9 +1,10 @@
 //! A node as its owner holds it.
 
+use crate::answer::{Buffer, Failure, Final, Part, Refusal};
 use crate::engines::{Call, Engine, Protocol};
 use crate::metrics::Metrics;
+use crate::peers::PeersHandle;
 use crate::record::Recorder;
-use crate::request::answer::{Buffer, Failure, Final, Part, Refusal};
 use crate::request::clients::ClientConnections;
 use crate::request::driver::Driver;
 use crate::request::grpc::{Grpc, GrpcCall};
@@ -17,7 +18,7 @@
 use ivyward_proto::front::GenerateRequest;
 use ivyward_world::{before, WorldExt, WorldRef};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -43,6 +44,8 @@
     pub(crate) shared: Arc<Shared>,
     /// What its listeners have accepted.
     pub(crate) clients: Arc<ClientConnections>,
+    /// Set once, if the node is to know others. Their own task is behind it; this is only the way to look.
+    pub(crate) peers: Arc<OnceLock<PeersHandle>>,
     inbox: Inbox,
     done: async_channel::Receiver<()>,
 }
@@ -88,7 +91,6 @@
             releases: Default::default(),
             owed: AtomicUsize::new(0),
             metrics: Metrics::default(),
-            peers: std::sync::OnceLock::new(),
         });
         let (finished, done) = async_channel::bounded::<()>(1);
         let driver = Driver::new(shared.clone(), protocol, (inbox.clone(), told), recorder);
@@ -96,7 +98,7 @@
             driver.run().await;
             drop(finished);
         });
-        Ok(Node { shared, clients: Arc::default(), inbox, done })
+        Ok(Node { shared, clients: Arc::default(), peers: Arc::default(), inbox, done })
     }
 
     /// Tells the node of engines, and returns when it took that in: from then on nothing new goes to one that
@@ -262,7 +264,7 @@
         let _ = self.done.recv().await;
         self.flush_answers(by).await;
         // Only now: until then it was still sending, and counts.
-        if let Some(peers) = self.shared.peers.get() {
+        if let Some(peers) = self.peers.get() {
             peers.leave().await;
         }
     }
--- a/crates/ivyward/src/peers/mod.rs
+++ b/crates/ivyward/src/peers/mod.rs
@@ -303,13 +303,13 @@
         if let Some(store) = options.store {
             records::begin(self, &store, me, orders);
         }
-        let _ = self.shared.peers.set(handle.clone());
+        let _ = self.peers.set(handle.clone());
         Ok(handle)
     }
 
     /// Its peers, if it was told to know any.
     pub fn known_peers(&self) -> Option<&PeersHandle> {
-        self.shared.peers.get()
+        self.peers.get()
     }
 }
 
--- a/crates/ivyward/src/request/attempt.rs
+++ b/crates/ivyward/src/request/attempt.rs
@@ -3,9 +3,9 @@
 //! What proves that an attempt never ran is decided here, in [`never_ran`] and [`turned_away`]; what follows from
 //! it is the module's.
 
+use crate::answer::{Buffer, Over};
 use crate::engines::link::{DialError, GrpcLink};
 use crate::engines::{End, Job, Stall, Stop, Woken};
-use crate::request::answer::{Buffer, Over};
 use futures_lite::future::{or, poll_fn};
 use ivyward_core::interface::{Micros, Outcome, Report, ReportField};
 use ivyward_core::planted::{self, Defect};
--- a/crates/ivyward/src/request/door.rs
+++ b/crates/ivyward/src/request/door.rs
@@ -1,7 +1,7 @@
 //! The gRPC door: takes calls on a listener and tells each one's final answer in gRPC's own terms.
 
+use crate::answer::{Failure, Final, Part, Refusal};
 use crate::node::{Answer, Node};
-use crate::request::answer::{Failure, Final, Part, Refusal};
 use futures_lite::{Stream, StreamExt};
 use hyper_util::service::TowerToHyperService;
 use ivyward_core::interface::Micros;
--- a/crates/ivyward/src/request/driver.rs
+++ b/crates/ivyward/src/request/driver.rs
@@ -3,9 +3,9 @@
 //! It decides nothing itself. What the module is told goes through [`Driver::tell`], what it asks for through
 //! [`Driver::carry_out`]; both are what a recording holds.
 
+use crate::answer::{Failure, Final, Refusal};
 use crate::engines::{Call, End, Engine, Held, HoldJob, Job, Kept, LinkRef, Protocol, ReleaseJob, Stop};
 use crate::record::Recorder;
-use crate::request::answer::{Failure, Final, Refusal};
 use crate::request::notices::{Ended, Inbox, Notice, Taken};
 use crate::shared::Shared;
 use futures_lite::future::or;
--- a/crates/ivyward/src/request/grpc.rs
+++ b/crates/ivyward/src/request/grpc.rs
@@ -1,10 +1,10 @@
 //! gRPC to engines, behind the seam of [`crate::engines`].
 
+use crate::answer::{Buffer, Final};
 use crate::engines::keepalive::EngineKeepalive;
 use crate::engines::link::GrpcLink;
 use crate::engines::Engine;
 use crate::engines::{Call, End, Held, HoldJob, Job, Link, LinkRef, Protocol, ReleaseJob};
-use crate::request::answer::{Buffer, Final};
 use crate::request::attempt::{self, Ask, Work};
 use crate::settings::NodeSettings;
 use crate::shared::Shared;
--- a/crates/ivyward/src/request/mod.rs
+++ b/crates/ivyward/src/request/mod.rs
@@ -1,10 +1,9 @@
 //! The way of a request: [`door`] (gRPC) or a library call -> [`driver`], the one task that owns the module ->
-//! [`attempt`], a task each -> tokens back through the bounded buffer of [`answer`].
+//! [`attempt`], a task each -> tokens back through the bounded buffer of [`crate::answer`].
 //!
 //! - [`notices`]: what the driver is told, and by which way.
 //! - [`grpc`]: gRPC to engines, behind the seam of [`crate::engines`].
 
-pub mod answer;
 pub(crate) mod attempt;
 pub(crate) mod clients;
 pub mod door;
--- a/crates/ivyward/src/shared.rs
+++ b/crates/ivyward/src/shared.rs
@@ -24,8 +24,6 @@
     /// What is still to be let go of, or may come to be: releases, and holds under way.
     pub(crate) owed: AtomicUsize,
     pub(crate) metrics: Metrics,
-    /// Set once, if the node is to know others. Its own task is behind it; this is only the way to look.
-    pub(crate) peers: std::sync::OnceLock<crate::peers::PeersHandle>,
 }
 
 impl Shared {
