ivyward-lab handover: how far KV state is handed over, by one node's decisions

Change: one node's module among all engines of a fleet in synthetic time; each hand-over is counted by what it crosses. No bytes move, and what other nodes send is not played.

--- a/crates/ivyward-lab/src/lib.rs
+++ b/crates/ivyward-lab/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`cluster`]: daemons as processes, a relay on each directed link, faults between them.
 //! - [`drains`]: how soon a node follows a notice, and what a change costs.
 //! - [`enlist`]: writes engines' records into etcd.
+//! - [`handover`]: how far KV state is handed over, by one node's decisions.
 //! - [`peernet`]: many peers on a network of datagrams in virtual time, and what is measured there.
 //! - [`peerscene`]: peers in the whole scenes of `seeds`.
 //! - [`relay`]: what a node adds to a stream.
@@ -20,6 +21,7 @@
 pub mod cluster;
 pub mod drains;
 pub mod enlist;
+pub mod handover;
 pub mod load;
 pub mod peernet;
 pub mod peerscene;
--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -166,6 +166,11 @@
         #[command(flatten)]
         flags: ivyward_lab::capacity::command::CapacityFlags,
     },
+    /// Plays one node's decisions among all engines of a fleet, in synthetic time, and says how far states are handed over.
+    Handover {
+        #[command(flatten)]
+        flags: ivyward_lab::handover::HandoverFlags,
+    },
     /// A hollow process of a scale run, which starts it.
     #[command(name = ivyward_lab::scale::child::SUBCOMMAND, hide = true)]
     Hollow {
@@ -470,6 +475,10 @@
                 ExitCode::SUCCESS
             })
         }
+        What::Handover { flags } => {
+            print!("{}", ivyward_lab::handover::play(flags).text());
+            Ok(ExitCode::SUCCESS)
+        }
         What::Hollow { role } => hollow(&role).map(|()| ExitCode::SUCCESS),
         What::Cluster { daemon, seed, nodes, engines, episodes, plan, store, keep } => {
             let size = cluster::Size {
