--- a/crates/ivyward-lab/src/capacity/rows.rs
+++ b/crates/ivyward-lab/src/capacity/rows.rs
@@ -86,6 +86,21 @@
     Row { role, what, value, unit, budget, basis }
 }
 
+/// What a process whose counters are not split uses, by a function that works its figures out.
+fn usage(
+    role: &'static str,
+    of: impl Fn(&str) -> Result<f64, CapacityError>,
+) -> Result<Vec<Row>, CapacityError> {
+    let part = Basis::Extrapolated;
+    let bytes = of("all.bytes_in")? + of("all.bytes_out")?;
+    Ok(vec![
+        row(role, "processor", (of("core_percent")?, PERCENT), None, part),
+        row(role, "memory", (of("resident_kib")? / 1_024.0, "MiB"), None, part),
+        row(role, "descriptors", (of("descriptors")?, ""), None, part),
+        row(role, "bytes without headers", (bytes / 1_000.0, "kB/s"), None, part),
+    ])
+}
+
 const PERCENT: &str = "% of a core";
 
 impl Worker<'_> {
@@ -187,46 +202,33 @@
     fn engine(&self) -> Result<Vec<Row>, CapacityError> {
         let role = "engine, control";
         let nodes = self.target.nodes;
-        let part = Basis::Extrapolated;
         let of = |name: &str| {
             let each_connection = slope(self.kept, Quantity::Connections, "engines", name)?;
             let registration = slope(self.kept, Quantity::Engines, "engines", name)?;
             Ok::<f64, CapacityError>(each_connection * nodes + registration)
         };
-        let bytes = of("all.bytes_in")? + of("all.bytes_out")?;
-        Ok(vec![
-            row(role, "processor", (of("core_percent")?, PERCENT), None, part),
-            row(role, "memory", (of("resident_kib")? / 1_024.0, "MiB"), None, part),
-            row(role, "descriptors", (of("descriptors")?, ""), None, part),
-            row(role, "bytes without headers", (bytes / 1_000.0, "kB/s"), None, part),
-        ])
+        usage(role, of)
     }
 
     /// What the list's store takes. Each change goes to every node, so that slope grows with them.
     fn store(&self) -> Result<Vec<Row>, CapacityError> {
         let role = "store";
         let target = self.target;
-        let part = Basis::Extrapolated;
         let amounts = [(Quantity::Nodes, target.nodes), (Quantity::Engines, target.engines)];
         let of = |name: &str| {
             let at_rest = figure(self.kept, Quantity::Nodes, "store", name, &amounts)?;
             let each_change = slope(self.kept, Quantity::Changes, "store", name)? / WATCHERS_OF_CHANGES;
             Ok::<f64, CapacityError>(at_rest + each_change * target.nodes * target.changes_of_an_hour())
         };
-        let bytes = of("all.bytes_in")? + of("all.bytes_out")?;
-        Ok(vec![
-            row(role, "processor", (of("core_percent")?, PERCENT), None, part),
-            row(role, "memory", (of("resident_kib")? / 1_024.0, "MiB"), None, part),
-            row(role, "descriptors", (of("descriptors")?, ""), None, part),
-            row(role, "bytes without headers", (bytes / 1_000.0, "kB/s"), None, part),
-            row(
-                "machines set aside",
-                "members of the store",
-                (STORE_MEMBERS, ""),
-                Some(budget::CONTROL_MACHINES),
-                Basis::Reckoned,
-            ),
-        ])
+        let mut rows = usage(role, of)?;
+        rows.push(row(
+            "machines set aside",
+            "members of the store",
+            (STORE_MEMBERS, ""),
+            Some(budget::CONTROL_MACHINES),
+            Basis::Reckoned,
+        ));
+        Ok(rows)
     }
 
     /// How long things take, as the whole run saw them.
