A node that was not scheduled reads what came before a check counts as unanswered

Cause as far as known: Channel::check's timer and the answer are both there when a process is scheduled again, and the timer was looked at first.

Change: after a check's wait a millisecond goes by in which the connection's task reads what waits in its socket. Test: a_node_that_pauses_during_a_check, which opens two connections for nothing without it.

Capacity: a figure that falls with a quantity is held to be flat beyond what was seen.

--- a/crates/ivyward-lab/src/capacity/model.rs
+++ b/crates/ivyward-lab/src/capacity/model.rs
@@ -1,7 +1,8 @@
 //! A figure at a size: what was measured at the base, and for each quantity its slope times what it has more.
 //!
 //! A slope counts only where it stands out of the noise: where the figure grows over the measured sizes by more than twice
-//! what the points lie off their line. Everything else is held to be flat.
+//! what the points lie off their line. Everything else is held to be flat, and so is what falls: a cost is not taken to fall
+//! beyond the sizes at which it was seen to.
 
 use crate::capacity::kept::Kept;
 use crate::capacity::CapacityError;
@@ -34,7 +35,7 @@
     Ok((sweep, fit))
 }
 
-/// How much a figure grows with one more of a quantity; 0 where that does not stand out of the noise.
+/// How much a figure grows with one more of a quantity; 0 where it falls, or does not stand out of the noise.
 ///
 /// # Errors
 /// When the sweep has no such figure.
@@ -42,7 +43,7 @@
     let (sweep, fit) = fit(kept, quantity, role, figure)?;
     let sizes = || sweep.points.iter().filter(|p| !p.left_out).map(|p| p.value as f64);
     let range = sizes().fold(f64::MIN, f64::max) - sizes().fold(f64::MAX, f64::min);
-    let grows = (fit.slope * range).abs();
+    let grows = fit.slope * range;
     Ok(if grows > OUT_OF_THE_NOISE * fit.residual { fit.slope } else { 0.0 })
 }
 
--- a/crates/ivyward-lab/src/capacity/model/tests.rs
+++ b/crates/ivyward-lab/src/capacity/model/tests.rs
@@ -43,6 +43,14 @@
     assert!((core - 5.0).abs() < 1.0, "{core}");
 }
 
+#[test]
+fn a_figure_that_falls_is_not_taken_to_fall_further() {
+    let falling = sweep(Quantity::Nodes, |n| 5_000.0 - 10.0 * n as f64);
+    let kept = Kept { sweeps: BTreeMap::from([(Quantity::Nodes, falling)]), ..kept() };
+    let memory = figure(&kept, Quantity::Nodes, "node", "resident_kib", &[(Quantity::Nodes, 400.0)]).unwrap();
+    assert!((memory - 4_960.0).abs() < 1e-6, "{memory}");
+}
+
 #[test]
 fn what_was_not_kept_is_named() {
     let error = figure(&kept(), Quantity::Nodes, "node", "temperature", &[]).unwrap_err();
--- a/crates/ivyward-lab/tests/keepalive.rs
+++ b/crates/ivyward-lab/tests/keepalive.rs
@@ -205,6 +205,31 @@
     })
 }
 
+/// A node stands still for longer than a check waits, while the answer comes: no connection is taken for bad by that.
+fn a_node_that_pauses_during_a_check() -> Wrong {
+    play((2, 2), |scene| async move {
+        let client = scene.client().await;
+        let opened = || scene.node.metrics().engine_traffic.usage().opened;
+        let before = opened();
+        for call in 1..=20 {
+            scene.world.sleep(30 * SECOND).await;
+            let (sim, host, clock) = (scene.sim.clone(), scene.node_host, scene.world.clone());
+            scene.world.run(async move {
+                // The check has left by then, and its answer has not come.
+                clock.sleep(450).await;
+                sim.freeze(host, true);
+                clock.sleep(100 * MS).await;
+                sim.freeze(host, false);
+            });
+            let end = client.ask(&ask(call, UNSAFE_CLASS)).await;
+            if end.how != Heard::Served {
+                return Some(format!("{end:?}"));
+            }
+        }
+        (opened() > before).then(|| format!("{} connections were opened for nothing", opened() - before))
+    })
+}
+
 /// All are taken up at once after a rest.
 fn all_wake_at_once() -> Wrong {
     play((30, 30), |scene| async move {
@@ -417,6 +442,7 @@
     ("rest_within_the_budget", rest_within_the_budget),
     ("rests_after_much_use", rests_after_much_use),
     ("a_node_that_slept", a_node_that_slept),
+    ("a_node_that_pauses_during_a_check", a_node_that_pauses_during_a_check),
     ("all_wake_at_once", all_wake_at_once),
     ("an_engine_is_replaced", an_engine_is_replaced_while_its_connection_rests),
     ("a_cut_both_ways", || a_cut_begins_while_connections_rest(true, true)),
--- a/crates/ivyward-wire/src/channel.rs
+++ b/crates/ivyward-wire/src/channel.rs
@@ -80,6 +80,8 @@
     more: bool,
 }
 
+/// Time in which a connection's task reads what waits in its socket, in microseconds.
+const READ_WHAT_CAME: Micros = 1_000;
 /// No check was left unanswered.
 const ALL_ANSWERED: u64 = u64::MAX;
 
@@ -185,7 +187,10 @@
         let seen = self.trace.received();
         self.activity.ask_check();
         let by = self.world.now().saturating_add(within);
-        before(&self.world, by, self.stirred_since(seen)).await;
+        if before(&self.world, by, self.stirred_since(seen)).await.is_none() {
+            // Guards against a process that was not scheduled meanwhile: what has come is read before it counts as nothing.
+            self.world.sleep(READ_WHAT_CAME).await;
+        }
         let answered = self.trace.received() != seen;
         if !answered {
             self.unanswered.store(seen, Ordering::SeqCst);
