scale: a daemon's metrics are asked for in one place

Need: reading the change again, Stage asked a daemon for /metrics with the same lines in two functions. Change: one function serves both; behaviour is as it was.

Measured: format and lints of the workspace, and the lab's library, scale and capacity tests pass; the whole suite was not run again for it.

--- a/crates/ivyward-lab/src/scale/stage.rs
+++ b/crates/ivyward-lab/src/scale/stage.rs
@@ -224,16 +224,21 @@
         if let Some(others) = &mut self.others {
             each.extend(others.each(order)?);
         }
-        let world: WorldRef = self.world.clone();
         for real in &self.real {
-            let text = self.world.block_on(real.ask(&world, "/metrics"));
-            let text = text.map_err(ScaleError::io("asking a daemon"))?;
+            let text = self.metrics(real)?;
             let value = text.lines().find_map(|line| line.strip_prefix(metric));
             each.push(value.and_then(|n| n.parse().ok()).unwrap_or(0));
         }
         Ok(each)
     }
 
+    /// What a daemon tells of itself.
+    fn metrics(&self, daemon: &Process) -> Result<String, ScaleError> {
+        let world: WorldRef = self.world.clone();
+        let text = self.world.block_on(daemon.ask(&world, "/metrics"));
+        text.map_err(ScaleError::io("asking a daemon"))
+    }
+
     /// The run's clock.
     pub fn now(&self) -> Micros {
         self.world.now()
@@ -249,13 +254,10 @@
     /// # Errors
     /// When a process ended.
     pub fn readings(&mut self) -> Result<Readings, ScaleError> {
-        let world: WorldRef = self.world.clone();
         let mut real = Vec::new();
         for process in &self.real {
             let proc = Proc::read(process.pid())?;
-            let text = self.world.block_on(process.ask(&world, "/metrics"));
-            let text = text.map_err(ScaleError::io("asking a daemon"))?;
-            real.push(Reading { proc, counters: counters(&text) });
+            real.push(Reading { proc, counters: counters(&self.metrics(process)?) });
         }
         let (node, engines, store) =
             (self.measured.reading()?, self.engines.reading()?, self.store.reading()?);
