--- a/crates/ivywardd/tests/platform.rs
+++ b/crates/ivywardd/tests/platform.rs
@@ -1,65 +1,20 @@
 //! The daemon's platform form as a process: its configuration, SIGHUP and SIGTERM.
 
+mod common;
+
+use common::{answers, config, File, Running, BODY};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use ivyward_world::{SmolWorld, World};
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
-const SETTINGS: &str = r#"{"balancers":1,"zone":0,"failure_domains":["a"],"host_types":["prefill","decode"],
-    "family_info":{"kind_role":["read","write"],"let_go_by_us":300000},
-    "classes":[{"name":"draft","semantics":"retryable","target_us":1500000,"deadline_us":7500000,"importance":2.0}],
-    "guarantees":{"drain_grace_us":1000000,"fall_multiple":2.5,"fall_us":3000000,"start_capacity":0.4,"warm_after_us":10000000},
-    "limits":{"try_limit":5,"retry_after":true,"max_retry_after_us":2000000,"dial_timeout_us":250000}}"#;
-
-fn config(listen: &str) -> String {
-    format!(
-        r#"{{"name":"n0","listen":"{listen}","discovery":"127.0.0.1:9","seed":"5","limits":{{"memory_mb":64,"sockets":256}},
-        "known":{{"version":1,"full":true,"servers":[{{"id":"s-1","addr":"127.0.0.1:9","zone":"a","kind":"prefill","cell":0,
-          "state":"up","weight":1.0,"started_ms":0}}]}},"settings":{SETTINGS}}}"#
-    )
-}
-
-/// A file of this process's own, removed at the end.
-struct File(PathBuf);
-
-impl File {
-    fn new(name: &str, text: &str) -> File {
-        let path = std::env::temp_dir().join(format!("ivywardd-{}-{name}", std::process::id()));
-        std::fs::write(&path, text).unwrap();
-        File(path)
-    }
-}
-
-impl Drop for File {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
 fn start(file: &File) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_ivywardd"));
     command.env_clear().arg("platform").env("BALANCER_CONFIG", &file.0);
     command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap()
 }
 
-/// The child, ended with the test whatever happens.
-struct Running(Child);
-
-impl Running {
-    fn signal(&self, name: &str) {
-        assert!(Command::new("kill").args([name, &self.0.id().to_string()]).status().unwrap().success());
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 fn health(world: &SmolWorld, address: SocketAddr) -> u16 {
     world.block_on(async {
         let mut conn = world.connect(address).await.unwrap();
@@ -149,44 +104,6 @@
     std::fs::read_dir(format!("/proc/{}/fd", process.0.id())).map_or(0, Iterator::count)
 }
 
-/// Answers each request on each connection by what `says` makes of its first line; `None` for silence.
-fn answers(
-    world: &std::sync::Arc<SmolWorld>,
-    says: impl Fn(&str) -> Option<String> + Send + Sync + 'static,
-) -> SocketAddr {
-    use ivyward_world::WorldExt;
-    let mut listener = world.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-    let (address, says, tasks) = (listener.address(), std::sync::Arc::new(says), world.clone());
-    world.run(async move {
-        while let Ok((mut conn, _)) = listener.accept().await {
-            let says = says.clone();
-            tasks.run(async move {
-                let (mut bytes, mut piece) = (Vec::new(), [0; 4096]);
-                while let Ok(n) = conn.read(&mut piece).await {
-                    if n == 0 {
-                        return;
-                    }
-                    bytes.extend_from_slice(&piece[..n]);
-                    let text = String::from_utf8_lossy(&bytes).into_owned();
-                    // A head, and the body of the one request that has one.
-                    let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
-                    if head.starts_with("POST /v1/chat") && body.len() < BODY.len() {
-                        continue;
-                    }
-                    bytes.clear();
-                    match says(head.lines().next().unwrap_or("")) {
-                        Some(answer) => drop(conn.write_all(answer.as_bytes()).await),
-                        None => return std::future::pending().await,
-                    }
-                }
-            });
-        }
-    });
-    address
-}
-
-const BODY: &str = r#"{"messages":[{"role":"user","content":"x"}]}"#;
-
 /// Idle clients fill what there is while discovery is down. It comes back: the node learns from it, dials an engine that it
 /// had no connection to, serves a request among the idle ones, and never asked the system for more than it may have.
 #[test]
