--- /dev/null
+++ b/crates/ivyward-core/tests/invariants.rs
@@ -0,0 +1,135 @@
+//! The guard of the rules, by synthetic steps: each rule has a step that it forbids and its neighbour that it lets pass.
+
+mod common;
+
+use common::{server, settings, SECOND};
+use ivyward_core::interface::*;
+use ivyward_core::invariants::{AnswerKind, AttemptReason, Guard, NodePhase, Rule};
+
+const SAFE: usize = 0;
+const UNSAFE: usize = 1;
+const KEYED_IN_ZONE: usize = 2;
+const READER: (ServerId, bool) = (ServerId(1), true);
+const WRITER: (ServerId, bool) = (ServerId(2), false);
+const FAR_WRITER: (ServerId, bool) = (ServerId(3), false);
+const REQUEST: RequestId = RequestId(9);
+
+/// A node that serves, with a reader and a writer in zone 0 and a writer in zone 1, and one request.
+fn serving(class: usize) -> Guard {
+    let mut guard = Guard::new(&settings());
+    let far = ServerEntry { zone: 1, ..server(3, 1) };
+    guard.listed(0, ListKind::Full, &[server(1, 0), server(2, 1), far]);
+    guard.enter(NodePhase::Serving).unwrap();
+    guard.take(REQUEST, class, 6 * SECOND).unwrap();
+    guard
+}
+
+fn forbidden<T: std::fmt::Debug>(result: Result<T, ivyward_core::invariants::Violation>) -> Rule {
+    result.expect_err("a step that breaks a rule").rule
+}
+
+#[test]
+fn a_request_goes_from_its_read_to_its_write_to_one_answer() {
+    let mut guard = serving(UNSAFE);
+    assert_eq!(guard.send(10, REQUEST, 0, READER), Ok(AttemptReason::First));
+    guard.ended(REQUEST, 0, Outcome::Read);
+    assert_eq!(guard.send(20, REQUEST, 1, WRITER), Ok(AttemptReason::NextStage));
+    guard.ended(REQUEST, 1, Outcome::Served);
+    assert_eq!(guard.answer(REQUEST, AnswerKind::Served), Ok(()));
+    assert_eq!(forbidden(guard.answer(REQUEST, AnswerKind::Failed)), Rule::OneAnswer);
+    assert_eq!(guard.forget(REQUEST), Ok(()));
+    assert_eq!(forbidden(guard.forget(REQUEST)), Rule::OneAnswer);
+}
+
+#[test]
+fn nothing_is_sent_after_the_answer_or_the_clients_time() {
+    let mut guard = serving(SAFE);
+    assert_eq!(forbidden(guard.send(6 * SECOND + 1, REQUEST, 0, READER)), Rule::NothingAfterAnswer);
+    assert!(guard.send(6 * SECOND, REQUEST, 0, READER).is_ok());
+    guard.ended(REQUEST, 0, Outcome::Reset);
+    guard.answer(REQUEST, AnswerKind::ClientGone).unwrap();
+    assert_eq!(forbidden(guard.send(6 * SECOND, REQUEST, 1, READER)), Rule::NothingAfterAnswer);
+    assert_eq!(forbidden(guard.send(10, RequestId(5), 0, READER)), Rule::NothingAfterAnswer);
+}
+
+#[test]
+fn one_attempt_is_out_at_a_time() {
+    let mut guard = serving(SAFE);
+    guard.send(10, REQUEST, 0, WRITER).unwrap();
+    assert_eq!(forbidden(guard.send(11, REQUEST, 1, FAR_WRITER)), Rule::OneAttempt);
+    guard.ended(REQUEST, 0, Outcome::Reset);
+    assert_eq!(guard.send(12, REQUEST, 1, FAR_WRITER), Ok(AttemptReason::Retry(Outcome::Reset)));
+}
+
+#[test]
+fn an_unsafe_request_goes_again_only_after_proof() {
+    for (outcome, again) in [
+        (Outcome::NotSent, true),
+        (Outcome::ConnectFailed, true),
+        (Outcome::Full, true),
+        (Outcome::Reset, false),
+        (Outcome::TimedOut, false),
+        (Outcome::Error, false),
+        (Outcome::Cancelled, false),
+    ] {
+        let mut guard = serving(UNSAFE);
+        guard.send(10, REQUEST, 0, WRITER).unwrap();
+        guard.ended(REQUEST, 0, outcome);
+        let sent = guard.clone().send(20, REQUEST, 1, WRITER);
+        let refused = guard.answer(REQUEST, AnswerKind::Refused);
+        if again {
+            assert!(sent.is_ok() && refused.is_ok(), "{outcome:?}");
+        } else {
+            assert_eq!(forbidden(sent), Rule::NoEffectTwice, "{outcome:?}");
+            assert_eq!(forbidden(refused), Rule::HarmlessRefusal, "{outcome:?}");
+        }
+    }
+    // A read has no effect.
+    let mut guard = serving(UNSAFE);
+    guard.send(10, REQUEST, 0, READER).unwrap();
+    guard.ended(REQUEST, 0, Outcome::Reset);
+    assert!(guard.send(20, REQUEST, 1, WRITER).is_ok());
+}
+
+#[test]
+fn a_keyed_request_goes_again_inside_its_group_and_window() {
+    let mut guard = serving(KEYED_IN_ZONE);
+    guard.send(10, REQUEST, 0, WRITER).unwrap();
+    guard.ended(REQUEST, 0, Outcome::Reset);
+    assert_eq!(forbidden(guard.clone().send(20, REQUEST, 1, FAR_WRITER)), Rule::NoEffectTwice);
+    assert_eq!(forbidden(guard.clone().send(10 + 5 * SECOND, REQUEST, 1, WRITER)), Rule::NoEffectTwice);
+    assert!(guard.send(9 + 5 * SECOND, REQUEST, 1, WRITER).is_ok());
+}
+
+#[test]
+fn a_refusal_while_a_write_is_out_promises_too_much() {
+    let mut guard = serving(UNSAFE);
+    guard.send(10, REQUEST, 0, WRITER).unwrap();
+    assert_eq!(forbidden(guard.answer(REQUEST, AnswerKind::Refused)), Rule::HarmlessRefusal);
+    assert_eq!(guard.answer(REQUEST, AnswerKind::Failed), Ok(()));
+}
+
+#[test]
+fn a_drain_has_a_grace_that_runs_from_the_first_word() {
+    let mut guard = serving(SAFE);
+    let drains = ServerEntry { condition: Condition::Draining, ..server(2, 1) };
+    guard.listed(SECOND, ListKind::Changes, &[drains]);
+    // Told again, it drains no later.
+    guard.listed(2 * SECOND, ListKind::Full, &[server(1, 0), drains]);
+    assert!(guard.clone().send(2 * SECOND, REQUEST, 0, WRITER).is_ok());
+    assert_eq!(forbidden(guard.clone().send(2 * SECOND + 1, REQUEST, 0, WRITER)), Rule::NothingToDraining);
+    guard.listed(3 * SECOND, ListKind::Changes, &[server(2, 1)]);
+    assert!(guard.send(3 * SECOND, REQUEST, 0, WRITER).is_ok());
+}
+
+#[test]
+fn a_node_goes_through_its_phases_once() {
+    let mut guard = serving(SAFE);
+    guard.enter(NodePhase::Stopping).unwrap();
+    guard.enter(NodePhase::Stopping).unwrap();
+    assert_eq!(forbidden(guard.enter(NodePhase::Serving)), Rule::NodePhase);
+    assert_eq!(forbidden(guard.enter(NodePhase::Stopped)), Rule::NodePhase);
+    guard.answer(REQUEST, AnswerKind::Failed).unwrap();
+    guard.enter(NodePhase::Stopped).unwrap();
+    assert_eq!(forbidden(guard.take(RequestId(10), SAFE, SECOND)), Rule::NodePhase);
+}
--- a/crates/ivyward-lab/src/seeds.rs
+++ b/crates/ivyward-lab/src/seeds.rs
@@ -8,6 +8,7 @@
 use crate::scene::{classes, fleet, limits, notices, seen_effect, settings, Memory};
 use futures_lite::future::or;
 use ivyward::core::interface::{Action, Condition, Event, ListKind, Micros, ServerEntry};
+use ivyward::core::invariants::Rule;
 use ivyward::follow::Follow;
 use ivyward::metrics::OUTCOMES;
 use ivyward::record::{replay, Reader};
@@ -1088,6 +1089,11 @@
     let ids: Vec<u64> = fleet(size.racks).iter().map(|s| s.id).collect();
     let mut met = coincidences(&log.all(), &played, &ids);
     for (_, node) in (0..size.nodes).filter_map(|n| stage.node(n)) {
+        for (counter, (_, name)) in node.metrics().violations.iter().zip(Rule::ALL) {
+            if counter.get() > 0 {
+                wrong.push(format!("invariant {name} did not hold {} times", counter.get()));
+            }
+        }
         for (counter, (_, name)) in node.metrics().outcomes.iter().zip(ivyward::metrics::OUTCOMES) {
             *met.entry(name).or_default() += counter.get();
         }
--- a/crates/ivyward-platform/src/server.rs
+++ b/crates/ivyward-platform/src/server.rs
@@ -107,7 +107,9 @@
         let world = self.world.clone();
         world.run(async move {
             let _guard = ConnectionGuard { table: &self.table, id };
-            self.client(Wire::new(conn), id, told_to_close).await;
+            let reason = self.client(Wire::new(conn), id, told_to_close).await;
+            self.node.metrics().closed(reason);
+            debug!(connection = id, reason = reason.name(), "a client's connection is closed");
         });
     }
 }
--- a/crates/ivyward-platform/src/server/connection.rs
+++ b/crates/ivyward-platform/src/server/connection.rs
@@ -9,6 +9,7 @@
 use futures_lite::future::or;
 use ivyward::core::interface::{Effect, Micros};
 use ivyward::world::before;
+use ivyward::CloseReason;
 use ivyward_http1::{Body, Request, Step};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -50,7 +51,13 @@
 }
 
 impl Server {
-    pub(super) async fn client(&self, mut wire: Wire, id: u64, told_to_close: async_channel::Receiver<()>) {
+    /// Serves a client's connection to its end; why it ended.
+    pub(super) async fn client(
+        &self,
+        mut wire: Wire,
+        id: u64,
+        told_to_close: async_channel::Receiver<()>,
+    ) -> CloseReason {
         let mut first = true;
         loop {
             let now = self.world.now();
@@ -66,20 +73,25 @@
                 let came = before(&self.world, by, or(async { Some(wire.fill().await) }, close)).await;
                 match came.flatten() {
                     Some(Ok(n)) if n > 0 => {}
-                    _ => return,
+                    Some(_) => return CloseReason::ClientLeft,
+                    None => return self.unless_stopping(CloseReason::Idle),
                 }
             }
             self.table.set_busy(id);
             let by = self.world.now().saturating_add(REQUEST_TIMEOUT);
             let bad = match self.receive(&mut wire, by).await {
-                Received::Closed => return,
+                Received::Closed => return CloseReason::ClientLeft,
                 Received::Invalid(bad) => Some(bad),
                 Received::Request(request, prompt) => {
                     let keeps = request.head.keeps();
                     match self.serve_one(&mut wire, *request, prompt).await {
-                        Ok(_) if wire.dropped() > 0 => return self.linger(wire).await,
+                        Ok(_) if wire.dropped() > 0 => {
+                            self.linger(wire).await;
+                            return CloseReason::Pipelined;
+                        }
                         Ok(true) if keeps && !self.stops() => None,
-                        Ok(_) => return,
+                        Ok(true) => return self.unless_stopping(CloseReason::Asked),
+                        Ok(false) => return CloseReason::AnswerBroken,
                         Err(bad) => Some(RequestError { closes: bad.closes || !keeps, ..bad }),
                     }
                 }
@@ -87,15 +99,23 @@
             if let Some(bad) = bad {
                 let closes = bad.closes || self.stops();
                 if !self.respond(&mut wire, bad.status, &[], &error_body(&bad.text), closes).await {
-                    return;
+                    return CloseReason::ClientLeft;
                 }
                 if closes {
-                    return self.linger(wire).await;
+                    self.linger(wire).await;
+                    return self.unless_stopping(CloseReason::InvalidRequest);
                 }
             }
         }
     }
 
+    fn unless_stopping(&self, reason: CloseReason) -> CloseReason {
+        match self.stops() {
+            true => CloseReason::Stopping,
+            false => reason,
+        }
+    }
+
     /// Ends our sending, and reads away what still comes.
     async fn linger(&self, mut wire: Wire) {
         wire.end_sending().await;
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -108,6 +108,7 @@
                         refused = m.refused.get(),
                         failed = m.failed.get(),
                         gone = m.gone.get(),
+                        violations = m.all_violations(),
                         attempts = m.attempts.get(),
                         module_us = m.module_us.get(),
                         driver_us = m.driver_us.get(),
--- a/crates/ivyward-platform/tests/common/mod.rs
+++ b/crates/ivyward-platform/tests/common/mod.rs
@@ -223,7 +223,13 @@
             while !healthy(&client, address).await {
                 client.sleep(10_000).await;
             }
+            let node = service.node().clone();
             scene(Scene { sim, hosts, service, world, client, address, book, list, faults }).await;
+            assert_eq!(
+                node.metrics().all_violations(),
+                0,
+                "invariants that did not hold; the log names them"
+            );
         });
         played.unwrap();
     }
--- /dev/null
+++ b/crates/ivyward/src/close.rs
@@ -0,0 +1,46 @@
+//! Why a node closes a client's connection.
+
+/// The reason of a close, counted as `ivyward_client_closes_total{reason}` and logged with the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The client closed it, or it broke.
+    ClientLeft,
+    /// It brought no request in time, or made room for another one.
+    Idle,
+    /// The request was answered with an error after which the connection cannot go on.
+    InvalidRequest,
+    /// The request or its answer asked for the close.
+    Asked,
+    /// More came behind a request than is kept.
+    Pipelined,
+    /// The answer broke off, or its client took no byte of it for too long.
+    AnswerBroken,
+    /// The node stops.
+    Stopping,
+}
+
+impl CloseReason {
+    /// All reasons, in the order of their declaration.
+    pub const ALL: [CloseReason; 7] = [
+        CloseReason::ClientLeft,
+        CloseReason::Idle,
+        CloseReason::InvalidRequest,
+        CloseReason::Asked,
+        CloseReason::Pipelined,
+        CloseReason::AnswerBroken,
+        CloseReason::Stopping,
+    ];
+
+    /// Its name in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            CloseReason::ClientLeft => "client_left",
+            CloseReason::Idle => "idle",
+            CloseReason::InvalidRequest => "invalid_request",
+            CloseReason::Asked => "asked",
+            CloseReason::Pipelined => "pipelined",
+            CloseReason::AnswerBroken => "answer_broken",
+            CloseReason::Stopping => "stopping",
+        }
+    }
+}
--- a/crates/ivyward/src/lib.rs
+++ b/crates/ivyward/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod admin;
 pub mod answer;
+pub mod close;
 pub mod engines;
 pub mod membership;
 pub mod metrics;
@@ -29,6 +30,7 @@
 mod shared;
 
 pub use answer::{Failure, Final, Part, Refusal, Run};
+pub use close::CloseReason;
 pub use engines::Engine;
 pub use membership::{follow, registration, snapshot};
 pub use node::{Answer, Node, StartError};
--- a/crates/ivyward/src/metrics.rs
+++ b/crates/ivyward/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Plain counters, and their text form for whoever scrapes them.
 
+use crate::answer::Refusal;
+use crate::close::CloseReason;
 use ivyward_core::interface::Outcome;
+use ivyward_core::invariants::Rule;
 use ivyward_world::Meter;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -48,6 +51,14 @@
     pub attempts: Counter,
     /// Ends of attempts, in the order of [`OUTCOMES`].
     pub outcomes: [Counter; 10],
+    /// Attempts that follow one which ended so, in the order of [`OUTCOMES`].
+    pub retries: [Counter; 10],
+    /// Steps that an invariant forbade, in the order of [`Rule::ALL`].
+    pub violations: [Counter; Rule::ALL.len()],
+    /// Refusals by their reason, in the order of [`REFUSALS`].
+    pub refusals: [Counter; REFUSALS.len()],
+    /// Client connections that were closed, in the order of [`CloseReason::ALL`].
+    pub closes: [Counter; CloseReason::ALL.len()],
     /// Releases asked of engines.
     pub releases: Counter,
     /// Releases left to the engines' own limit.
@@ -106,7 +117,29 @@
     (Outcome::NotSent, "not_sent"),
 ];
 
+/// Why requests are refused, as the metrics name it.
+pub const REFUSALS: [(Refusal, &str); 3] =
+    [(Refusal::Shed, "overload"), (Refusal::NodeFull, "node_full"), (Refusal::Stopping, "stopping")];
+
 impl Metrics {
+    /// Counts a client connection that was closed.
+    pub fn closed(&self, reason: CloseReason) {
+        self.closes[reason as usize].add(1);
+    }
+    /// Steps that invariants forbade, all rules together.
+    pub fn all_violations(&self) -> u64 {
+        self.violations.iter().map(Counter::get).sum()
+    }
+    pub(crate) fn refused_for(&self, why: Refusal) {
+        if let Some(i) = REFUSALS.iter().position(|(reason, _)| *reason == why) {
+            self.refusals[i].add(1);
+        }
+    }
+    pub(crate) fn retry_after(&self, outcome: Outcome) {
+        if let Some(i) = OUTCOMES.iter().position(|(o, _)| *o == outcome) {
+            self.retries[i].add(1);
+        }
+    }
     pub(crate) fn outcome(&self, outcome: Outcome) {
         if let Some(i) = OUTCOMES.iter().position(|(o, _)| *o == outcome) {
             self.outcomes[i].add(1);
@@ -154,6 +187,23 @@
         for (counter, (_, name)) in self.outcomes.iter().zip(OUTCOMES) {
             let _ = writeln!(out, "ivyward_attempt_ends_total{{outcome=\"{name}\"}} {}", counter.get());
         }
+        for (counter, (_, name)) in self.retries.iter().zip(OUTCOMES) {
+            let _ = writeln!(out, "ivyward_retries_total{{after=\"{name}\"}} {}", counter.get());
+        }
+        for (counter, (_, name)) in self.refusals.iter().zip(REFUSALS) {
+            let _ = writeln!(out, "ivyward_refusals_total{{reason=\"{name}\"}} {}", counter.get());
+        }
+        for (counter, reason) in self.closes.iter().zip(CloseReason::ALL) {
+            let _ = writeln!(
+                out,
+                "ivyward_client_closes_total{{reason=\"{}\"}} {}",
+                reason.name(),
+                counter.get()
+            );
+        }
+        for (counter, (_, name)) in self.violations.iter().zip(Rule::ALL) {
+            let _ = writeln!(out, "ivyward_invariant_violations_total{{rule=\"{name}\"}} {}", counter.get());
+        }
         self.traffic_text(&mut out);
         out
     }
--- a/crates/ivyward/src/node.rs
+++ b/crates/ivyward/src/node.rs
@@ -168,6 +168,7 @@
             return Ok(id);
         };
         shared.metrics.refused.add(1);
+        shared.metrics.refused_for(why);
         Err(why)
     }
 
--- a/crates/ivyward/src/request/driver.rs
+++ b/crates/ivyward/src/request/driver.rs
@@ -12,13 +12,14 @@
 use ivyward_core::interface::{
     Action, Condition, Event, ListKind, Micros, Outcome, RequestId, Role, ServerId,
 };
+use ivyward_core::invariants::{AnswerKind, AttemptReason, Guard, NodePhase, Rule, Violation};
 use ivyward_core::planted::{self, Defect};
 use ivyward_core::rules::Router;
 use ivyward_world::{BoxFuture, WorldExt};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use tracing::{debug, info, warn};
+use tracing::{debug, error, info, warn};
 
 /// How often a node that stops looks whether all was let go of.
 const LOOK: Micros = 5_000;
@@ -67,6 +68,8 @@
     inbox: Inbox,
     notices: async_channel::Receiver<Notice>,
     router: Router,
+    /// Checks each step against the rules, apart from what decided it.
+    guard: Guard,
     recorder: Option<Recorder>,
     open: BTreeMap<u64, Open>,
     links: BTreeMap<ServerId, (LinkRef, u8)>,
@@ -86,7 +89,9 @@
         recorder: Option<Recorder>,
     ) -> Driver {
         let router = Router::new(shared.router_settings.clone(), shared.settings.seed);
+        let guard = Guard::new(&shared.router_settings);
         Driver {
+            guard,
             shared,
             protocol,
             inbox,
@@ -147,6 +152,8 @@
                 self.shared.metrics.driver_us.add(world.now() - began);
             }
         }
+        let ended = self.guard.enter(NodePhase::Stopped);
+        self.checked(0, ended);
         self.flush();
         self.links.values().for_each(|(link, _)| link.shut());
     }
@@ -200,6 +207,23 @@
         }
     }
 
+    /// Takes note of a step's check: whether it may be taken. Each kind of violation is logged once.
+    fn checked<T>(&self, request: u64, check: Result<T, Violation>) -> Option<T> {
+        let violation = match check {
+            Ok(passed) => return Some(passed),
+            Err(violation) => violation,
+        };
+        let counter = &self.shared.metrics.violations[violation.rule as usize];
+        counter.add(1);
+        let name = self.open.get(&request).map_or("", |open| open.taken.call.name());
+        if counter.get() == 1 {
+            error!(request, name, %violation, "an invariant does not hold; the step is left out");
+        } else {
+            debug!(request, name, %violation, "an invariant does not hold; the step is left out");
+        }
+        None
+    }
+
     /// The client's time, or the node's, is over: it gets its answer now, whatever is out.
     fn end_now(&mut self, id: u64, why: Failure) {
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -209,6 +233,8 @@
             if open.taken.call.finish(Final::Failed(why)) {
                 self.shared.metrics.failed.add(1);
             }
+            let answered = self.guard.answer(RequestId(id), AnswerKind::Failed);
+            self.checked(id, answered);
             self.tell(Event::ClientGone(RequestId(id)));
         }
         self.give_up_attempts(id);
@@ -239,7 +265,11 @@
                 let _ = done.try_send(());
             }
             Notice::Nodes(nodes) => self.tell(Event::Nodes(nodes)),
-            Notice::Stop { by } => self.stop_by = Some(self.stop_by.map_or(by, |before| before.min(by))),
+            Notice::Stop { by } => {
+                let stopping = self.guard.enter(NodePhase::Stopping);
+                self.checked(0, stopping);
+                self.stop_by = Some(self.stop_by.map_or(by, |before| before.min(by)));
+            }
             Notice::Flush(done) => {
                 self.flush();
                 let _ = done.try_send(());
@@ -309,7 +339,11 @@
     }
 
     fn answer(&mut self, id: u64, end: Final) {
-        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
+        if self.open.get(&id).is_none_or(|open| open.answered) {
+            return;
+        }
+        let end = self.permitted(id, end);
+        let Some(open) = self.open.get_mut(&id) else { return };
         open.answered = true;
         let counter = match end {
             Final::Served => &self.shared.metrics.served,
@@ -317,17 +351,40 @@
             Final::Failed(_) => &self.shared.metrics.failed,
         };
         debug!(request = id, name = open.taken.call.name(), ?end, "answered");
+        if let Final::Refused { why, .. } = end {
+            self.shared.metrics.refused_for(why);
+        }
         if open.taken.call.finish(end) {
             counter.add(1);
         }
     }
 
+    /// The answer itself, or a failure where it would promise what may not hold.
+    fn permitted(&mut self, id: u64, end: Final) -> Final {
+        let kind = match end {
+            Final::Served => AnswerKind::Served,
+            Final::Refused { .. } => AnswerKind::Refused,
+            Final::Failed(_) => AnswerKind::Failed,
+        };
+        let check = self.guard.answer(RequestId(id), kind);
+        let breaks_promise = check.is_err_and(|violation| violation.rule == Rule::HarmlessRefusal);
+        self.checked(id, check);
+        if !breaks_promise {
+            return end;
+        }
+        let failed = self.guard.answer(RequestId(id), AnswerKind::Failed);
+        self.checked(id, failed);
+        Final::Failed(Failure::Attempts(self.open.get(&id).map_or(String::new(), |open| open.last.clone())))
+    }
+
     /// Forgets a request that is answered and has no attempt out.
     fn sweep(&mut self, id: u64) {
         if self.open.get(&id).is_none_or(|o| !o.answered || o.attempts.iter().any(|a| a.out)) {
             return;
         }
         self.release(id);
+        let forgotten = self.guard.forget(RequestId(id));
+        self.checked(id, forgotten);
         if let Some(open) = self.open.remove(&id) {
             self.deadlines.remove(&(open.deadline, id));
             self.shared.open.fetch_sub(1, Ordering::SeqCst);
@@ -355,6 +412,8 @@
             last: "no engine could take it".into(),
         };
         self.open.insert(id, open);
+        let taken = self.guard.take(RequestId(id), arrival.class, deadline);
+        self.checked(id, taken);
         self.tell_at(now, Event::Request(arrival));
         if self.stop_over {
             // It slipped in beside the stop.
@@ -374,6 +433,9 @@
             open.kept.clear();
         }
         self.shared.metrics.gone.add(1);
+        let left = self.guard.answer(RequestId(id), AnswerKind::ClientGone);
+        self.checked(id, left);
+        let Some(open) = self.open.get_mut(&id) else { return };
         // Tokens that an attempt still has in hand go nowhere.
         open.taken.call.finish(Final::Failed(Failure::Broken("the client left".into())));
         let streaming = open.streaming;
@@ -416,6 +478,7 @@
     fn on_ended(&mut self, ended: Ended) {
         let Ended { request: id, attempt: no, end } = ended;
         self.shared.metrics.outcome(end.outcome);
+        self.guard.ended(RequestId(id), no, end.outcome);
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(attempt) = open.attempts.get_mut(usize::from(no)).filter(|a| a.out) else { return };
         attempt.out = false;
@@ -544,6 +607,11 @@
             entries.push(entry);
         }
         self.shared.metrics.engines.set(self.links.len() as u64);
+        self.guard.listed(self.shared.world.now(), kind, &entries);
+        if self.guard.phase() == NodePhase::Starting {
+            let serving = self.guard.enter(NodePhase::Serving);
+            self.checked(0, serving);
+        }
         self.tell(Event::Fleet { kind, entries });
         self.shared.metrics.engines_known.set(self.router.known() as u64);
     }
@@ -556,13 +624,20 @@
         let shared = self.shared.clone();
         let found = self.links.get(&server).cloned();
         let reads = found.as_ref().is_some_and(|(_, kind)| self.role(*kind) == Some(Role::Prefill));
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.open.get(&id) else { return };
         let no = open.attempts.len() as u16;
+        let check = self.guard.send(now, RequestId(id), no, (server, reads));
+        let reason = self.checked(id, check);
+        if let Some(AttemptReason::Retry(outcome)) = reason {
+            shared.metrics.retry_after(outcome);
+        }
+        let Some(open) = self.open.get_mut(&id) else { return };
         let a = &open.taken.arrival;
         debug!(
             request = id,
             name = open.taken.call.name(),
             attempt = no,
+            ?reason,
             engine = server.0,
             reads,
             timeout,
@@ -575,14 +650,9 @@
             shared = a.prefix_tokens,
             "attempt begins"
         );
-        // The module sees to both; a message to an engine is too late to find out.
-        let ill = open.answered || open.attempts.iter().any(|a| a.out);
-        if ill {
-            warn!(request = id, "the module asked for an attempt beside another, or after the end: not sent");
-        }
         let (stop_tx, stop) = async_channel::bounded(1);
         let attempt = Attempt { link: found.clone().map(|f| f.0), reads, out: true, stop: stop_tx };
-        let job = found.filter(|_| !ill).map(|(link, _)| {
+        let job = found.filter(|_| reason.is_some()).map(|(link, _)| {
             let first_by = open.taken.first_by;
             // The engine is told when this node will end the stream, so that it never does so first.
             let end_by = open.taken.end_by.map(|by| final_deadline(&shared, by));
