ivyward-lab soak: random overlapping faults against node processes, rules from outside

Change: crates/ivyward-lab/src/soak (plan from a seed, relay before each engine, node processes with the preloaded fault library and signals, clients, oracle, report) and platform stand-ins in ivyward-standins (engine, discovery, one log of observations). The oracle joins clients' and engines' records by request id: lost, after_end, two_at_once, effect_twice, false_refusal, timeout_told, drain, pinned, crash. The platform's tests read requests and answers by the same code. Nodes end with the rig (PR_SET_PDEATHSIG). Slow start is not in this oracle, and it plays the platform alone.

--- a/crates/ivyward-lab/src/lib.rs
+++ b/crates/ivyward-lab/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`peernet`]: many peers on a network of datagrams in virtual time, and what is measured there.
 //! - [`peerscene`]: peers in the whole scenes of `seeds`.
 //! - [`relay`]: what a node adds to a stream.
+//! - [`soak`]: random faults against node processes, with the rules checked from what others observed.
 //! - [`scale`]: what each role uses as a deployment grows.
 
 pub mod badday;
@@ -30,3 +31,4 @@
 pub mod scale;
 pub mod scene;
 pub mod seeds;
+pub mod soak;
--- a/crates/ivyward-lab/src/main.rs
+++ b/crates/ivyward-lab/src/main.rs
@@ -11,6 +11,7 @@
 use ivyward_lab::relay;
 use ivyward_lab::scene::Runs;
 use ivyward_lab::seeds::{self, Size};
+use ivyward_lab::soak;
 use ivyward_proto::front::GenerateRequest;
 use ivyward_standins::{Role, Spec};
 use std::net::SocketAddr;
@@ -62,6 +63,30 @@
         #[arg(long, value_name = "FILE")]
         record: Option<PathBuf>,
     },
+    /// Plays random, overlapping faults against node processes of the platform, and checks the rules from outside.
+    Soak {
+        /// Node processes.
+        #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u16).range(1..=40))]
+        nodes: u16,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// So many seeds, one after the other.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+        seeds: u64,
+        /// Seconds of trouble in each.
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(4..=3_600))]
+        seconds: u64,
+        /// Plays this plan.
+        #[arg(long, value_name = "FILE")]
+        plan: Option<PathBuf>,
+        /// Keeps logs, plans and configurations of all seeds in this folder.
+        #[arg(long, value_name = "DIR")]
+        keep: Option<PathBuf>,
+        /// The daemon; the one beside this program if left out.
+        #[arg(long, value_name = "PATH")]
+        daemon: Option<PathBuf>,
+    },
     /// Registers an engine in etcd under a lease and keeps it alive until interrupted, or once with --once.
     Register {
         #[command(flatten)]
@@ -467,6 +492,17 @@
                 _ => Ok(ExitCode::SUCCESS),
             }
         }
+        What::Soak { nodes, seed, seeds, seconds, plan, keep, daemon } => {
+            let options = soak_options((nodes, (seed, seeds), seconds), plan, keep, daemon);
+            options.and_then(|options| soak::play(&options).map_err(|e| e.to_string())).map(|report| {
+                print!("{}", report.text());
+                if report.holds() {
+                    ExitCode::SUCCESS
+                } else {
+                    ExitCode::FAILURE
+                }
+            })
+        }
         What::Scale { flags } => flags.play().map(|()| ExitCode::SUCCESS).map_err(|e| e.to_string()),
         What::Capacity { flags } => {
             let answer = flags.answer().map_err(|e| e.to_string());
@@ -742,3 +778,20 @@
     println!("{} events, {} actions, all as recorded{cut}", done.events, done.actions);
     Ok(ExitCode::SUCCESS)
 }
+
+/// The options of a soak from its flags.
+fn soak_options(
+    (nodes, seeds, seconds): (u16, (u64, u64), u64),
+    plan: Option<PathBuf>,
+    keep: Option<PathBuf>,
+    daemon: Option<PathBuf>,
+) -> Result<soak::Options, String> {
+    let beside =
+        std::env::current_exe().map(|me| me.with_file_name("ivywardd")).map_err(|e| e.to_string())?;
+    let read = |path: PathBuf| {
+        let text = std::fs::read(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        serde_json::from_slice(&text).map_err(|e| format!("{}: {e}", path.display()))
+    };
+    let daemon = daemon.unwrap_or(beside);
+    Ok(soak::Options { daemon, nodes: nodes.into(), seeds, seconds, plan: plan.map(read).transpose()?, keep })
+}
--- /dev/null
+++ b/crates/ivyward-lab/src/soak/link.rs
@@ -0,0 +1,125 @@
+//! The way between the nodes and one engine: a relay whose bytes can stop, and whose connections can be reset.
+
+use futures_lite::future::{or, zip};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use ivyward_world::{before, Conn, Micros, WorldExt, WorldRef};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+
+const LOOK: Micros = 2_000;
+const PIECE: usize = 16 << 10;
+/// A connection that does not come up through a cut is given up after this span, as by a machine's own limit.
+const CONNECT: Micros = 10_000_000;
+
+/// What happens to a link. Clones are handles to the same one.
+#[derive(Clone, Default)]
+pub struct Link {
+    cut: Arc<AtomicBool>,
+    resets: Arc<AtomicU64>,
+}
+
+impl Link {
+    /// Nothing passes, or all does again.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+    }
+    /// Resets all connections.
+    pub fn reset(&self) {
+        self.resets.fetch_add(1, Ordering::SeqCst);
+    }
+    fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::SeqCst)
+    }
+
+    /// Relays connections to `target`, until the world ends; the address to connect to.
+    ///
+    /// # Errors
+    /// When it cannot listen.
+    pub fn serve(&self, world: &WorldRef, target: SocketAddr) -> std::io::Result<SocketAddr> {
+        let mut listener = world.listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let address = listener.address();
+        let (link, world) = (self.clone(), world.clone());
+        let accepting = world.clone();
+        accepting.run(async move {
+            loop {
+                match listener.accept().await {
+                    Ok((conn, _)) => {
+                        let (link, of) = (link.clone(), world.clone());
+                        world.run(async move { link.relay(&of, conn, target).await });
+                    }
+                    Err(_) => world.sleep(LOOK).await,
+                }
+            }
+        });
+        Ok(address)
+    }
+
+    async fn passable(&self, world: &WorldRef) {
+        while self.is_cut() {
+            world.sleep(LOOK).await;
+        }
+    }
+
+    async fn relay(&self, world: &WorldRef, mut near: Conn, target: SocketAddr) {
+        let resets = self.resets.load(Ordering::SeqCst);
+        let connecting = async {
+            self.passable(world).await;
+            world.connect(target).await
+        };
+        let until = world.now() + CONNECT;
+        let Some(Ok(mut far)) = before(world, until, connecting).await else {
+            near.reset_on_close();
+            return;
+        };
+        let reset = async {
+            while self.resets.load(Ordering::SeqCst) == resets {
+                world.sleep(LOOK).await;
+            }
+            true
+        };
+        let broken = {
+            let (read_near, write_near) = futures_lite::io::split(&mut near);
+            let (read_far, write_far) = futures_lite::io::split(&mut far);
+            let there = self.one_way(world, read_near, write_far);
+            let back = self.one_way(world, read_far, write_near);
+            let both = async {
+                let (there, back) = zip(there, back).await;
+                there || back
+            };
+            or(both, reset).await
+        };
+        if broken {
+            near.reset_on_close();
+            far.reset_on_close();
+        }
+    }
+
+    /// Passes on one direction to its end; whether it broke. In a cut nothing is read, so that what a reset takes back
+    /// stays in the system's own buffers.
+    async fn one_way(
+        &self,
+        world: &WorldRef,
+        mut read: impl AsyncRead + Unpin,
+        mut write: impl AsyncWrite + Unpin,
+    ) -> bool {
+        let mut piece = vec![0; PIECE];
+        loop {
+            self.passable(world).await;
+            let looked = world.now() + 10 * LOOK;
+            let got = match before(world, looked, read.read(&mut piece)).await {
+                None => continue,
+                Some(Ok(0)) => break,
+                Some(Ok(got)) => got,
+                Some(Err(_)) => return true,
+            };
+            self.passable(world).await;
+            if write.write_all(&piece[..got]).await.is_err() {
+                return true;
+            }
+        }
+        // The other side may have gone.
+        let _ = write.close().await;
+        false
+    }
+}
--- /dev/null
+++ b/crates/ivyward-lab/src/soak/report.rs
@@ -0,0 +1,105 @@
+//! What came of a soak: a line a seed, faults that took place, and pairs of troubles that met or never did.
+
+use crate::soak::oracle::Broken;
+use crate::soak::plan::{Kind, Plan};
+use ivyward_faults::SystemFault;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+use std::path::PathBuf;
+
+/// What came of one seed.
+pub struct SeedReport {
+    /// Its troubles.
+    pub plan: Plan,
+    /// Its logs and its plan.
+    pub folder: PathBuf,
+    /// Answers by status, and whether they came whole.
+    pub answers: BTreeMap<(u16, bool), u64>,
+    /// Rules that did not hold, by what engines and clients observed.
+    pub broken: Vec<Broken>,
+    /// Invariants that did not hold, by what the nodes' guards say.
+    pub violations: u64,
+    /// How often each fault of a system call took place.
+    pub faults: BTreeMap<SystemFault, u64>,
+}
+
+impl SeedReport {
+    /// Whether a rule or an invariant did not hold.
+    pub fn is_broken(&self) -> bool {
+        !self.broken.is_empty() || self.violations > 0
+    }
+    /// One line.
+    pub fn line(&self) -> String {
+        let total: u64 = self.answers.values().sum();
+        let served = self.answers.get(&(200, true)).copied().unwrap_or(0);
+        let refused: u64 =
+            self.answers.iter().filter(|((s, _), _)| matches!(s, 429 | 503)).map(|a| a.1).sum();
+        let mut rules: BTreeMap<&str, u64> = BTreeMap::new();
+        for broken in &self.broken {
+            *rules.entry(broken.rule).or_default() += 1;
+        }
+        let mut line = format!(
+            "seed {}: {total} answers, {served} served, {refused} refused, {} troubles, {} overlaps",
+            self.plan.seed,
+            self.plan.troubles.len(),
+            self.plan.pairs().len()
+        );
+        if self.is_broken() {
+            let folder = self.folder.display();
+            let _ = write!(line, "; BROKEN {rules:?}, guard {}; plan and logs in {folder}", self.violations);
+            for broken in self.broken.iter().take(4) {
+                let _ = write!(line, "\n    {} {}: {}", broken.rule, broken.of, broken.seen);
+            }
+        }
+        line
+    }
+}
+
+/// What came of all seeds.
+#[derive(Default)]
+pub struct Report {
+    seeds: u64,
+    broken: Vec<u64>,
+    answers: u64,
+    faults: BTreeMap<SystemFault, u64>,
+    kinds: BTreeMap<Kind, u64>,
+    pairs: BTreeSet<(Kind, Kind)>,
+}
+
+impl Report {
+    /// Adds a seed.
+    pub fn add(&mut self, seed: SeedReport) {
+        self.seeds += 1;
+        if seed.is_broken() {
+            self.broken.push(seed.plan.seed);
+        }
+        self.answers += seed.answers.values().sum::<u64>();
+        for (fault, count) in &seed.faults {
+            *self.faults.entry(*fault).or_default() += count;
+        }
+        for trouble in &seed.plan.troubles {
+            *self.kinds.entry(trouble.kind).or_default() += 1;
+        }
+        self.pairs.extend(seed.plan.pairs());
+    }
+    /// Whether every rule held in every seed.
+    pub fn holds(&self) -> bool {
+        self.broken.is_empty()
+    }
+    /// Pairs of different kinds that never met, the lower one first.
+    pub fn pairs_never_met(&self) -> Vec<(Kind, Kind)> {
+        let pairs = Kind::ALL.iter().flat_map(|a| Kind::ALL.iter().map(move |b| (*a, *b)));
+        pairs.filter(|(a, b)| a < b && !self.pairs.contains(&(*a, *b))).collect()
+    }
+    /// The end of the report.
+    pub fn text(&self) -> String {
+        let never = self.pairs_never_met();
+        let all = Kind::ALL.len() * (Kind::ALL.len() - 1) / 2;
+        let mut out = format!(
+            "{} seeds, {} answers; broken: {:?}\ntroubles: {:?}\nfaults of system calls that took place: {:?}\n",
+            self.seeds, self.answers, self.broken, self.kinds, self.faults
+        );
+        let _ = writeln!(out, "{} of {all} pairs of troubles met; never met: {never:?}", all - never.len());
+        out
+    }
+}
--- a/crates/ivyward-platform/tests/common/mod.rs
+++ b/crates/ivyward-platform/tests/common/mod.rs
@@ -1,17 +1,17 @@
 //! The platform's other parties in the virtual world: engines, discovery and clients, and what crossed their sockets.
 #![allow(dead_code)] // Each test file uses its part.
 
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::AsyncWriteExt;
 use ivyward::core::interface::Micros;
 use ivyward::world::{before, Conn, WorldExt, WorldRef};
-use ivyward_http1::{Answer, Body, Limits, Request, Step};
 use ivyward_platform::{Config, Service};
 use ivyward_sim::{Host, HostId, Net, Sim};
+use ivyward_standins::platform::exchange::read_request as whole;
+pub use ivyward_standins::platform::exchange::{read_answer as got, Got};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 pub const DAY: Micros = 600_000_000;
-pub const LIMITS: Limits = Limits { head: 16 << 10, headers: 64, body: 1 << 20, chunk: 1 << 20 };
 pub const SERVED: &str = concat!(
     "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"},\"finish_reason\":null}]}\n\n",
     "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"ab\"},\"finish_reason\":\"stop\"}]}\n\n",
@@ -302,88 +302,6 @@
     .into_bytes()
 }
 
-/// An answer as a client sees it.
-#[derive(Debug, Default)]
-pub struct Got {
-    /// 0 where the connection ended without one.
-    pub status: u16,
-    pub body: Vec<u8>,
-    /// The body came to its end.
-    pub whole: bool,
-    pub closes: bool,
-    pub retry_after: Option<String>,
-    /// When its last byte, or the connection's end, came.
-    pub at: Micros,
-    /// When the body's last byte came.
-    pub last: Micros,
-}
-
-pub async fn got(world: &WorldRef, conn: &mut Conn) -> Got {
-    let (mut bytes, mut out, mut body): (Vec<u8>, Got, Option<Body>) = (Vec::new(), Got::default(), None);
-    loop {
-        if body.is_none() {
-            if let Some((answer, used)) = Answer::read(&bytes, &LIMITS).expect("an answer that can be read") {
-                bytes.drain(..used);
-                out.status = answer.status;
-                out.closes = !answer.head.keeps();
-                out.retry_after = answer.head.text("retry-after").map(str::to_owned);
-                body = Some(Body::new(answer.framing, &LIMITS));
-            }
-        }
-        while let Some(body) = body.as_mut() {
-            let (step, used) = body.step(&bytes).expect("a body that can be read");
-            if let Step::Data(range) = &step {
-                out.body.extend_from_slice(&bytes[range.clone()]);
-                out.last = world.now();
-            }
-            bytes.drain(..used);
-            match step {
-                Step::Done => return Got { whole: true, at: world.now(), ..out },
-                Step::More => break,
-                Step::Data(_) => {}
-            }
-        }
-        let mut piece = [0; 4096];
-        match conn.read(&mut piece).await {
-            Ok(n) if n > 0 => bytes.extend_from_slice(&piece[..n]),
-            _ => return Got { at: world.now(), ..out },
-        }
-    }
-}
-
-/// A whole request from a connection, or `None` at its end.
-async fn whole(conn: &mut Conn, bytes: &mut Vec<u8>) -> Option<(Request, Vec<u8>)> {
-    let mut head: Option<(Request, Body, Vec<u8>)> = None;
-    loop {
-        if head.is_none() {
-            if let Some((request, used)) = Request::read(bytes, &LIMITS).ok()? {
-                bytes.drain(..used);
-                let body = Body::new(request.framing, &LIMITS);
-                head = Some((request, body, Vec::new()));
-            }
-        }
-        if let Some((_, body, text)) = head.as_mut() {
-            loop {
-                let (step, used) = body.step(bytes).ok()?;
-                if let Step::Data(range) = &step {
-                    text.extend_from_slice(&bytes[range.clone()]);
-                }
-                bytes.drain(..used);
-                match step {
-                    Step::Done => return head.map(|(request, _, text)| (request, text)),
-                    Step::More => break,
-                    Step::Data(_) => {}
-                }
-            }
-        }
-        let mut piece = [0; 4096];
-        match conn.read(&mut piece).await {
-            Ok(n) if n > 0 => bytes.extend_from_slice(&piece[..n]),
-            _ => return None,
-        }
-    }
-}
-
 fn engine(host: &Arc<Host>, me: usize, book: &Arc<Mutex<Book>>, script: &Script) {
     let world = host.world();
     let mut listener = world.listen(address(me)).unwrap();
--- a/crates/ivyward-standins/src/lib.rs
+++ b/crates/ivyward-standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`engine`]: an engine on a loopback socket; [`faults`]: what may be wrong with it.
 //! - [`etcd`]: a small store that speaks etcd's API.
 //! - [`client`]: a scripted client of a node's door.
+//! - [`platform`]: engines and discovery of a platform that speaks HTTP/1.1.
 //! - [`audit`]: the five rules, checked from the log.
 
 pub mod audit;
@@ -12,6 +13,7 @@
 pub mod engine;
 pub mod etcd;
 pub mod faults;
+pub mod platform;
 pub mod sight;
 pub mod text;
 
--- /dev/null
+++ b/crates/ivyward-standins/src/platform/exchange.rs
@@ -0,0 +1,98 @@
+//! Whole requests and answers from a connection.
+
+use futures_lite::AsyncReadExt;
+use ivyward_http1::{Answer, Body, Limits, Request, Step};
+use ivyward_world::{Conn, Micros, WorldRef};
+
+/// Bounds of what is read.
+pub const LIMITS: Limits = Limits { head: 16 << 10, headers: 64, body: 1 << 20, chunk: 1 << 20 };
+const PIECE: usize = 4_096;
+
+/// An answer as a client sees it.
+#[derive(Clone, Debug, Default)]
+pub struct Got {
+    /// 0 where the connection ended without one.
+    pub status: u16,
+    /// What came of the body.
+    pub body: Vec<u8>,
+    /// The body came to its end.
+    pub whole: bool,
+    /// The connection does not go on.
+    pub closes: bool,
+    /// The header of this name.
+    pub retry_after: Option<String>,
+    /// When its last byte, or the connection's end, came.
+    pub at: Micros,
+    /// When the body's last byte came.
+    pub last: Micros,
+}
+
+/// Waits for an answer.
+///
+/// # Panics
+/// When what comes is no HTTP: no stand-in goes on from there.
+pub async fn read_answer(world: &WorldRef, conn: &mut Conn) -> Got {
+    let (mut bytes, mut out, mut body): (Vec<u8>, Got, Option<Body>) = (Vec::new(), Got::default(), None);
+    loop {
+        if body.is_none() {
+            if let Some((answer, used)) = Answer::read(&bytes, &LIMITS).expect("an answer that can be read") {
+                bytes.drain(..used);
+                out.status = answer.status;
+                out.closes = !answer.head.keeps();
+                out.retry_after = answer.head.text("retry-after").map(str::to_owned);
+                body = Some(Body::new(answer.framing, &LIMITS));
+            }
+        }
+        while let Some(body) = body.as_mut() {
+            let (step, used) = body.step(&bytes).expect("a body that can be read");
+            if let Step::Data(range) = &step {
+                out.body.extend_from_slice(&bytes[range.clone()]);
+                out.last = world.now();
+            }
+            bytes.drain(..used);
+            match step {
+                Step::Done => return Got { whole: true, at: world.now(), ..out },
+                Step::More => break,
+                Step::Data(_) => {}
+            }
+        }
+        let mut piece = [0; PIECE];
+        match conn.read(&mut piece).await {
+            Ok(n) if n > 0 => bytes.extend_from_slice(&piece[..n]),
+            _ => return Got { at: world.now(), ..out },
+        }
+    }
+}
+
+/// A whole request from a connection with what is left of it in `bytes`, or `None` at the connection's end.
+pub async fn read_request(conn: &mut Conn, bytes: &mut Vec<u8>) -> Option<(Request, Vec<u8>)> {
+    let mut head: Option<(Request, Body, Vec<u8>)> = None;
+    loop {
+        if head.is_none() {
+            if let Some((request, used)) = Request::read(bytes, &LIMITS).ok()? {
+                bytes.drain(..used);
+                let body = Body::new(request.framing, &LIMITS);
+                head = Some((request, body, Vec::new()));
+            }
+        }
+        if let Some((_, body, text)) = head.as_mut() {
+            loop {
+                let (step, used) = body.step(bytes).ok()?;
+                if let Step::Data(range) = &step {
+                    text.extend_from_slice(&bytes[range.clone()]);
+                }
+                bytes.drain(..used);
+                match step {
+                    Step::Done => return head.map(|(request, _, text)| (request, text)),
+                    Step::More => break,
+                    Step::Data(_) => {}
+                }
+            }
+        }
+        let mut piece = [0; PIECE];
+        match conn.read(&mut piece).await {
+            Ok(n) if n > 0 => bytes.extend_from_slice(&piece[..n]),
+            _ => return None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ivyward-standins/src/platform/observe.rs
@@ -0,0 +1,140 @@
+//! What engines, clients and discovery observed, in one log on one clock.
+
+use ivyward_world::Micros;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// How far a request of the class may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Freely.
+    Safe,
+    /// Engines drop repeats by its key.
+    Keyed,
+    /// Not at all.
+    Unsafe,
+}
+
+/// Something that was observed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Observation {
+    /// A client wrote the last byte of a request to a connection that the node's machine had accepted.
+    Sent {
+        /// Its id.
+        id: String,
+        /// Its class's effect.
+        effect: Effect,
+        /// The node.
+        node: usize,
+        /// How long the client waits for the first token.
+        patience: Micros,
+        /// It is the first request of its connection.
+        new_connection: bool,
+    },
+    /// The client closed its connection before the answer's end.
+    Left {
+        /// The request.
+        id: String,
+    },
+    /// The answer's end, or the connection's, came to the client.
+    Answered {
+        /// The request.
+        id: String,
+        /// 0 where the connection ended without an answer.
+        status: u16,
+        /// The body came to its end.
+        whole: bool,
+    },
+    /// The last byte of an attempt came to an engine that runs.
+    Arrived {
+        /// The request.
+        id: String,
+        /// The engine.
+        engine: usize,
+        /// The attempt, among all.
+        attempt: u64,
+        /// It reads the prompt.
+        reads: bool,
+        /// The time that the attempt tells: how long the node waits.
+        timeout: Micros,
+        /// It is turned away or dropped as a repeat, and has no effect.
+        dropped: bool,
+    },
+    /// An attempt is over at its engine: answered, or its connection ended.
+    Ended {
+        /// The attempt.
+        attempt: u64,
+    },
+    /// A read came to its end: its state waits at its engine.
+    Holds {
+        /// The request.
+        id: String,
+    },
+    /// What is held for a request was fetched or released.
+    Freed {
+        /// The request.
+        id: String,
+    },
+    /// Discovery wrote to a node that an engine drains.
+    ToldDrain {
+        /// The node.
+        node: usize,
+        /// The engine.
+        engine: usize,
+    },
+    /// An engine begins to drain, as discovery has it.
+    Drains {
+        /// The engine.
+        engine: usize,
+    },
+    /// An engine drains no longer.
+    DrainOver {
+        /// The engine.
+        engine: usize,
+    },
+    /// Nothing passes between nodes and an engine any more, or everything does again.
+    LinkCut {
+        /// The engine.
+        engine: usize,
+        /// Nothing passes.
+        cut: bool,
+    },
+    /// An engine's process ended; what it held is gone.
+    EngineEnded {
+        /// The engine.
+        engine: usize,
+    },
+    /// A node was told to end.
+    NodeStops {
+        /// The node.
+        node: usize,
+    },
+    /// A node was killed, or ended when it was told to.
+    NodeEnded {
+        /// The node.
+        node: usize,
+        /// It was killed.
+        killed: bool,
+    },
+    /// A node's process ended by itself.
+    NodeCrashed {
+        /// The node.
+        node: usize,
+    },
+}
+
+/// The log. Clones are handles to the same one.
+#[derive(Clone, Debug, Default)]
+pub struct ObservationLog(Arc<Mutex<Vec<(Micros, Observation)>>>);
+
+impl ObservationLog {
+    /// Adds an observation.
+    pub fn add(&self, at: Micros, observation: Observation) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push((at, observation));
+    }
+    /// All of them so far, by time.
+    pub fn all(&self) -> Vec<(Micros, Observation)> {
+        let mut all = self.0.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        all.sort_by_key(|(at, _)| *at);
+        all
+    }
+}
