Local failures of accept and connect doubt no engine; starts are bounded by the list

Lines: Server::serve 'while let Some(Ok(..))', EngineLink::connect (only EMFILE and ENFILE told apart), both accept loops, ListReader::on_this_clock.

Change: ErrorOrigin (ivyward-world) classes errors once; ivyward::engines::dial opens connections for both protocols and waits out a local failure within the dial's time (core decides when); accepts pause only for local failures; a told start lies between the last word of the list without the engine and now (core's starts).

Open: in the first list a node hears, an hour ahead cannot be told from the truth. The soak's oracle excuses requests of killed nodes and broken clients.

--- a/crates/ivyward-core/src/lib.rs
+++ b/crates/ivyward-core/src/lib.rs
@@ -5,7 +5,7 @@
 //! and notices of engines mean, [`starts`] what their told start times do, [`pace`] how often the module is told of changes,
 //! [`peers`] which other nodes are here, [`keep`] which kept connections carry a request,
 //! [`keepalive`] when connections are checked, [`release`] who is asked to let
-//! go of what is held, [`watch`] how a list is followed. [`invariants`] checks the rules at run time, apart from all of them.
+//! go of what is held, [`watch`] how a list is followed, [`dial`] when a dial is tried again. [`invariants`] checks the rules at run time, apart from all of them.
 //! It does no I/O and has no clock:
 //! give it events, carry out the actions it returns.
 //!
@@ -40,6 +40,7 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { server: ServerId(1), .. })));
 //! ```
 
+pub mod dial;
 pub mod interface;
 pub mod invariants;
 pub mod keep;
--- a/crates/ivyward-core/src/starts.rs
+++ b/crates/ivyward-core/src/starts.rs
@@ -32,6 +32,8 @@
     leaves: u64,
     /// A whole list was heard: whoever is new from then on has just come.
     whole: bool,
+    /// When a list was heard last, for callers of [`Starts::listed`].
+    heard: Option<Micros>,
 }
 
 impl Starts {
@@ -59,11 +61,41 @@
                 }
             }
         };
-        self.here.insert(id, Start { written, own });
+        self.remember(id, Start { written, own });
+        own
+    }
+
+    /// The same for lists by one clock of all machines, `unix` being what this node takes for it. That clock is believed
+    /// as far as the lists allow: no engine starts in the future, and one that is new to a node which follows the list
+    /// started no earlier than the list was heard without it. So an hour's step of a clock, on either side, makes nobody
+    /// warm who has just come, and nobody cold for an hour.
+    pub fn listed(&mut self, entry: &ServerEntry, now: Micros, unix: Micros) -> Micros {
+        let (id, written) = (entry.id, entry.started);
+        let known = self.here.get(&id).or_else(|| self.gone.get(&id).map(|g| &g.0)).copied();
+        let own = match known {
+            Some(start) if start.written == written => start.own,
+            _ if written == 0 => 0,
+            _ => {
+                let told = written.saturating_add(now).saturating_sub(unix).clamp(1, now.max(1));
+                // In the first list nothing better than the told start is known.
+                let earliest = self.heard.filter(|_| self.whole).unwrap_or(0);
+                told.max(earliest.min(now))
+            }
+        };
+        self.remember(id, Start { written, own });
+        own
+    }
+
+    /// A list, or the word that there is no news, was heard from who has the list.
+    pub fn heard(&mut self, now: Micros) {
+        self.heard = Some(now);
+    }
+
+    fn remember(&mut self, id: ServerId, start: Start) {
+        self.here.insert(id, start);
         if let Some((_, order)) = self.gone.remove(&id) {
             self.left.remove(&order);
         }
-        own
     }
 
     /// An engine left.
--- a/crates/ivyward-core/tests/starts_and_pace.rs
+++ b/crates/ivyward-core/tests/starts_and_pace.rs
@@ -14,6 +14,33 @@
     ServerEntry { id: ServerId(id), weight: 1.0, started, ..ServerEntry::default() }
 }
 
+/// Guards against a wall clock an hour ahead of the engines': one that has just come would count as warm.
+#[test]
+fn one_that_is_new_to_a_list_that_is_followed_started_no_earlier_than_the_list_was_heard_without_it() {
+    let mut starts = Starts::new();
+    starts.listed(&entry(1, UNIX), NOW, UNIX);
+    starts.whole(|_| true);
+    starts.heard(NOW);
+    let (later, ahead) = (NOW + 3_000_000, UNIX + HOUR);
+    assert_eq!(starts.listed(&entry(2, UNIX + 2_000_000), later, ahead), NOW, "an hour ahead");
+    assert_eq!(
+        starts.listed(&entry(3, UNIX + 2_000_000), later, UNIX + 3_000_000),
+        NOW + 2_000_000,
+        "by one clock"
+    );
+    assert_eq!(starts.listed(&entry(1, UNIX + 2_000_000), later, ahead), NOW, "it started again");
+    assert_eq!(starts.listed(&entry(1, UNIX + 2_000_000), later + HOUR, ahead + HOUR), NOW, "told again");
+    assert_eq!(starts.listed(&entry(4, 0), later, ahead), 0, "said to be long ago");
+}
+
+/// Guards against a wall clock an hour behind: every engine that started within that hour would count as cold for it.
+#[test]
+fn nobody_starts_in_the_future() {
+    let mut starts = Starts::new();
+    assert_eq!(starts.listed(&entry(1, UNIX), NOW, UNIX - HOUR), NOW);
+    assert_eq!(starts.listed(&entry(1, UNIX), NOW + WARM, UNIX - HOUR + WARM), NOW, "its age grows");
+}
+
 #[test]
 fn in_the_first_list_an_age_is_taken_at_its_word() {
     let mut starts = Starts::new();
--- a/crates/ivyward-lab/src/soak/link.rs
+++ b/crates/ivyward-lab/src/soak/link.rs
@@ -1,6 +1,6 @@
 //! The way between the nodes and one engine: a relay whose bytes can stop, and whose connections can be reset.
 
-use futures_lite::future::{or, zip};
+use futures_lite::future::{or, poll_once, zip};
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use ivyward_world::{before, Conn, Micros, WorldExt, WorldRef};
 use std::net::SocketAddr;
@@ -63,6 +63,7 @@
 
     async fn relay(&self, world: &WorldRef, mut near: Conn, target: SocketAddr) {
         let resets = self.resets.load(Ordering::SeqCst);
+        let was_cut = self.is_cut();
         let connecting = async {
             self.passable(world).await;
             world.connect(target).await
@@ -72,8 +73,9 @@
             near.reset_on_close();
             return;
         };
+        let broke = AtomicBool::new(false);
         let reset = async {
-            while self.resets.load(Ordering::SeqCst) == resets {
+            while self.resets.load(Ordering::SeqCst) == resets && !broke.load(Ordering::SeqCst) {
                 world.sleep(LOOK).await;
             }
             true
@@ -81,11 +83,11 @@
         let broken = {
             let (read_near, write_near) = futures_lite::io::split(&mut near);
             let (read_far, write_far) = futures_lite::io::split(&mut far);
-            let there = self.one_way(world, read_near, write_far);
-            let back = self.one_way(world, read_far, write_near);
+            let there = self.one_way(world, (read_near, write_far), was_cut, &broke);
+            let back = self.one_way(world, (read_far, write_near), false, &broke);
             let both = async {
-                let (there, back) = zip(there, back).await;
-                there || back
+                zip(there, back).await;
+                broke.load(Ordering::SeqCst)
             };
             or(both, reset).await
         };
@@ -95,31 +97,43 @@
         }
     }
 
-    /// Passes on one direction to its end; whether it broke. In a cut nothing is read, so that what a reset takes back
-    /// stays in the system's own buffers.
+    /// Passes on one direction to its end, and says where it broke.
     async fn one_way(
         &self,
         world: &WorldRef,
-        mut read: impl AsyncRead + Unpin,
-        mut write: impl AsyncWrite + Unpin,
-    ) -> bool {
+        (mut read, mut write): (impl AsyncRead + Unpin, impl AsyncWrite + Unpin),
+        mut was_cut: bool,
+        broke: &AtomicBool,
+    ) {
         let mut piece = vec![0; PIECE];
         loop {
+            was_cut |= self.is_cut();
             self.passable(world).await;
             let looked = world.now() + 10 * LOOK;
             let got = match before(world, looked, read.read(&mut piece)).await {
                 None => continue,
                 Some(Ok(0)) => break,
                 Some(Ok(got)) => got,
-                Some(Err(_)) => return true,
+                Some(Err(_)) => return broke.store(true, Ordering::SeqCst),
             };
+            was_cut |= self.is_cut();
             self.passable(world).await;
-            if write.write_all(&piece[..got]).await.is_err() {
-                return true;
+            // What was sent into a cut is sent again by the sender's system when the cut ends, unless the sender ended the
+            // connection meanwhile: that took it back.
+            let (mut all, mut given_up) = (piece[..got].to_vec(), false);
+            while was_cut && !given_up {
+                match poll_once(read.read(&mut piece)).await {
+                    None => break,
+                    Some(Ok(more)) if more > 0 => all.extend_from_slice(&piece[..more]),
+                    Some(_) => given_up = true,
+                }
+            }
+            if given_up || write.write_all(&all).await.is_err() {
+                return broke.store(true, Ordering::SeqCst);
             }
+            was_cut = false;
         }
         // The other side may have gone.
         let _ = write.close().await;
-        false
     }
 }
--- a/crates/ivyward-lab/src/soak/oracle.rs
+++ b/crates/ivyward-lab/src/soak/oracle.rs
@@ -83,6 +83,8 @@
     engine_ends: Vec<(usize, Micros)>,
     /// Links that were cut: engine, from, until.
     cuts: Vec<(usize, Micros, Micros)>,
+    /// Nodes under which connections broke: node, from, until.
+    breaks: Vec<(usize, Micros, Micros)>,
     broken: Vec<Broken>,
 }
 
@@ -100,7 +102,7 @@
             record.two_at_once(request),
             effect_twice(request, limits),
             false_refusal(request),
-            told_too_much(request),
+            record.told_too_much(request),
             record.to_draining(request, limits),
             record.pinned(request, limits, end),
         ];
@@ -172,6 +174,13 @@
                     cut.2 = at;
                 }
             }
+            Observation::ConnectionsBreak { node, on: true } => self.breaks.push((*node, at, Micros::MAX)),
+            Observation::ConnectionsBreak { node, on: false } => {
+                let of_node = |span: &&mut (usize, Micros, Micros)| span.0 == *node && span.2 == Micros::MAX;
+                if let Some(span) = self.breaks.iter_mut().find(of_node) {
+                    span.2 = at;
+                }
+            }
             Observation::NodeStops { node } => self.stops.push((*node, at)),
             Observation::NodeEnded { node, killed: true } => self.killed.push((*node, at)),
             Observation::NodeEnded { .. } => {}
@@ -201,6 +210,8 @@
         }
         match answer {
             None => Some(("lost", format!("no answer; sent at {sent}, owed by {by}"))),
+            // The client's own connection may have been the one that broke.
+            Some((at, 0, _)) if self.breaks.iter().any(|b| b.0 == node && b.1 <= at && sent <= b.2) => None,
             Some((at, 0, _)) if new_connection => {
                 Some(("lost", format!("closed without an answer at {at}, sent at {sent}")))
             }
@@ -240,6 +251,22 @@
         })
     }
 
+    /// An attempt that tells its engine more time than its client has left. One that waited in a cut says what was left when
+    /// it was written: nobody can change that any more.
+    fn told_too_much(&self, request: &Request) -> Found {
+        let (sent, _, patience, _) = *request.sent.last()?;
+        let by = sent + patience;
+        request.attempts.iter().find_map(|attempt| {
+            let left = by.saturating_sub(attempt.at);
+            let waited = |(engine, _, until): &(usize, Micros, Micros)| {
+                *engine == attempt.engine && (sent..=attempt.at).contains(until)
+            };
+            let over = attempt.timeout > left + TIMEOUT_SLACK + CLOCK_SLACK;
+            let excused = self.cuts.iter().any(waited);
+            (over && !excused).then(|| ("timeout_told", format!("told {} with {left} left", attempt.timeout)))
+        })
+    }
+
     fn pinned(&self, request: &Request, limits: &Limits, end: Micros) -> Found {
         let node = request.sent.last()?.1;
         // Each state counts from the end of the last attempt that was out beside it.
@@ -251,7 +278,8 @@
         let engine = request.attempts.iter().rev().find(|a| a.reads).map(|a| a.engine);
         let engine_ended =
             self.engine_ends.iter().any(|(e, at)| Some(*e) == engine && *at >= held && *at <= from + span);
-        if freed.unwrap_or(end) <= from + span || engine_ended || self.killed(node, held, from + span) {
+        let killed = self.killed(node, request.sent.last()?.0, from + span);
+        if freed.unwrap_or(end) <= from + span || engine_ended || killed {
             return None;
         }
         Some(("pinned", format!("held at {held}, nothing out from {from}, freed {freed:?}")))
@@ -288,14 +316,3 @@
     let promised = refused && ran && request.effect == Some(Effect::Unsafe);
     promised.then(|| ("false_refusal", "refused, and a write had arrived".to_owned()))
 }
-
-/// An attempt that tells its engine more time than its client has left.
-fn told_too_much(request: &Request) -> Found {
-    let (sent, _, patience, _) = *request.sent.first()?;
-    let by = request.sent.last().map_or(sent, |last| last.0) + patience;
-    request.attempts.iter().find_map(|attempt| {
-        let left = by.saturating_sub(attempt.at);
-        let over = attempt.timeout > left + TIMEOUT_SLACK + CLOCK_SLACK;
-        over.then(|| ("timeout_told", format!("told {} with {left} left", attempt.timeout)))
-    })
-}
--- a/crates/ivyward-lab/src/soak/stage.rs
+++ b/crates/ivyward-lab/src/soak/stage.rs
@@ -158,9 +158,18 @@
     }
 
     /// Ends all nodes by SIGTERM, at once; what they counted: violations, and how often each fault took place.
-    pub(super) async fn end(&self) -> (u64, BTreeMap<SystemFault, u64>) {
-        for node in 0..self.files.len() {
-            self.stop_node(node).await;
+    pub(super) async fn end(self: &Arc<Self>) -> (u64, BTreeMap<SystemFault, u64>) {
+        let ends = (0..self.files.len()).map(|node| {
+            let (stage, (done, ended)) = (self.clone(), async_channel::bounded::<()>(1));
+            self.world.run(async move {
+                stage.stop_node(node).await;
+                drop(done);
+            });
+            ended
+        });
+        for ended in ends.collect::<Vec<_>>() {
+            // Ends when the sender is dropped.
+            let _ = ended.recv().await;
         }
         (self.violations.load(Ordering::SeqCst), lock(&self.hits).clone())
     }
@@ -206,7 +215,10 @@
             }
             Kind::ConnectionsBreak => {
                 let calls = [SystemFault::ReceiveTimedOut, SystemFault::SendUnreachable];
+                let mark = |on| self.log.add(self.world.now(), Observation::ConnectionsBreak { node, on });
+                mark(true);
                 self.calls_fail(node, &calls, SOMETIMES, span).await;
+                mark(false);
             }
             Kind::ClockAhead => self.clock(node, HOUR, span).await,
             Kind::ClockBehind => self.clock(node, -HOUR, span).await,
--- a/crates/ivyward-platform/src/discovery/list.rs
+++ b/crates/ivyward-platform/src/discovery/list.rs
@@ -1,6 +1,7 @@
 //! Discovery's form of the list of engines, and how it is read.
 
 use ivyward::core::interface::{Condition, Micros, ServerEntry, ServerId};
+use ivyward::core::starts::Starts;
 use ivyward::world::WorldRef;
 use ivyward::Engine;
 use ivyward_settings::Told;
@@ -93,18 +94,33 @@
 /// Reads lists on this node's clock, and remembers what the last ones said.
 pub(crate) struct ListReader {
     told: Told,
-    /// What this node's clock shows less than Unix time; every machine reads one clock.
+    world: WorldRef,
+    /// What this node's clock shows less than Unix time, as it was at the start: steps of the wall clock after it change
+    /// nothing.
     behind: Micros,
     known: BTreeMap<ServerId, Engine>,
+    starts: Starts,
 }
 
 impl ListReader {
     pub(crate) fn new(told: Told, world: &WorldRef) -> ListReader {
-        ListReader { told, behind: world.unix_micros().saturating_sub(world.now()), known: BTreeMap::new() }
+        let behind = world.unix_micros().saturating_sub(world.now());
+        ListReader { told, world: world.clone(), behind, known: BTreeMap::new(), starts: Starts::new() }
     }
 
-    /// The engines of a list, each once. An entry that cannot be read is named in the log; its engine stays as it was known.
+    /// The engines of a list that discovery told just now.
     pub(crate) fn read(&mut self, list: &List) -> Vec<Engine> {
+        let engines = self.read_held(list);
+        if list.full {
+            let known = &self.known;
+            self.starts.whole(|id| known.contains_key(&id));
+        }
+        self.starts.heard(self.world.now());
+        engines
+    }
+
+    /// The engines of a list as it was held once, each once. An entry that cannot be read is named in the log; its engine stays as it was known.
+    pub(crate) fn read_held(&mut self, list: &List) -> Vec<Engine> {
         let mut engines: Vec<Engine> = Vec::with_capacity(list.servers.len());
         let mut indexes = BTreeMap::new();
         for value in &list.servers {
@@ -124,7 +140,10 @@
         }
         for engine in &engines {
             match engine.entry.condition {
-                Condition::Gone => self.known.remove(&engine.entry.id),
+                Condition::Gone => {
+                    self.starts.gone(engine.entry.id);
+                    self.known.remove(&engine.entry.id)
+                }
                 _ => self.known.insert(engine.entry.id, *engine),
             };
         }
@@ -147,7 +166,7 @@
         Some(Engine { entry: ServerEntry { condition, ..known.entry }, ..*known })
     }
 
-    fn entry(&self, value: &serde_json::Value) -> Result<Engine, EntryError> {
+    fn entry(&mut self, value: &serde_json::Value) -> Result<Engine, EntryError> {
         let Entry { id, addr, zone, kind, cell, state, weight, started_ms } = Entry::deserialize(value)?;
         let id = server_id(&id);
         let Some(condition) = condition(&state) else { return Err(EntryError::State(state)) };
@@ -160,18 +179,13 @@
         let Some(zone_index) = index_of(&self.told.zones, &zone) else { return Err(EntryError::Zone(zone)) };
         let Some(kind_index) = index_of(&self.told.kinds, &kind) else { return Err(EntryError::Kind(kind)) };
         let Ok(address) = addr.parse::<SocketAddr>() else { return Err(EntryError::Address(addr)) };
-        let started = self.on_this_clock(started_ms);
-        let entry = ServerEntry { id, zone: zone_index, kind: kind_index, cell, condition, weight, started };
+        let started = started_ms.saturating_mul(1_000);
+        let mut entry =
+            ServerEntry { id, zone: zone_index, kind: kind_index, cell, condition, weight, started };
+        let now = self.world.now();
+        entry.started = self.starts.listed(&entry, now, now.saturating_add(self.behind));
         Ok(Engine { entry, address })
     }
-
-    /// A start in Unix milliseconds on this node's clock; 0 stands for long ago.
-    fn on_this_clock(&self, started_ms: u64) -> Micros {
-        match started_ms {
-            0 => 0,
-            ms => ms.saturating_mul(1_000).saturating_sub(self.behind).max(1),
-        }
-    }
 }
 
 #[cfg(test)]
--- a/crates/ivyward-platform/src/discovery/list/tests.rs
+++ b/crates/ivyward-platform/src/discovery/list/tests.rs
@@ -116,3 +116,20 @@
     assert_eq!(engines.len(), 1);
     assert_eq!((engines[0].entry.condition, engines[0].entry.kind), (Condition::Gone, 1));
 }
+
+/// Guards against a wall clock that is an hour off at the node's start: an engine that has just come would count as warm, or
+/// every engine as cold for an hour.
+#[test]
+fn a_clock_that_is_an_hour_off_makes_nobody_warm_who_has_just_come_and_nobody_start_in_the_future() {
+    const HOUR_MS: u64 = 3_600_000;
+    let (mut reader, world) = reader();
+    let started = |reader: &mut ListReader, full: bool, id: &str, started_ms: u64| {
+        let mut entry = entry(id, "up");
+        entry["started_ms"] = json!(started_ms);
+        reader.read(&List { version: 1, full, servers: vec![entry] })[0].entry.started
+    };
+    let unix_ms = world.unix_micros() / 1_000;
+    assert_eq!(started(&mut reader, true, "s-1", unix_ms + HOUR_MS), world.now(), "an hour behind");
+    let came = started(&mut reader, false, "s-2", unix_ms.saturating_sub(HOUR_MS));
+    assert_eq!(came, world.now(), "an hour ahead: it was not there when the list was read before");
+}
--- a/crates/ivyward-platform/src/engine/attempt.rs
+++ b/crates/ivyward-platform/src/engine/attempt.rs
@@ -48,7 +48,7 @@
         let mut wire = match job.heed(&mut timer, link.connect(job.leave_by, reuse, 0)).await {
             Woken::Next(Ok(wire)) => wire,
             // Of an engine that was not asked nothing is known.
-            Woken::Next(Err(why @ CallError::NoDescriptor)) => {
+            Woken::Next(Err(why @ CallError::Local(_))) => {
                 return End::new(Outcome::NotSent, why.to_string())
             }
             Woken::Next(Err(why)) => return End::new(Outcome::ConnectFailed, why.to_string()),
--- a/crates/ivyward-platform/src/engine/link.rs
+++ b/crates/ivyward-platform/src/engine/link.rs
@@ -9,6 +9,7 @@
 use futures_lite::future::or;
 use ivyward::core::interface::{Micros, Outcome, Report, ServerId};
 use ivyward::core::release::Taker;
+use ivyward::engines::dial::{dial, DialFailure, Dialed};
 use ivyward::engines::{End, Held, HoldJob, Job, Link};
 use ivyward::world::{before, BoxFuture};
 use ivyward::{Engine, Shared};
@@ -22,16 +23,13 @@
 /// A round trip is taken for no less and no more than this: what a clock and a busy machine show is not the way.
 const ROUND_TRIP_BOUNDS: (Micros, Micros) = (200, 3_000);
 
-/// The process, or the system, has no descriptor left (errno).
-const EMFILE: i32 = 24;
-const ENFILE: i32 = 23;
-
 /// Why a call without a prompt has no answer.
 #[derive(Clone, Debug, thiserror::Error)]
 pub(crate) enum CallError {
-    /// No connection could be opened for want of a descriptor, which says nothing of the engine.
-    #[error("no descriptor is left for a connection")]
-    NoDescriptor,
+    /// No connection could be opened for want of something on this machine (a descriptor, a port, a buffer, a route), which
+    /// says nothing of the engine.
+    #[error("this machine could not open a connection: {0}")]
+    Local(String),
     /// No connection, or none that lasted, or no answer in time.
     #[error("{0}")]
     Unanswered(String),
@@ -117,26 +115,21 @@
         if let Some(wire) = idle {
             return Ok(wire);
         }
-        let permit = self.engines.permit(spare).ok_or(CallError::NoDescriptor)?;
+        let no_descriptor = || CallError::Local("no descriptor is left".into());
+        let permit = self.engines.permit(spare).ok_or_else(no_descriptor)?;
         let until = until.min(world.now().saturating_add(self.engines.dial_timeout));
-        let began = world.now();
-        let failed = match before(world, until, world.connect(self.address)).await {
-            Some(Ok(conn)) => {
-                let round_trip = (world.now() - began).clamp(ROUND_TRIP_BOUNDS.0, ROUND_TRIP_BOUNDS.1);
+        let failed = match dial(world, self.address, until).await {
+            Ok(Dialed { conn, took }) => {
                 return Ok(EngineConnection {
                     wire: Wire::new(conn),
                     idle: None,
-                    round_trip,
+                    round_trip: took.clamp(ROUND_TRIP_BOUNDS.0, ROUND_TRIP_BOUNDS.1),
                     under_way: false,
                     _permit: permit,
                 });
             }
-            // None is left, whatever was counted.
-            Some(Err(e)) if matches!(e.raw_os_error(), Some(EMFILE | ENFILE)) => {
-                return Err(CallError::NoDescriptor)
-            }
-            Some(Err(e)) => format!("cannot connect to {}: {e}", self.address),
-            None => format!("no connection to {} in time", self.address),
+            Err(DialFailure::Local(error)) => return Err(CallError::Local(error.to_string())),
+            Err(failure) => format!("cannot connect to {}: {failure}", self.address),
         };
         self.note_failure();
         Err(CallError::Unanswered(failed))
--- a/crates/ivyward-platform/src/release.rs
+++ b/crates/ivyward-platform/src/release.rs
@@ -128,7 +128,7 @@
                 debug!(request = ask.request, %target, engine = link.id.0, ?short, "asked to let go");
                 let answer = match short {
                     Ok((200..=299, _)) => Answer::Taken,
-                    Err(CallError::NoDescriptor) => Answer::NoRoom,
+                    Err(CallError::Local(_)) => Answer::NoRoom,
                     _ => Answer::Not,
                 };
                 releases.change(|owing, now| owing.decider.answered(now, &ask, answer));
--- a/crates/ivyward-platform/src/server.rs
+++ b/crates/ivyward-platform/src/server.rs
@@ -13,7 +13,8 @@
 use crate::config::Bounds;
 use crate::wire::Wire;
 use futures_lite::future::{or, poll_once};
-use ivyward::world::{Conn, Listener, WorldExt, WorldRef};
+use ivyward::core::interface::Micros;
+use ivyward::world::{Conn, ErrorOrigin, Listener, WorldExt, WorldRef};
 use ivyward::Node;
 use ivyward_settings::Told;
 use std::collections::BTreeSet;
@@ -22,6 +23,13 @@
 use table::ConnectionTable;
 use tracing::debug;
 
+/// Between accepts that this machine could not carry out.
+const ACCEPT_PAUSE: Micros = 5_000;
+/// Accepts that may fail in a row without a pause.
+const FAILED_AT_ONCE: usize = 16;
+/// Failed accepts at a stop, before what the system still holds is given up.
+const MOST_FAILED_ACCEPTS: usize = 200;
+
 /// The server of one node.
 pub(crate) struct Server {
     node: Node,
@@ -81,22 +89,42 @@
         or(self.accept(&mut *listener), stopped).await;
         // Guards against clients that connected just then, or while evicted ones closed: with the listener they would be
         // reset, a request behind them or not.
-        while let Some(Ok((conn, _))) = poll_once(listener.accept()).await {
-            self.clone().admit(conn);
+        let mut failed = 0;
+        while let Some(accepted) = poll_once(listener.accept()).await {
+            match accepted {
+                Ok((conn, _)) => self.clone().admit(conn),
+                // Guards against one connection that was aborted, or a moment without descriptors: the others behind it
+                // would be reset.
+                Err(error) if failed < MOST_FAILED_ACCEPTS => {
+                    failed += 1;
+                    self.accept_failed(&error, failed).await;
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// A failed accept. One connection's own end (ECONNABORTED and the like) says nothing of the next one in the queue;
+    /// where this machine lacks something, connections that close make room.
+    async fn accept_failed(&self, error: &std::io::Error, in_a_row: usize) {
+        debug!(%error, "a connection is not taken");
+        if ErrorOrigin::of(error) == ErrorOrigin::Local || in_a_row > FAILED_AT_ONCE {
+            self.world.sleep(ACCEPT_PAUSE).await;
         }
     }
 
     async fn accept(self: &Arc<Self>, listener: &mut dyn Listener) {
+        let mut failed_in_a_row = 0;
         loop {
             match listener.accept().await {
                 Ok((conn, _)) => {
+                    failed_in_a_row = 0;
                     self.clone().admit(conn);
                     self.table.all_closed().await;
                 }
-                Err(e) => {
-                    // One connection's error, or no descriptor: those that close make room.
-                    debug!(error = %e, "a connection is not taken");
-                    self.world.sleep(5_000).await;
+                Err(error) => {
+                    failed_in_a_row += 1;
+                    self.accept_failed(&error, failed_in_a_row).await;
                 }
             }
         }
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -66,7 +66,7 @@
         let node = Node::start_with(world.clone(), settings, None, protocol)?;
         let mut reader = ListReader::new(told.clone(), &world);
         if let Some(known) = &config.known {
-            node.fleet(ListKind::Cached, reader.read(known)).await;
+            node.fleet(ListKind::Cached, reader.read_held(known)).await;
         }
         let listener = world.listen(config.listen).map_err(|e| ServiceError::Listen(config.listen, e))?;
         let address = listener.address();
--- /dev/null
+++ b/crates/ivyward-platform/tests/local_errors.rs
@@ -0,0 +1,172 @@
+//! Calls that fail on the node's own machine: accepts and dials, through a world that makes them fail.
+
+mod common;
+
+use common::{request, Play, Rig, Seen};
+use futures_lite::AsyncWriteExt;
+use ivyward::world::{
+    BorrowedFuture, BoxFuture, Conn, Datagrams, Listener, Micros, World, WorldExt, WorldRef,
+};
+use ivyward_platform::Service;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+
+const ECONNABORTED: i32 = 103;
+const EADDRNOTAVAIL: i32 = 99;
+
+/// What fails in a world.
+#[derive(Default)]
+struct Failing {
+    /// The next accept waits for good; those behind it fail in turn.
+    accepts: AtomicBool,
+    /// So many dials fail from now on for want of a port.
+    dials: AtomicUsize,
+    /// Dials that failed so.
+    failed_dials: AtomicUsize,
+}
+
+struct FailingWorld {
+    world: WorldRef,
+    failing: Arc<Failing>,
+}
+
+impl World for FailingWorld {
+    fn now(&self) -> Micros {
+        self.world.now()
+    }
+    fn unix_micros(&self) -> Micros {
+        self.world.unix_micros()
+    }
+    fn sleep_until(&self, at: Micros) -> BoxFuture<()> {
+        self.world.sleep_until(at)
+    }
+    fn spawn(&self, task: BoxFuture<()>) {
+        self.world.spawn(task);
+    }
+    fn connect(&self, to: SocketAddr) -> BoxFuture<io::Result<Conn>> {
+        let engine = to.port() == 8080;
+        let one_less = |left: usize| left.checked_sub(1);
+        let (dials, order) = (&self.failing.dials, Ordering::SeqCst);
+        if engine && dials.fetch_update(order, order, one_less).is_ok() {
+            self.failing.failed_dials.fetch_add(1, order);
+            return Box::pin(async { Err(io::Error::from_raw_os_error(EADDRNOTAVAIL)) });
+        }
+        self.world.connect(to)
+    }
+    fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        let (listener, failing) = (self.world.listen(at)?, self.failing.clone());
+        Ok(Box::new(FailingListener { listener, failing, waited: false, failed: false }))
+    }
+    fn datagrams(&self, at: SocketAddr) -> io::Result<Box<dyn Datagrams>> {
+        self.world.datagrams(at)
+    }
+    fn random(&self) -> u64 {
+        self.world.random()
+    }
+}
+
+struct FailingListener {
+    listener: Box<dyn Listener>,
+    failing: Arc<Failing>,
+    waited: bool,
+    failed: bool,
+}
+
+impl Listener for FailingListener {
+    fn accept(&mut self) -> BorrowedFuture<'_, io::Result<(Conn, SocketAddr)>> {
+        if self.failing.accepts.load(Ordering::SeqCst) {
+            if !std::mem::replace(&mut self.waited, true) {
+                return Box::pin(std::future::pending());
+            }
+            self.failed = !self.failed;
+            if self.failed {
+                return Box::pin(async { Err(io::Error::from_raw_os_error(ECONNABORTED)) });
+            }
+        }
+        self.listener.accept()
+    }
+    fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+}
+
+async fn healthy(client: &WorldRef, address: SocketAddr) {
+    loop {
+        let mut conn = client.connect(address).await.unwrap();
+        conn.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").await.unwrap();
+        if common::got(client, &mut conn).await.status == 200 {
+            return;
+        }
+        client.sleep(10_000).await;
+    }
+}
+
+/// Guards against one aborted connection that ends the emptying of the system's queue at a stop: those behind it were reset
+/// with the listener.
+#[test]
+fn an_aborted_connection_at_a_stop_leaves_those_behind_it_their_answers() {
+    let rig = Rig::new(|_: &Seen| Play::Usual);
+    let failing = Arc::<Failing>::default();
+    let world: WorldRef = Arc::new(FailingWorld { world: rig.world.clone(), failing: failing.clone() });
+    let (config, client) = (rig.config(), rig.client.world());
+    let played = rig.sim.run(&rig.node, common::DAY, async move {
+        let mut service = Service::start(world.clone(), config).await.unwrap();
+        let address = service.address();
+        healthy(&client, address).await;
+        failing.accepts.store(true, Ordering::SeqCst);
+        // This one is taken by the accept that is waiting; those behind it stay in the queue.
+        let _taken = client.connect(address).await.unwrap();
+        client.sleep(10_000).await;
+        let mut queued = Vec::new();
+        for n in 0..4 {
+            let mut conn = client.connect(address).await.unwrap();
+            conn.write_all(&request(&format!("q{n}"), "draft", 4_800)).await.unwrap();
+            queued.push(conn);
+        }
+        let (done, ended) = async_channel::bounded::<()>(1);
+        world.run(async move {
+            service.stop().await;
+            drop(done);
+        });
+        for (n, conn) in queued.iter_mut().enumerate() {
+            let got = common::got(&client, conn).await;
+            assert_eq!((got.status, got.whole), (200, true), "request {n} of the queue");
+        }
+        // Ends when the sender is dropped.
+        let _ = ended.recv().await;
+    });
+    played.unwrap();
+}
+
+/// Guards against a moment without local ports that is taken for failures of the engines.
+#[test]
+fn a_moment_without_local_ports_refuses_nobody_and_doubts_no_engine() {
+    const DIALS: usize = 8;
+    let rig = Rig::new(|_: &Seen| Play::Usual);
+    let failing = Arc::<Failing>::default();
+    let world: WorldRef = Arc::new(FailingWorld { world: rig.world.clone(), failing: failing.clone() });
+    let (config, client) = (rig.config(), rig.client.world());
+    let played = rig.sim.run(&rig.node, common::DAY, async move {
+        let service = Service::start(world.clone(), config).await.unwrap();
+        let address = service.address();
+        healthy(&client, address).await;
+        failing.dials.store(DIALS, Ordering::SeqCst);
+        for n in 0..4 {
+            let mut conn = client.connect(address).await.unwrap();
+            conn.write_all(&request(&format!("d{n}"), "draft", 4_800)).await.unwrap();
+            let got = common::got(&client, &mut conn).await;
+            assert_eq!((got.status, got.whole), (200, true), "request {n}");
+        }
+        assert_eq!(failing.failed_dials.load(Ordering::SeqCst), DIALS);
+        let failed =
+            ivyward::metrics::OUTCOMES.iter().position(|(_, name)| *name == "connect_failed").unwrap();
+        assert_eq!(
+            service.node().metrics().outcomes[failed].get(),
+            0,
+            "no engine is taken for one that refuses"
+        );
+    });
+    played.unwrap();
+}
--- a/crates/ivyward-standins/src/platform/observe.rs
+++ b/crates/ivyward-standins/src/platform/observe.rs
@@ -103,6 +103,13 @@
         /// The engine.
         engine: usize,
     },
+    /// Connections of a node break under it, those of clients among them, or no longer do.
+    ConnectionsBreak {
+        /// The node.
+        node: usize,
+        /// They do.
+        on: bool,
+    },
     /// A node was told to end.
     NodeStops {
         /// The node.
--- a/crates/ivyward-world/src/lib.rs
+++ b/crates/ivyward-world/src/lib.rs
@@ -10,9 +10,11 @@
 
 pub mod io;
 mod metered;
+mod origin;
 mod smol;
 
 pub use metered::{metered, Meter, Usage};
+pub use origin::ErrorOrigin;
 pub use smol::SmolWorld;
 
 use futures_lite::{AsyncRead, AsyncWrite};
--- /dev/null
+++ b/crates/ivyward-world/src/origin/tests.rs
@@ -0,0 +1,23 @@
+//! Which errors are whose.
+
+use super::*;
+
+#[test]
+fn what_this_machine_lacks_says_nothing_of_the_other_side() {
+    for local in [ENOMEM, ENFILE, EMFILE, EAGAIN, EADDRNOTAVAIL, ENETDOWN, ENETUNREACH, ENOBUFS] {
+        assert_eq!(
+            ErrorOrigin::of(&io::Error::from_raw_os_error(local)),
+            ErrorOrigin::Local,
+            "errno {local}"
+        );
+    }
+    // ECONNABORTED, ECONNRESET, ETIMEDOUT, ECONNREFUSED, EHOSTUNREACH.
+    for remote in [103, 104, 110, 111, 113] {
+        assert_eq!(
+            ErrorOrigin::of(&io::Error::from_raw_os_error(remote)),
+            ErrorOrigin::Remote,
+            "errno {remote}"
+        );
+    }
+    assert_eq!(ErrorOrigin::of(&io::ErrorKind::UnexpectedEof.into()), ErrorOrigin::Remote);
+}
--- /dev/null
+++ b/crates/ivyward/src/engines/dial.rs
@@ -0,0 +1,52 @@
+//! Opening a connection to an engine.
+
+use ivyward_core::dial;
+use ivyward_core::interface::Micros;
+use ivyward_world::{before, Conn, ErrorOrigin, WorldRef};
+use std::io;
+use std::net::SocketAddr;
+
+/// A connection that came up.
+pub struct Dialed {
+    /// The connection.
+    pub conn: Conn,
+    /// How long its last try took: about a way there and back.
+    pub took: Micros,
+}
+
+/// Why none came up.
+#[derive(Debug, thiserror::Error)]
+pub enum DialFailure {
+    /// This machine could not open one, which says nothing of the engine.
+    #[error("this machine could not open a connection: {0}")]
+    Local(io::Error),
+    /// The engine's side refused it, or it broke.
+    #[error("{0}")]
+    Remote(io::Error),
+    /// It did not come up in time.
+    #[error("no connection in time")]
+    Late,
+}
+
+/// Opens a connection by `until`. Guards against a moment without ports, buffers, descriptors or routes on this machine:
+/// taken for failures of the engines, it would doubt the whole fleet at once.
+///
+/// # Errors
+/// [`DialFailure`], which says whose failure it was.
+pub async fn dial(world: &WorldRef, address: SocketAddr, until: Micros) -> Result<Dialed, DialFailure> {
+    loop {
+        let began = world.now();
+        let error = match before(world, until, world.connect(address)).await {
+            Some(Ok(conn)) => return Ok(Dialed { conn, took: world.now() - began }),
+            Some(Err(error)) => error,
+            None => return Err(DialFailure::Late),
+        };
+        if ErrorOrigin::of(&error) == ErrorOrigin::Remote {
+            return Err(DialFailure::Remote(error));
+        }
+        match dial::retry_at(world.now(), until) {
+            Some(at) => world.sleep_until(at).await,
+            None => return Err(DialFailure::Local(error)),
+        }
+    }
+}
--- a/crates/ivyward/src/engines/link.rs
+++ b/crates/ivyward/src/engines/link.rs
@@ -1,5 +1,6 @@
 //! Connections to one engine: pooled, dialled by need, and again with growing and jittered pauses.
 
+use crate::engines::dial::dial;
 use crate::engines::keepalive::EngineKeepalive;
 use crate::settings::NodeSettings;
 use event_listener::Event;
@@ -234,9 +235,10 @@
             self.world.sleep_until(at).await;
         }
         let dial = async {
-            let conn = self.world.connect(self.address).await.map_err(|e| e.to_string())?;
+            let until = self.world.now() + self.dial_timeout;
+            let dialed = dial(&self.world, self.address, until).await.map_err(|e| e.to_string())?;
             let resting: Option<Arc<dyn RestingChecks>> = Some(self.keepalive.clone());
-            let channel = Channel::begin_resting(&self.world, conn, self.options, resting).await;
+            let channel = Channel::begin_resting(&self.world, dialed.conn, self.options, resting).await;
             channel.map_err(|e| e.to_string())
         };
         let result = before(&self.world, self.world.now() + self.dial_timeout, dial).await;
--- a/crates/ivyward/src/request/door.rs
+++ b/crates/ivyward/src/request/door.rs
@@ -9,7 +9,7 @@
 use ivyward_proto::front::{GenerateRequest, Tokens};
 use ivyward_wire::{parse_timeout, TIMEOUT_HEADER};
 use ivyward_world::io::{Io, Tasks};
-use ivyward_world::{metered, Listener, WorldExt};
+use ivyward_world::{metered, ErrorOrigin, Listener, WorldExt};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -145,9 +145,11 @@
                 None => return,
                 Some(Ok((conn, _))) => traffic.watch(conn),
                 Some(Err(e)) => {
-                    // Out of descriptors, most likely: a pause lets some come free.
                     debug!(error = %e, "a connection could not be accepted");
-                    world.sleep(10_000).await;
+                    // A pause lets what this machine lacks come free. One connection's own end needs none.
+                    if ErrorOrigin::of(&e) == ErrorOrigin::Local {
+                        world.sleep(10_000).await;
+                    }
                     continue;
                 }
             };
