A list of engines that could not be written is written later, and outlasts the machine

The folder was not synced after the rename, and a failed write left its .new.

Checked: a test with a folder that is not there at first.

--- a/crates/ivyward-lab/tests/drains.rs
+++ b/crates/ivyward-lab/tests/drains.rs
@@ -307,6 +307,32 @@
     std::fs::remove_file(&path).unwrap();
 }
 
+/// Guards against a disk that takes nothing for a while: the list that could not be written is written when it can be,
+/// though it did not change.
+#[test]
+fn a_list_that_could_not_be_kept_is_kept_later() {
+    let rig = rig(200_000);
+    let folder = std::env::temp_dir().join(format!("ivyward-kept-later-{}", std::process::id()));
+    let path = folder.join("engines");
+    let follow = rig.scene.make().follow.clone().unwrap();
+    rig.put_all();
+    block_on(async {
+        let world = ivyward_world::SmolWorld::start(1, 1);
+        let as_ref: ivyward_world::WorldRef = world.clone();
+        let node = ivyward::Node::start(as_ref, rig.scene.make().settings.clone(), None).unwrap();
+        let (following, keeping) = (node.clone(), Follow { snapshot: Some(path.clone()), ..follow });
+        world.run(async move { following.follow(keeping).await });
+        rig.until(|_| node.metrics().engines.get() == 12).await;
+        rig.until(|_| node.metrics().list_keep_failures.get() > 0).await;
+        std::fs::create_dir(&folder).unwrap();
+        rig.until(|_| path.exists()).await;
+        rig.until(|_| ivyward::snapshot::read(&path).unwrap().unwrap().len() == 12).await;
+        assert!(!path.with_extension("new").exists());
+        world.stop();
+    });
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 /// A large fleet of records and a burst of changes within a second while requests run: all of it is taken in, in few
 /// lists, drains among it are heeded, and nobody is harmed by it.
 #[test]
--- a/crates/ivyward/src/membership/follow.rs
+++ b/crates/ivyward/src/membership/follow.rs
@@ -370,11 +370,19 @@
         if !self.unkept || now < self.keep_from {
             return;
         }
-        (self.unkept, self.keep_from) = (false, now.saturating_add(KEEP_EVERY));
-        let Some(path) = &self.follow.snapshot else { return };
+        self.keep_from = now.saturating_add(KEEP_EVERY);
+        let Some(path) = &self.follow.snapshot else {
+            self.unkept = false;
+            return;
+        };
         let members: Vec<Member> = self.decider.members().copied().collect();
-        if let Err(e) = snapshot::write(path, &members) {
-            warn!(file = %path.display(), error = %e, "the list cannot be kept");
+        match snapshot::write(path, &members) {
+            Ok(()) => self.unkept = false,
+            // Guards against a disk that was full for a moment: the file would stay old until the list changes again.
+            Err(e) => {
+                self.node.metrics().list_keep_failures.add(1);
+                warn!(file = %path.display(), error = %e, "the list cannot be kept; tried again");
+            }
         }
     }
 
--- a/crates/ivyward/src/membership/snapshot.rs
+++ b/crates/ivyward/src/membership/snapshot.rs
@@ -44,22 +44,33 @@
     }
 }
 
-/// Writes a list in place of the one before.
+/// Writes a list in place of the one before, so that it outlasts the machine's own end.
 ///
 /// # Errors
-/// When the system says no; the file before stands then.
+/// When the system says no. The file before stands then, or the new one does and may not outlast the machine's end.
 pub fn write(path: &Path, members: &[Member]) -> Result<(), SnapshotError> {
     let records: Vec<Record> = members.iter().map(record).collect();
     let body = serde_json::to_vec(&records).map_err(io::Error::other)?;
     let beside = path.with_extension("new");
-    let mut file = File::create(&beside)?;
-    writeln!(file, "{TITLE} {VERSION} {} {:08x}", body.len(), crc32fast::hash(&body))?;
-    file.write_all(&body)?;
-    file.sync_all()?;
-    std::fs::rename(&beside, path)?;
+    let written = write_whole(&beside, &body).and_then(|()| std::fs::rename(&beside, path));
+    if let Err(e) = written {
+        // A half of a file is of no use, and takes space that may be what is lacking.
+        let _ = std::fs::remove_file(&beside);
+        return Err(e.into());
+    }
+    // The new name is in the folder, which is a file of its own.
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty());
+    File::open(folder.unwrap_or(Path::new(".")))?.sync_all()?;
     Ok(())
 }
 
+fn write_whole(path: &Path, body: &[u8]) -> io::Result<()> {
+    let mut file = File::create(path)?;
+    writeln!(file, "{TITLE} {VERSION} {} {:08x}", body.len(), crc32fast::hash(body))?;
+    file.write_all(body)?;
+    file.sync_all()
+}
+
 /// Reads a list; `None` where there is no file. Conditions and starts are as they were when it was written.
 ///
 /// # Errors
--- a/crates/ivyward/src/metrics.rs
+++ b/crates/ivyward/src/metrics.rs
@@ -73,6 +73,8 @@
     pub list_revision: Counter,
     /// Registration records that could not be read.
     pub records_unread: Counter,
+    /// Times the list of engines could not be written to its file.
+    pub list_keep_failures: Counter,
     /// Gaps: watches that broke, were compacted away or fell silent.
     pub list_gaps: Counter,
     /// Microseconds that the driver was at work, the module's among them.
@@ -168,6 +170,7 @@
             ("ivyward_peer_changes_total", self.peer_changes.get()),
             ("ivyward_list_stale", self.list_stale.get()),
             ("ivyward_list_revision", self.list_revision.get()),
+            ("ivyward_list_keep_failures_total", self.list_keep_failures.get()),
             ("ivyward_list_gaps_total", self.list_gaps.get()),
             ("ivyward_records_unread_total", self.records_unread.get()),
             ("ivyward_driver_busy_us_total", self.driver_us.get()),
