soak: a send that has not arrived does not stop the clock of what is held

The oracle took a write that came out of a cut as out from the end of the read on. It now looks at each gap without an attempt at an engine.

--- a/crates/ivyward-lab/src/soak/oracle.rs
+++ b/crates/ivyward-lab/src/soak/oracle.rs
@@ -267,22 +267,34 @@
         })
     }
 
+    /// A state that waits for too long with no attempt out at an engine: a send that has not arrived is not out.
     fn pinned(&self, request: &Request, limits: &Limits, end: Micros) -> Found {
-        let node = request.sent.last()?.1;
-        // Each state counts from the end of the last attempt that was out beside it.
+        let (sent, node, ..) = *request.sent.last()?;
         let held = *request.holds.last()?;
-        let out_until = request.attempts.iter().filter(|a| a.at <= held || !a.reads);
-        let from = out_until.map(|a| a.ended.unwrap_or(end)).max().unwrap_or(held).max(held);
-        let freed = request.freed.iter().copied().find(|at| *at >= held);
         let span = limits.release_within + HELD_SLACK + CLOCK_SLACK;
-        let engine = request.attempts.iter().rev().find(|a| a.reads).map(|a| a.engine);
-        let engine_ended =
-            self.engine_ends.iter().any(|(e, at)| Some(*e) == engine && *at >= held && *at <= from + span);
-        let killed = self.killed(node, request.sent.last()?.0, from + span);
-        if freed.unwrap_or(end) <= from + span || engine_ended || killed {
-            return None;
+        let mut attempts: Vec<&Attempt> = request.attempts.iter().collect();
+        attempts.sort_by_key(|a| a.at);
+        let engine = attempts.iter().rev().find(|a| a.reads && a.at <= held).map(|a| a.engine);
+        // Until when an attempt was out, one behind the other.
+        let mut out_until = held;
+        loop {
+            let beside = attempts.iter().filter(|a| a.at <= out_until).filter_map(|a| a.ended.or(Some(end)));
+            out_until = beside.max().unwrap_or(held).max(out_until);
+            let freed = request.freed.iter().copied().filter(|at| *at >= held).min().unwrap_or(end);
+            let next = attempts.iter().map(|a| a.at).find(|at| *at > out_until).unwrap_or(end);
+            if freed <= out_until + span {
+                return None;
+            }
+            if next > out_until + span || next == end {
+                let lost =
+                    |(e, at): &(usize, Micros)| Some(*e) == engine && (held..=out_until + span).contains(at);
+                let excused = self.engine_ends.iter().any(lost) || self.killed(node, sent, out_until + span);
+                let text =
+                    || format!("held at {held}, nothing out from {out_until}, freed {freed}, next {next}");
+                return (!excused && out_until + span < end).then(|| ("pinned", text()));
+            }
+            out_until = next;
         }
-        Some(("pinned", format!("held at {held}, nothing out from {from}, freed {freed:?}")))
     }
 }
 
