--- a/crates/ivyward-platform/tests/held.rs
+++ b/crates/ivyward-platform/tests/held.rs
@@ -285,3 +285,29 @@
         }
     }
 }
+
+/// Guards against a write that leaves on a standing connection into a cut: it has not arrived, so it is not out, and the
+/// state that it was to fetch waits until the write's own time is over.
+#[test]
+fn a_write_into_a_cut_does_not_keep_its_state_waiting() {
+    for class in ["draft", "send"] {
+        let rig = Rig::new(|_| Play::Usual);
+        rig.play(move |scene| async move {
+            // Standing connections to all engines, which then rest for a while.
+            for n in 0..8 {
+                assert_eq!(scene.ask(&format!("warm{n}"), class).await.status, 200);
+            }
+            scene.world.sleep(1_500 * MS).await;
+            scene.cut(&[2, 3], true);
+            let mut conns = Vec::new();
+            for n in 0..4 {
+                let mut conn = scene.connect().await;
+                conn.write_all(&request(&format!("cut{n}"), class, 4_800)).await.unwrap();
+                conns.push(conn);
+            }
+            scene.world.sleep(3_000 * MS).await;
+            let ids: Vec<String> = (0..4).map(|n| format!("cut{n}")).collect();
+            assert!(kept(&scene, &ids) <= WITHIN, "{class}: held for {} us", kept(&scene, &ids));
+        });
+    }
+}
