A write for which a state waits leaves on a new connection unless its engine was heard

Cause: EngineLink::connect gave any idle connection to a write, and nothing tells whether the bytes arrive: in a cut they wait in the system's buffer, the attempt counts as out, and Router::held_until does not run.

Change: core::keep::reuse decides which kept connections may carry an attempt (moved out of the adapter). A write whose state waits at another engine uses a kept connection only if its engine answered anything within the state's own span; otherwise a new one, which does not come up in a cut and is given up in time.

--- a/crates/ivyward-core/src/keep.rs
+++ b/crates/ivyward-core/src/keep.rs
@@ -20,6 +20,46 @@
 /// For what may not be sent again, a step has to have shown that it is safe: so many ends are added to the prior's uses.
 const UNPROVEN: f64 = 1.0;
 
+/// Which kept connections may carry an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any: it may be sent again.
+    Any,
+    /// Those idle for a time that has proven safe.
+    ProvenSafe,
+    /// None: only a connection that comes up now shows that its bytes will not wait in a cut.
+    Never,
+}
+
+/// What decides which kept connections may carry an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Carried {
+    /// It may be sent again, or has no effect.
+    pub repeatable: bool,
+    /// It repeats something that may have run.
+    pub repeats_effect: bool,
+    /// A state waits for it at another engine, to be let go of within this span.
+    pub awaited_within: Option<Micros>,
+    /// When its engine answered anything last; 0 for never.
+    pub last_answer: Micros,
+}
+
+/// Which kept connections may carry an attempt now.
+///
+/// Guards against a repeat that leaves within its window into a cut and lands when the cut ends, and against a write that
+/// does so while the state that it is to fetch waits: it has not arrived, so it does not stop that state's clock. An engine
+/// that answered within the state's own span is taken for one that is not cut off.
+pub fn reuse(now: Micros, carried: &Carried) -> Reuse {
+    let heard = |within: Micros| carried.last_answer > 0 && now <= carried.last_answer.saturating_add(within);
+    if carried.repeats_effect || carried.awaited_within.is_some_and(|within| !heard(within)) {
+        return Reuse::Never;
+    }
+    match carried.repeatable {
+        true => Reuse::Any,
+        false => Reuse::ProvenSafe,
+    }
+}
+
 /// What was seen of connections under requests. See the module's page.
 #[derive(Clone, Debug, Default)]
 pub struct Keep {
--- a/crates/ivyward-platform/src/engine/attempt.rs
+++ b/crates/ivyward-platform/src/engine/attempt.rs
@@ -1,13 +1,14 @@
 //! One attempt at an engine, from its connection to its one outcome.
 
 use super::events::Events;
-use super::link::{CallError, EngineLink, Reuse};
+use super::link::{CallError, EngineLink};
 use super::pool::EngineConnection;
 use crate::call::{PlatformCall, Progress};
 use crate::config::LIMITS;
 use crate::wire::{answer, rest, NoHead};
 use futures_lite::future::poll_fn;
 use ivyward::core::interface::{Micros, Outcome, Report};
+use ivyward::core::keep::{self, Carried};
 use ivyward::engines::{End, Job, Stall, Stop, Woken};
 use ivyward::world::{before, BoxFuture};
 use ivyward_http1::{head, Answer, Body, Step};
@@ -39,12 +40,14 @@
             return End::new(Outcome::NotSent, "no time left");
         }
         let mut timer = world.sleep_until(job.leave_by);
-        let reuse = match (self.call.repeats_effect(), job.reads || self.call.again) {
-            // Guards against a repeat that leaves within its window into a cut, and lands when the cut ends.
-            (true, _) => Reuse::Never,
-            (false, true) => Reuse::Any,
-            (false, false) => Reuse::ProvenSafe,
+        let release_within = job.shared.settings().rules.release_within;
+        let carried = Carried {
+            repeatable: job.reads || self.call.again,
+            repeats_effect: self.call.repeats_effect(),
+            awaited_within: job.state.as_ref().map(|_| release_within),
+            last_answer: link.last_answer.load(Ordering::Relaxed),
         };
+        let reuse = keep::reuse(world.now(), &carried);
         let mut wire = match job.heed(&mut timer, link.connect(job.leave_by, reuse, 0)).await {
             Woken::Next(Ok(wire)) => wire,
             // Of an engine that was not asked nothing is known.
--- a/crates/ivyward-platform/src/engine/link.rs
+++ b/crates/ivyward-platform/src/engine/link.rs
@@ -8,6 +8,7 @@
 use crate::wire::{answer, rest, Wire};
 use futures_lite::future::or;
 use ivyward::core::interface::{Micros, Outcome, Report, ServerId};
+use ivyward::core::keep::Reuse;
 use ivyward::core::release::Taker;
 use ivyward::engines::dial::{dial, DialFailure, Dialed};
 use ivyward::engines::{End, Held, HoldJob, Job, Link};
@@ -35,17 +36,6 @@
     Unanswered(String),
 }
 
-/// Which idle connections may carry a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Reuse {
-    /// Any: it may be sent again.
-    Any,
-    /// Those idle for a time that has proven safe.
-    ProvenSafe,
-    /// None: only a connection that comes up now shows that its bytes will not wait in a cut.
-    Never,
-}
-
 /// One engine as this node reaches it.
 pub(crate) struct EngineLink {
     pub(crate) id: ServerId,
