A list that is merely late makes no engine younger than it is

It now applies only to a told start that lies a minute or more before the list was heard without the engine, which is another clock's. Tests say both sides.

--- a/crates/ivyward-core/src/starts.rs
+++ b/crates/ivyward-core/src/starts.rs
@@ -14,6 +14,9 @@
 /// then count as new.
 pub const MOST_GONE: usize = 10_000;
 
+/// An engine may be listed so long after its start; a told start that lies further back is one of another clock.
+const MOST_LATE: Micros = 60_000_000;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Start {
     /// As the engine wrote it.
@@ -66,9 +69,10 @@
     }
 
     /// The same for lists by one clock of all machines, `unix` being what this node takes for it. That clock is believed
-    /// as far as the lists allow: no engine starts in the future, and one that is new to a node which follows the list
-    /// started no earlier than the list was heard without it. So an hour's step of a clock, on either side, makes nobody
-    /// warm who has just come, and nobody cold for an hour.
+    /// as far as the lists allow: no engine starts in the future, and one that is new to a node which follows the list and
+    /// says that it started long before the list was heard without it counts from then. So an hour's step of a clock, on
+    /// either side, makes nobody warm who has just come, and nobody cold for an hour; a list that is merely late does not
+    /// make an engine younger than it is.
     pub fn listed(&mut self, entry: &ServerEntry, now: Micros, unix: Micros) -> Micros {
         let (id, written) = (entry.id, entry.started);
         let known = self.here.get(&id).or_else(|| self.gone.get(&id).map(|g| &g.0)).copied();
@@ -78,8 +82,13 @@
             _ => {
                 let told = written.saturating_add(now).saturating_sub(unix).clamp(1, now.max(1));
                 // In the first list nothing better than the told start is known.
-                let earliest = self.heard.filter(|_| self.whole).unwrap_or(0);
-                told.max(earliest.min(now))
+                let age = unix.saturating_sub(written);
+                match self.heard.filter(|_| self.whole) {
+                    Some(heard) if age > now.saturating_sub(heard).saturating_add(MOST_LATE) => {
+                        heard.min(now)
+                    }
+                    _ => told,
+                }
             }
         };
         self.remember(id, Start { written, own });
--- a/crates/ivyward-core/tests/starts_and_pace.rs
+++ b/crates/ivyward-core/tests/starts_and_pace.rs
@@ -28,6 +28,8 @@
         NOW + 2_000_000,
         "by one clock"
     );
+    let late = starts.listed(&entry(5, UNIX - 5_000_000), later, UNIX + 3_000_000);
+    assert_eq!(late, NOW - 5_000_000, "a list that is late makes nobody younger");
     assert_eq!(starts.listed(&entry(1, UNIX + 2_000_000), later, ahead), NOW, "it started again");
     assert_eq!(starts.listed(&entry(1, UNIX + 2_000_000), later + HOUR, ahead + HOUR), NOW, "told again");
     assert_eq!(starts.listed(&entry(4, 0), later, ahead), 0, "said to be long ago");
