A write that may have left into a cut is checked by a new connection

Cause: a cut that begins within 300 ms of an engine's last word is not seen before the write leaves; the state waited 3.0 s in the test.

Change: core::keep::arrival_check: without a byte of the answer after a quarter of the state's span the engine is dialled anew, and has to be reachable by half of it; else the attempt ends as timed out (it may have run) after 10 ms for the engine's own end. The new connection is kept for the next request.

Checked: both tests of cuts pass (at most 300 ms), all of the package. Excluded: TCP's own acknowledgements (a proxy between answers for the engine).

--- a/crates/ivyward-core/src/keep.rs
+++ b/crates/ivyward-core/src/keep.rs
@@ -60,6 +60,21 @@
     }
 }
 
+/// When a write that left on a kept connection, and for which a state waits, is checked: its engine is dialled anew, and
+/// has to be reachable by the second time. Nothing else tells a write that waits in a cut from a slow answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ArrivalCheck {
+    /// Without a byte of the answer by then, the engine is dialled.
+    pub dial_at: Micros,
+    /// Without a connection by then, the write is taken for one that has not arrived.
+    pub reachable_by: Micros,
+}
+
+/// The check of a write that left at `now`; the state waits for `within` at most.
+pub fn arrival_check(now: Micros, within: Micros) -> ArrivalCheck {
+    ArrivalCheck { dial_at: now.saturating_add(within / 4), reachable_by: now.saturating_add(within / 2) }
+}
+
 /// What was seen of connections under requests. See the module's page.
 #[derive(Clone, Debug, Default)]
 pub struct Keep {
--- a/crates/ivyward-platform/src/discovery.rs
+++ b/crates/ivyward-platform/src/discovery.rs
@@ -358,6 +358,7 @@
     let answer = answer(wire, limits).await.map_err(|e| match e {
         NoHead::Broken(_) => Missed::new(Miss::Failed, io::ErrorKind::UnexpectedEof),
         NoHead::Bad(text) => spoilt(text),
+        NoHead::Unreachable => Missed::new(Miss::Silent, io::ErrorKind::TimedOut),
     })?;
     let text =
         rest(wire, &answer, limits).await.ok_or_else(|| spoilt("the list is spoilt or too long".into()))?;
--- a/crates/ivyward-platform/src/engine/attempt.rs
+++ b/crates/ivyward-platform/src/engine/attempt.rs
@@ -6,9 +6,9 @@
 use crate::call::{PlatformCall, Progress};
 use crate::config::LIMITS;
 use crate::wire::{answer, rest, NoHead};
-use futures_lite::future::poll_fn;
+use futures_lite::future::{or, poll_fn};
 use ivyward::core::interface::{Micros, Outcome, Report};
-use ivyward::core::keep::{self, Carried};
+use ivyward::core::keep::{self, ArrivalCheck, Carried};
 use ivyward::engines::{End, Job, Stall, Stop, Woken};
 use ivyward::world::{before, BoxFuture};
 use ivyward_http1::{head, Answer, Body, Step};
@@ -22,6 +22,9 @@
 /// Some round trips and an engine's own pause: a matter of networks and machines, not of a deployment's deadlines.
 const ABANDON_TIMEOUT: Micros = 50_000;
 
+/// The same for one that does not take new connections either: a round trip, should it be reachable all the same.
+const UNREACHABLE_TIMEOUT: Micros = 10_000;
+
 /// One attempt at one engine.
 pub(super) struct Attempt<'a> {
     pub(super) link: &'a Arc<EngineLink>,
@@ -96,7 +99,9 @@
         drop(prompt);
         self.call.mark(Progress::Sent(job.attempt));
         timer = world.sleep_until(job.until);
-        let answer = match job.wait(&mut timer, answer(&mut wire, &LIMITS)).await {
+        let check = carried.awaited_within.filter(|_| wire.idle.is_some());
+        let check = check.map(|within| keep::arrival_check(world.now(), within));
+        let answer = match job.wait(&mut timer, self.answer_or_cut(&mut wire, check)).await {
             Woken::Next(Ok(answer)) => {
                 link.note_end(wire.idle, false);
                 link.note_answer();
@@ -106,6 +111,11 @@
                 link.note_end(wire.idle, true);
                 return End::new(Outcome::Reset, text);
             }
+            Woken::Next(Err(NoHead::Unreachable)) => {
+                link.note_failure();
+                let text = "the engine cannot be reached any more";
+                return self.abandon_by(wire, UNREACHABLE_TIMEOUT, Outcome::TimedOut, text).await;
+            }
             Woken::Next(Err(NoHead::Bad(text))) => return self.abandon(wire, Outcome::Error, text).await,
             Woken::Late => return self.abandon(wire, Outcome::TimedOut, "no answer in time").await,
             Woken::Stopped(_) => return self.abandon(wire, Outcome::Cancelled, "called off").await,
@@ -129,6 +139,29 @@
         end
     }
 
+    /// Waits for the answer's head. Guards against a write that left into a cut which had just begun: it has not arrived, and
+    /// the state that it was to fetch would wait for as long as the write.
+    async fn answer_or_cut(
+        &self,
+        wire: &mut EngineConnection,
+        check: Option<ArrivalCheck>,
+    ) -> Result<Answer, NoHead> {
+        let world = &self.link.engines.world;
+        let mut head = pin!(answer(wire, &LIMITS));
+        let Some(check) = check else { return head.await };
+        if let Some(head) = before(world, check.dial_at, head.as_mut()).await {
+            return head;
+        }
+        let reachable = async { self.link.is_reachable(check.reachable_by).await.then_some(()) };
+        let first = or(async { Some(head.as_mut().await) }, async {
+            match reachable.await {
+                Some(()) => std::future::pending().await,
+                None => None,
+            }
+        });
+        first.await.unwrap_or(Err(NoHead::Unreachable))
+    }
+
     /// Goes on with what is to be sent only while the client waits for it. Guards against an attempt that begins after its
     /// client has gone, where a node is busy, a connection comes up late or a body leaves slowly: whether calls may be
     /// called off or not, what has not left yet stays here.
@@ -144,9 +177,19 @@
     /// Gives up what its engine may still be at. Guards against an attempt that reaches another engine before this one's
     /// end reaches the first: for so long there would be two. The engine's own end says that it knows. One that is cut off
     /// or stands still says nothing, and is waited for no longer than for the rest of an answer.
-    async fn abandon(&self, mut wire: EngineConnection, outcome: Outcome, text: impl Into<String>) -> End {
+    async fn abandon(&self, wire: EngineConnection, outcome: Outcome, text: impl Into<String>) -> End {
+        self.abandon_by(wire, ABANDON_TIMEOUT, outcome, text).await
+    }
+
+    async fn abandon_by(
+        &self,
+        mut wire: EngineConnection,
+        timeout: Micros,
+        outcome: Outcome,
+        text: impl Into<String>,
+    ) -> End {
         let world = &self.link.engines.world;
-        let known = world.now().saturating_add(ABANDON_TIMEOUT);
+        let known = world.now().saturating_add(timeout);
         let ended = async {
             wire.end_sending().await;
             while wire.fill().await.is_ok_and(|n| n > 0) {
--- a/crates/ivyward-platform/src/engine/link.rs
+++ b/crates/ivyward-platform/src/engine/link.rs
@@ -125,6 +125,26 @@
         Err(CallError::Unanswered(failed))
     }
 
+    /// Whether a new connection comes up by a time; it is kept for the next request. Where this machine cannot open one,
+    /// nothing is known, and the engine is taken for reachable.
+    pub(super) async fn is_reachable(&self, until: Micros) -> bool {
+        let Some(permit) = self.engines.permit(0) else { return true };
+        match dial(&self.engines.world, self.address, until).await {
+            Ok(Dialed { conn, took }) => {
+                let wire = EngineConnection {
+                    wire: Wire::new(conn),
+                    idle: None,
+                    round_trip: took.clamp(ROUND_TRIP_BOUNDS.0, ROUND_TRIP_BOUNDS.1),
+                    under_way: false,
+                    _permit: permit,
+                };
+                self.keep_idle(wire, true);
+                true
+            }
+            Err(failure) => matches!(failure, DialFailure::Local(_)),
+        }
+    }
+
     /// The youngest of the idle connections that may be used. One that its engine closed, or that brought more than its
     /// answer, serves no further.
     fn take_idle(&self, again: bool) -> Option<EngineConnection> {
--- a/crates/ivyward-platform/src/wire.rs
+++ b/crates/ivyward-platform/src/wire.rs
@@ -156,6 +156,8 @@
     Broken(String),
     /// What came is no head.
     Bad(String),
+    /// The other side cannot be reached any more.
+    Unreachable,
 }
 
 /// The head of an answer; interim ones are passed over.
