--- a/crates/ivywardd/tests/platform.rs
+++ b/crates/ivywardd/tests/platform.rs
@@ -84,6 +84,34 @@
     assert!(process.0.wait().unwrap().success());
 }
 
+/// A node that has no list yet, because discovery takes its calls and answers none, is not ready; it reads its
+/// configuration at every SIGHUP, also at two in a row and at one that changes nothing, and ends at SIGTERM.
+#[test]
+fn a_node_that_waits_for_its_first_list_heeds_its_signals() {
+    let world = SmolWorld::start(1, 1);
+    let discovery = answers(&world, |_| None);
+    let text = config("127.0.0.1:0")
+        .replace("\"discovery\":\"127.0.0.1:9\"", &format!("\"discovery\":\"{discovery}\""));
+    let (before, known) = text.split_once("\"known\":").unwrap();
+    let (_, settings) = known.split_once("\"settings\":").unwrap();
+    let file = File::new("first-list", &format!("{before}\"settings\":{settings}"));
+    let mut process = Running(start(&file));
+    let mut line = String::new();
+    BufReader::new(process.0.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    let address = line.trim().strip_prefix("listening on ").expect("its address").parse().unwrap();
+    let mut log = BufReader::new(process.0.stderr.take().unwrap()).lines().map_while(Result::ok);
+    assert_eq!(health(&world, address), 503, "it holds no list");
+    for _ in 0..2 {
+        process.signal("-HUP");
+        process.signal("-HUP");
+        assert!(log.any(|line| line.contains("the configuration was read again")));
+    }
+    assert_eq!(health(&world, address), 503);
+    process.signal("-TERM");
+    assert!(log.any(|line| line.contains("stopped")));
+    assert!(process.0.wait().unwrap().success());
+}
+
 #[test]
 fn a_configuration_that_cannot_hold_ends_the_start_in_one_line() {
     for (from, to, what) in [
