--- a/crates/ivyward-lab/src/soak/oracle.rs
+++ b/crates/ivyward-lab/src/soak/oracle.rs
@@ -61,6 +61,8 @@
     answers: Vec<(Micros, u16, bool)>,
     attempts: Vec<Attempt>,
     holds: Vec<Micros>,
+    /// Its engine broke its stream off.
+    stream_broke: bool,
     freed: Vec<Micros>,
 }
 
@@ -85,6 +87,8 @@
     cuts: Vec<(usize, Micros, Micros)>,
     /// Nodes under which connections broke: node, from, until.
     breaks: Vec<(usize, Micros, Micros)>,
+    /// Engines whose links were reset, and when.
+    resets: Vec<(usize, Micros)>,
     broken: Vec<Broken>,
 }
 
@@ -99,6 +103,7 @@
         let checks = [
             record.lost(request, end),
             record.closed_unanswered(request),
+            record.cut_stream(request),
             after_end(request),
             record.two_at_once(request),
             effect_twice(request, limits),
@@ -160,6 +165,8 @@
                 // What was told before was of another drain.
                 self.told.retain(|(_, told), _| told != engine);
             }
+            Observation::LinkReset { engine } => self.resets.push((*engine, at)),
+            Observation::StreamBroke { id } => self.request(id).stream_broke = true,
             Observation::DrainOver { engine } => {
                 if let Some(from) = self.drains.remove(engine) {
                     let told = self.told.iter().filter(|((_, e), _)| e == engine);
@@ -237,6 +244,24 @@
         })
     }
 
+    /// A stream that its node cut while its engine wrote.
+    fn cut_stream(&self, request: &Request) -> Found {
+        let (at, ..) = *request.answers.iter().find(|(_, status, whole)| *status == 200 && !whole)?;
+        let (sent, node, ..) = *request.sent.iter().rev().find(|sent| sent.0 <= at)?;
+        let write = request.attempts.iter().rev().find(|a| !a.reads && a.at <= at)?;
+        let during =
+            |(engine, when): &(usize, Micros)| *engine == write.engine && (write.at..=at).contains(when);
+        let engine_broke = request.stream_broke || self.engine_ends.iter().chain(&self.resets).any(during);
+        let cut = |c: &(usize, Micros, Micros)| c.0 == write.engine && c.1 <= at && c.2 >= write.at;
+        let node_broke = self.breaks.iter().any(|b| b.0 == node && b.1 <= at && sent <= b.2);
+        let excused = engine_broke
+            || node_broke
+            || self.cuts.iter().any(cut)
+            || self.killed(node, sent, at + CLOCK_SLACK);
+        let text = || format!("cut at {at}, written by {} from {}", write.engine, write.at);
+        (!excused).then(|| ("cut_stream", text()))
+    }
+
     fn to_draining(&self, request: &Request, limits: &Limits) -> Found {
         let (_, node, ..) = *request.sent.last()?;
         request.attempts.iter().find_map(|attempt| {
--- a/crates/ivyward-lab/src/soak/stage.rs
+++ b/crates/ivyward-lab/src/soak/stage.rs
@@ -29,6 +29,8 @@
 const BREAKS_PERCENT: u64 = 60;
 /// After the word to end a node has its clients' patience and this, in microseconds, before it is killed.
 const STOP_LIMIT: Micros = 4_000_000;
+/// Clients go on connecting to a node for so long after it was told to end.
+const FRONT_LEARNS: Micros = 300_000;
 const LOOK: Micros = 5_000;
 
 /// Everything of one run.
@@ -176,10 +178,14 @@
 
     /// SIGTERM, and SIGKILL where that is not heeded in time. Clients go on with the connections that they have.
     async fn stop_node(&self, node: usize) {
-        let Some(mut process) = self.take_node(node) else { return };
+        let taken = lock(&self.nodes)[node].take();
+        let Some(mut process) = taken else { return };
         process.signal(Signal::TERM);
         self.log.add(self.world.now(), Observation::NodeStops { node });
         let until = self.world.now() + STOP_LIMIT;
+        // The front learns of it late: new connections come for a while.
+        self.world.sleep(FRONT_LEARNS).await;
+        lock(&self.addresses)[node] = None;
         while process.ended().is_none() && self.world.now() < until {
             self.world.sleep(LOOK).await;
         }
@@ -325,7 +331,10 @@
             Kind::EngineSlow => engine.set(|t| t.slower = SLOWER),
             Kind::StreamsBreak => engine.set(|t| t.breaks_percent = BREAKS_PERCENT),
             Kind::LinkCut => cut(true),
-            Kind::LinkReset => link.reset(),
+            Kind::LinkReset => {
+                self.log.add(self.world.now(), Observation::LinkReset { engine: index });
+                link.reset();
+            }
             Kind::EngineDrain => {
                 self.log.add(self.world.now(), Observation::Drains { engine: index });
                 self.discovery.change(index, |entry| entry.state = "draining");
--- a/crates/ivyward-standins/src/platform/engine.rs
+++ b/crates/ivyward-standins/src/platform/engine.rs
@@ -272,7 +272,11 @@
             let stop = if n + 1 == EVENTS { "\"stop\"" } else { "null" };
             let event =
                 format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"a{n}\"}},\"finish_reason\":{stop}}}]}}\n\n");
-            if !say(conn, &chunk(&event)).await || (breaks && n == 1) {
+            let said = say(conn, &chunk(&event)).await;
+            if said && breaks && n == 1 {
+                self.log.add(self.world.now(), Observation::StreamBroke { id: id.into() });
+            }
+            if !said || (breaks && n == 1) {
                 return false;
             }
             self.work(self.work / 4).await;
--- a/crates/ivyward-standins/src/platform/observe.rs
+++ b/crates/ivyward-standins/src/platform/observe.rs
@@ -98,6 +98,16 @@
         /// Nothing passes.
         cut: bool,
     },
+    /// The connections to an engine were reset.
+    LinkReset {
+        /// The engine.
+        engine: usize,
+    },
+    /// An engine broke a stream off.
+    StreamBroke {
+        /// The request.
+        id: String,
+    },
     /// An engine's process ended; what it held is gone.
     EngineEnded {
         /// The engine.
