--- a/crates/ivyward-lab/src/soak/oracle.rs
+++ b/crates/ivyward-lab/src/soak/oracle.rs
@@ -318,8 +318,13 @@
         // Until when an attempt was out, one behind the other.
         let mut out_until = held;
         loop {
-            let beside = attempts.iter().filter(|a| a.at <= out_until).filter_map(|a| a.ended.or(Some(end)));
-            out_until = beside.max().unwrap_or(held).max(out_until);
+            let beside = attempts.iter().filter(|a| a.at <= out_until).map(|a| a.ended.unwrap_or(end));
+            let ended = beside.max().unwrap_or(held).max(out_until);
+            // An attempt may have come just before the one beside it was seen to end.
+            if ended > out_until {
+                out_until = ended;
+                continue;
+            }
             let freed = request.freed.iter().copied().filter(|at| *at >= held).min().unwrap_or(end);
             let next = attempts.iter().map(|a| a.at).find(|at| *at > out_until).unwrap_or(end);
             if freed <= out_until + span {
