--- a/crates/ivyward-lab/tests/child_process.rs
+++ b/crates/ivyward-lab/tests/child_process.rs
@@ -22,6 +22,7 @@
             Ok(text) if text.ends_with('\n') => break text.trim().to_owned(),
             _ => std::thread::yield_now(),
         }
+        assert!(rig.try_wait().unwrap().is_none(), "the rig ended before it had started its process");
     };
     rig.kill().unwrap();
     rig.wait().unwrap();
