Stand-in engines of the platform keep no state that nobody reads

Found when the change was read again: each engine kept sets of held reads and of keys, and a count of connections, that were written and never read; the platform's own sets are those that count. Removed; behaviour stays as it is.

--- a/crates/ivyward-standins/src/platform/engine.rs
+++ b/crates/ivyward-standins/src/platform/engine.rs
@@ -8,7 +8,7 @@
 use ivyward_world::{Conn, Micros, WorldExt, WorldRef};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// A trouble that begins or ends at once for all of an engine's connections.
@@ -36,10 +36,6 @@
     troubles: Troubles,
     /// A crash ends all connections of the runs before it.
     run: u64,
-    /// Reads whose state waits here.
-    held: BTreeSet<String>,
-    /// Keys that were seen, with the effect that they stand for.
-    keys: BTreeSet<String>,
 }
 
 /// Attempts and keys of all engines of one platform.
@@ -59,7 +55,6 @@
     reads: bool,
     platform: Arc<Platform>,
     state: Arc<Mutex<State>>,
-    open: Arc<AtomicUsize>,
     /// How long a read, or the way to the first event, takes.
     work: Micros,
 }
@@ -82,7 +77,7 @@
         let listener = world.listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let address = listener.address();
         let troubles = Troubles { slower: 1.0, ..Troubles::default() };
-        let state = State { troubles, run: 0, held: BTreeSet::new(), keys: BTreeSet::new() };
+        let state = State { troubles, run: 0 };
         let engine = PlatformEngine {
             world: world.clone(),
             log: log.clone(),
@@ -90,7 +85,6 @@
             reads,
             platform: platform.clone(),
             state: Arc::new(Mutex::new(state)),
-            open: Arc::default(),
             work,
         };
         let (accepting, mut listener) = (engine.clone(), listener);
@@ -117,8 +111,6 @@
         change(&mut state.troubles);
         if state.troubles.down && !was_down {
             state.run += 1;
-            state.held.clear();
-            state.keys.clear();
             lock(&self.platform.held).retain(|_, at| *at != self.index);
             drop(state);
             self.log.add(self.world.now(), Observation::EngineEnded { engine: self.index });
@@ -136,7 +128,6 @@
         }
         let engine = self.clone();
         let run = lock(&self.state).run;
-        self.open.fetch_add(1, Ordering::Relaxed);
         self.world.run(async move {
             let crashed = async {
                 while lock(&engine.state).run == run {
@@ -152,7 +143,6 @@
                 conn.reset_on_close();
             }
             drop(conn);
-            engine.open.fetch_sub(1, Ordering::Relaxed);
         });
     }
 
