Review case 2: one answer that never ends holds up the whole node

Why: an independent review looks for faults that break the most important promises, each shown by a test that fails.

What: review/2 has one engine send one spoilt answer whose second event never ends, in chunks of two bytes.

--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -1,25 +1,39 @@
-//! Case 2: requests that a client sends at once on one connection are read, and the connection is closed without an answer.
+//! Case 2: one answer that never ends and comes in small pieces holds up the whole node; other requests get no answer in time.
 
 #[path = "../standin/lib.rs"]
 mod lib;
 
 use lib::*;
-use std::io::Write;
+use std::io::{BufRead, Write};
 use std::path::Path;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
 
-/// Clients, one after the other; each sends so many requests at once.
-const CLIENTS: u64 = 10;
-const REQUESTS: u64 = 4;
-/// The prompt of a request, in tokens of four characters: send-batch adds 2,600 to 4,000 tokens a turn.
-const TOKENS: usize = 3_000;
+const END_MS: u64 = 30_000;
+const SPOILT_AT_MS: u64 = 4_000;
+/// The spoilt answer comes in chunks of so many bytes.
+const PIECE: usize = 2;
+/// Half of the class's give-up time of 7.5 s, the least that a client waits.
+const TIMEOUT_MS: u64 = 3_750;
+/// An answer that is later than this after the client's time is a lost request.
+const LATE_MS: f64 = 500.0;
+
+#[derive(Default)]
+struct Count {
+    requests: AtomicU64,
+    served: AtomicU64,
+    /// Waits of the requests that got their answer later than allowed, or none.
+    lost: Mutex<Vec<(String, f64)>>,
+    longest: Mutex<f64>,
+}
 
 fn main() {
     let record = Record::create(Path::new(&std::env::args().nth(1).expect("record file")));
     let folder = temp_folder("2");
     let fleet: Arc<Fleet> = Arc::default();
-    let reader = Behaviour { read_ms: 100, ..Behaviour::default() };
-    let writer = Behaviour { first_ms: 50, events: 10, between_ms: 20, ..Behaviour::default() };
+    let reader = Behaviour { read_ms: 30, ..Behaviour::default() };
+    let writer = Behaviour { first_ms: 30, events: 10, between_ms: 20, ..Behaviour::default() };
     let engines: Vec<Engine> = [("s-r1", "prefill"), ("s-r2", "prefill"), ("s-w1", "decode"), ("s-w2", "decode")]
         .into_iter()
         .map(|(name, kind)| {
@@ -28,96 +42,76 @@
         })
         .collect();
     let discovery = Discovery::start("discovery", &engines.iter().collect::<Vec<_>>(), &record);
-    let mut node = Node::start(&folder, discovery.address, false, &record);
-    let (mut answered, mut lost, mut reset) = (0, 0, 0);
-    for client in 0..CLIENTS {
-        let result = run_client(client, node.address, &record);
-        answered += result.answered;
-        lost += result.lost;
-        reset += result.reset;
+    let mut node = Node::start(&folder, discovery.address, "automatic", &record);
+    let count: Arc<Count> = Arc::default();
+    let until = now_ms() + END_MS as f64;
+    let clients: Vec<_> = (0..8u64)
+        .map(|number| {
+            let (record, count, address) = (record.clone(), count.clone(), node.address);
+            thread::spawn(move || run_client(number, address, until, &count, &record))
+        })
+        .collect();
+    sleep_ms(SPOILT_AT_MS);
+    if trouble() {
+        *fleet.endless.lock().unwrap() = Some(PIECE);
+    }
+    for client in clients {
+        let _ = client.join();
     }
     let ended = node.has_ended();
     drop(node);
     remove_folder(&folder);
-    let sent = CLIENTS * REQUESTS;
+    // The request whose answer was spoilt is not judged.
+    let spoilt = fleet.spoilt.lock().unwrap().clone();
+    let mut lost = count.lost.lock().unwrap();
+    lost.retain(|(id, _)| *id != spoilt);
     let summary = format!(
-        "requests sent whole {sent}, answered {answered}, read and closed without an answer {lost}, not judged (reset) {reset}"
+        "requests {}, served {}, of the others without a final answer by 0.5 s after their time {}, longest wait for an answer {:.0} ms",
+        count.requests.load(Ordering::SeqCst),
+        count.served.load(Ordering::SeqCst),
+        lost.len(),
+        count.longest.lock().unwrap()
     );
     record.line(format!("result: {summary}"));
     println!("{summary}");
-    if ended || answered == 0 {
-        cannot_run("the node ended, or answered nothing");
+    if ended || count.served.load(Ordering::SeqCst) < 50 {
+        cannot_run("the node ended, or served too little");
     }
-    std::process::exit(i32::from(lost > 0));
+    std::process::exit(i32::from(!lost.is_empty()));
 }
 
-#[derive(Default)]
-struct Outcome {
-    answered: u64,
-    lost: u64,
-    reset: u64,
-}
-
-fn run_client(client: u64, address: std::net::SocketAddr, record: &Record) -> Outcome {
-    let mut outcome = Outcome::default();
-    let mut connection = Connection::open(address).unwrap_or_else(|e| cannot_run(&format!("connect: {e}")));
-    let ids: Vec<String> = (0..REQUESTS).map(|n| format!("{:08x}{:08x}", 0xc0de0000 + client, n)).collect();
-    let bytes = |id: &str| request(id, "send-batch", 12_000, TOKENS, 20);
-    if trouble() {
-        let all: Vec<u8> = ids.iter().flat_map(|id| bytes(id)).collect();
-        connection.out.write_all(&all).unwrap_or_else(|e| cannot_run(&format!("write: {e}")));
-        record.line(format!("client {client}: sent {REQUESTS} requests at once, {} bytes: {ids:?}", all.len()));
-        // The last byte has been written. Before the first answer ends, the node has time to read all of it.
-        sleep_ms(50);
-        record.line(format!("client {client}: bytes that wait unread at the node: {:?}", unread_at_node(&connection)));
-    }
-    for (number, id) in ids.iter().enumerate() {
-        if !trouble() {
-            connection.out.write_all(&bytes(id)).unwrap_or_else(|e| cannot_run(&format!("write: {e}")));
-            record.line(format!("client {client}: sent {id}"));
+/// Sends one request after the other, each with an id of its own, and takes the time to the first byte of the answer.
+fn run_client(number: u64, address: std::net::SocketAddr, until: f64, count: &Count, record: &Record) {
+    let mut sent = 0;
+    let mut connection: Option<Connection> = None;
+    while now_ms() < until {
+        let Some(mut open) = connection.take().or_else(|| Connection::open(address).ok()) else { return };
+        sent += 1;
+        let id = format!("{:08x}{sent:08x}", 0xd0000000 + number);
+        if open.out.write_all(&request(&id, "draft", TIMEOUT_MS, 300, 20)).is_err() {
+            continue;
         }
-        match read_message(&mut connection.input) {
-            Ok(Some(answer)) => {
-                record.line(format!(
-                    "client {client}: {id}: answer {} ({}), Connection: {:?}, names {:?}",
-                    answer.status(),
-                    if answer.complete { "whole" } else { "cut" },
-                    answer.header("connection"),
-                    named_in(&answer.body)
-                ));
-                outcome.answered += 1;
-                if answer.header("connection").eq_ignore_ascii_case("close") {
-                    record.line(format!("client {client}: the node announced the close; the rest is not judged"));
-                    return outcome;
-                }
-            }
-            // The node ended the connection in good order: no byte of what was sent had stayed unread.
-            Ok(None) => {
-                let unanswered = &ids[number..];
-                record.line(format!("client {client}: RULE BROKEN: the node closed the connection, no answer to {unanswered:?}"));
-                outcome.lost += unanswered.len() as u64;
-                return outcome;
-            }
-            // A reset: bytes may have stayed unread, and the client may send them again.
-            Err(error) => {
-                record.line(format!("client {client}: connection failed: {error}; {:?} not judged", &ids[number..]));
-                outcome.reset += (ids.len() - number) as u64;
-                return outcome;
+        count.requests.fetch_add(1, Ordering::SeqCst);
+        let began = now_ms();
+        record.line(format!("client {number}: sent {id}, waits {TIMEOUT_MS} ms"));
+        let has_answer = open.input.fill_buf().is_ok_and(|bytes| !bytes.is_empty());
+        let waited = now_ms() - began;
+        let answer = read_message(&mut open.input).ok().flatten();
+        let status = answer.as_ref().map_or(0, Message::status);
+        record.line(format!("client {number}: {id}: {status} (0: none), its first byte after {waited:.0} ms"));
+        let mut longest = count.longest.lock().unwrap();
+        *longest = longest.max(waited);
+        drop(longest);
+        if !has_answer || waited > TIMEOUT_MS as f64 + LATE_MS {
+            record.line(format!("client {number}: RULE BROKEN: {id} had no final answer after {waited:.0} ms"));
+            count.lost.lock().unwrap().push((id.clone(), waited));
+        }
+        if let Some(answer) = answer.filter(|answer| answer.complete) {
+            if answer.status() == 200 {
+                count.served.fetch_add(1, Ordering::SeqCst);
             }
+            connection = Some(open);
         }
+        sleep_ms(100);
     }
-    outcome
-}
-
-/// Returns how many bytes wait unread in the node's socket of this connection, from the system's table of sockets.
-fn unread_at_node(connection: &Connection) -> Option<u64> {
-    let (node, client) = (connection.out.peer_addr().ok()?, connection.out.local_addr().ok()?);
-    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    let port = |port: u16| format!(":{port:04X}");
-    table.lines().find_map(|line| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        let ours = fields.get(1)?.ends_with(&port(node.port())) && fields.get(2)?.ends_with(&port(client.port()));
-        let unread = fields.get(4)?.split_once(':')?.1;
-        ours.then(|| u64::from_str_radix(unread, 16).ok())?
-    })
 }
--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -181,6 +181,10 @@
     pub sends: Mutex<Vec<(String, String, f64, f64)>>,
     pub second_answers: AtomicU64,
     pub streams: AtomicU64,
+    /// Set: the next stream never ends its second event, and comes in chunks of so many bytes.
+    pub endless: Mutex<Option<usize>>,
+    /// The request whose stream that was.
+    pub spoilt: Mutex<String>,
 }
 
 pub struct Engine {
@@ -300,6 +304,19 @@
         record.line(format!("{name}: run of {id} began"));
         sleep_ms(now.first_ms);
         out.write_all(format!("{STREAM_HEAD}{}", chunk(&event_text(&id, 0))).as_bytes())?;
+        let endless = fleet.endless.lock().unwrap().take();
+        if let Some(piece) = endless {
+            *fleet.spoilt.lock().unwrap() = id.clone();
+            record.line(format!("{name}: the second event of {id} never ends, and comes in chunks of {piece} bytes"));
+            out.write_all(chunk("data: {").as_bytes())?;
+            let text = chunk(&"x".repeat(piece)).repeat(1_000);
+            loop {
+                if let Err(error) = out.write_all(text.as_bytes()) {
+                    record.line(format!("{name}: the node has ended the connection of {id}: {error}"));
+                    return Err(error);
+                }
+            }
+        }
         for number in 1..now.events {
             sleep_ms(now.between_ms);
             out.write_all(chunk(&event_text(&id, number)).as_bytes())?;
@@ -332,8 +349,10 @@
 pub struct Discovery {
     pub address: SocketAddr,
     list: Arc<(Mutex<ListState>, Condvar)>,
-    /// Closed: no new connection is taken, and open ones end at their next event.
+    /// Closed: no new connection is taken.
     closed: Arc<AtomicBool>,
+    /// How late the service answers each call.
+    pub delay_ms: Arc<AtomicU64>,
     open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -345,7 +364,9 @@
         let list = Arc::new((Mutex::new(ListState { version: 41, entries }), Condvar::new()));
         let closed = Arc::new(AtomicBool::new(false));
         let open = Arc::new(Mutex::new(Vec::new()));
+        let delay_ms: Arc<AtomicU64> = Arc::default();
         let (list2, closed2, open2, record) = (list.clone(), closed.clone(), open.clone(), record.clone());
+        let delay = delay_ms.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if closed2.load(Ordering::SeqCst) {
@@ -353,13 +374,13 @@
                     return;
                 }
                 open2.lock().unwrap().push(stream.try_clone().unwrap());
-                let (list, record) = (list2.clone(), record.clone());
+                let (list, record, delay) = (list2.clone(), record.clone(), delay.clone());
                 thread::spawn(move || {
-                    let _ = serve_discovery(stream, name, &list, &record);
+                    let _ = serve_discovery(stream, name, &list, &delay, &record);
                 });
             }
         });
-        Discovery { address, list, closed, open }
+        Discovery { address, list, closed, delay_ms, open }
     }
 
     /// Changes the entry of an engine. The agent holds it from now on.
@@ -386,7 +407,13 @@
     }
 }
 
-fn serve_discovery(stream: TcpStream, name: &str, list: &(Mutex<ListState>, Condvar), record: &Record) -> io::Result<()> {
+fn serve_discovery(
+    stream: TcpStream,
+    name: &str,
+    list: &(Mutex<ListState>, Condvar),
+    delay_ms: &AtomicU64,
+    record: &Record,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut out = stream.try_clone()?;
     let mut input = BufReader::new(stream);
@@ -405,15 +432,23 @@
                 state = list.1.wait_timeout(state, until.saturating_duration_since(Instant::now())).unwrap().0;
             }
         }
+        let delay = delay_ms.load(Ordering::SeqCst);
+        if delay > 0 {
+            drop(state);
+            sleep_ms(delay);
+            state = list.0.lock().unwrap();
+        }
         let full = from == 0;
         let entries: Vec<&str> =
             state.entries.values().filter(|(version, _)| *version > from).map(|(_, entry)| entry.as_str()).collect();
         let body = format!("{{\"version\":{},\"full\":{full},\"servers\":[{}]}}", state.version, entries.join(","));
         let changes: Vec<&String> = state.entries.iter().filter(|(_, (v, _))| *v > from.max(41)).map(|(id, _)| id).collect();
-        if full || !changes.is_empty() {
-            record.line(format!("{name}: told version {} (full: {full}), changed: {changes:?}", state.version));
-        }
+        let told = (full || !changes.is_empty())
+            .then(|| format!("{name}: answers {target} with version {} (full: {full}), changed: {changes:?}", state.version));
         drop(state);
+        if let Some(told) = told {
+            record.line(told);
+        }
         out.write_all(short("200 OK", "Content-Type: application/json\r\n", &body).as_bytes())?;
     }
     Ok(())
@@ -422,10 +457,12 @@
 // ---- the node -------------------------------------------------------------------------------------------------------
 
 /// A deployment's settings: those of nimto-ktm, for one node and a handful of engines.
-pub fn settings(early_pairing: bool) -> String {
+pub fn settings(discovery: &str) -> String {
+    // The graces of nimto-ktm, and of many-classes, whose lists are asked for.
+    let grace = if discovery == "subscribe" { 1_500_000 } else { 1_000_000 };
     format!(
         r#"{{"balancers":1,"zone":0,"failure_domains":["ktm-baneshwor"],"host_types":["prefill","decode"],"family":"twostage",
-  "family_info":{{"kind_role":["read","write"],"local_read":false,"early_pairing":{early_pairing},"let_go_by_us":300000,"resume":false,
+  "family_info":{{"kind_role":["read","write"],"local_read":false,"early_pairing":false,"let_go_by_us":300000,"resume":false,
     "memory_tokens":[250000,150000],"aim_us_per_1000_prompt_tokens":[40000.0,120000.0],"token_aim_us":[60000.0,80000.0],
     "transfer_price":0.05}},
   "classes":[
@@ -434,12 +471,12 @@
     {{"name":"send-batch","semantics":"fragile","target_us":2500000,"deadline_us":12000000,"importance":5.0,"late_share":0.1,
       "key_ttl_us":5000000,"group":"all","streamed":true}}],
   "parties":[{{"name":"himal-nimto","quota_per_s":500.0,"share":1.0}}],"over_share_worth":0.2,"worth_by":"work",
-  "guarantees":{{"answer_slack_us":8000,"drain_grace_us":1000000,"fall_multiple":2.5,"fall_us":3000000,"start_capacity":0.33,
-    "warm_after_us":13000000}},
+  "guarantees":{{"answer_slack_us":8000,"drain_grace_us":{grace},"fall_multiple":2.5,"fall_us":3000000,"start_capacity":0.33,
+    "warm_after_us":13000000,"ask_every_us":10000000}},
   "limits":{{"may_cancel":true,"probes":false,"second_copies":true,"try_limit":5,"retry_after":true,"max_retry_after_us":500000,
     "keepalive_us":15000000,"dial_timeout_us":250000,"max_open":20000,"streams_per_conn":1}},
   "clients":{{"marks_retry":true}},"weight_source":"nominal",
-  "report":{{"source":"none","fields":[]}},"discovery":"automatic"}}"#
+  "report":{{"source":"none","fields":[]}},"discovery":"{discovery}"}}"#
     )
 }
 
@@ -448,14 +485,15 @@
     pub address: SocketAddr,
     pub folder: PathBuf,
     config: PathBuf,
-    early_pairing: bool,
+    mode: &'static str,
 }
 
 impl Node {
-    /// Starts the node with the command of the deploy file, and waits until it is ready.
-    pub fn start(folder: &Path, discovery: SocketAddr, early_pairing: bool, record: &Record) -> Node {
+    /// Starts the node with the command of the deploy file, and waits until it is ready. `mode` is `discovery` in the
+    /// settings: `automatic` (lists are pushed) or `subscribe` (they are asked for).
+    pub fn start(folder: &Path, discovery: SocketAddr, mode: &'static str, record: &Record) -> Node {
         let config = folder.join("config.json");
-        write_config(&config, discovery, early_pairing);
+        write_config(&config, discovery, mode);
         let run = std::env::var("RUN_COMMAND").unwrap_or_else(|_| cannot_run("RUN_COMMAND is not set"));
         let log = File::create(folder.join("node.log")).unwrap_or_else(|e| cannot_run(&format!("log: {e}")));
         let mut child = Command::new("/bin/sh")
@@ -478,7 +516,7 @@
             cannot_run(&format!("the node did not start: {line:?}"));
         };
         thread::spawn(move || io::copy(&mut output, &mut io::sink()));
-        let mut node = Node { child, address, folder: folder.to_owned(), config, early_pairing };
+        let mut node = Node { child, address, folder: folder.to_owned(), config, mode };
         for _ in 0..600 {
             if node.health() == 200 {
                 record.line(format!("node: ready at {address}"));
@@ -500,7 +538,7 @@
     /// Replaces the configuration by one that names another discovery.
     pub fn replace_config(&self, discovery: SocketAddr) {
         let new = self.config.with_extension("new");
-        write_config(&new, discovery, self.early_pairing);
+        write_config(&new, discovery, self.mode);
         std::fs::rename(&new, &self.config).unwrap_or_else(|e| cannot_run(&format!("config: {e}")));
     }
 
@@ -521,12 +559,12 @@
     }
 }
 
-fn write_config(path: &Path, discovery: SocketAddr, early_pairing: bool) {
+fn write_config(path: &Path, discovery: SocketAddr, mode: &str) {
     let text = format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
  "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
  "settings":{}}}"#,
-        settings(early_pairing)
+        settings(mode)
     );
     std::fs::write(path, text).unwrap_or_else(|e| cannot_run(&format!("config: {e}")));
 }
