--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -42,7 +42,7 @@
         })
         .collect();
     let discovery = Discovery::start("discovery", &engines.iter().collect::<Vec<_>>(), &record);
-    let mut node = Node::start(&folder, discovery.address, "automatic", &record);
+    let mut node = Node::start(&folder, discovery.address, &record);
     let count: Arc<Count> = Arc::default();
     let until = now_ms() + END_MS as f64;
     let clients: Vec<_> = (0..8u64)
--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -43,7 +43,7 @@
         })
         .collect();
     let discovery = Discovery::start("discovery", &engines.iter().collect::<Vec<_>>(), &record);
-    let mut node = Node::start(&folder, discovery.address, "automatic", &record);
+    let mut node = Node::start(&folder, discovery.address, &record);
     let count: Arc<Count> = Arc::default();
     let term = now_ms() + TERM_AT_MS as f64;
     let clients: Vec<_> = (0..CLIENTS)
--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -6,21 +6,27 @@
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// `PR_SET_PDEATHSIG`: the process gets a signal when the one that started it ends.
+const SIGNAL_AT_PARENTS_END: i32 = 1;
+/// The node that runs now; 0 for none.
+static NODE: AtomicI32 = AtomicI32::new(0);
+
 // ---- time and record ------------------------------------------------------------------------------------------------
 
 fn origin() -> Instant {
@@ -51,9 +57,13 @@
     }
 }
 
-/// Ends the process with status 2: the case could not run.
+/// Ends the node and this process, with status 2: the case could not run.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("cannot run: {reason}");
+    let node = NODE.load(Ordering::SeqCst);
+    if node > 0 {
+        unsafe { kill(node, SIGKILL) };
+    }
     std::process::exit(2);
 }
 
@@ -348,12 +358,6 @@
 /// The agent of discovery on the node's machine.
 pub struct Discovery {
     pub address: SocketAddr,
-    list: Arc<(Mutex<ListState>, Condvar)>,
-    /// Closed: no new connection is taken.
-    closed: Arc<AtomicBool>,
-    /// How late the service answers each call.
-    pub delay_ms: Arc<AtomicU64>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Discovery {
@@ -362,48 +366,16 @@
         let address = listener.local_addr().unwrap();
         let entries = engines.iter().map(|e| (e.name.clone(), (41, e.entry("up")))).collect();
         let list = Arc::new((Mutex::new(ListState { version: 41, entries }), Condvar::new()));
-        let closed = Arc::new(AtomicBool::new(false));
-        let open = Arc::new(Mutex::new(Vec::new()));
-        let delay_ms: Arc<AtomicU64> = Arc::default();
-        let (list2, closed2, open2, record) = (list.clone(), closed.clone(), open.clone(), record.clone());
-        let delay = delay_ms.clone();
+        let record = record.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if closed2.load(Ordering::SeqCst) {
-                    // The listener is dropped: further connections are refused.
-                    return;
-                }
-                open2.lock().unwrap().push(stream.try_clone().unwrap());
-                let (list, record, delay) = (list2.clone(), record.clone(), delay.clone());
+                let (list, record) = (list.clone(), record.clone());
                 thread::spawn(move || {
-                    let _ = serve_discovery(stream, name, &list, &delay, &record);
+                    let _ = serve_discovery(stream, name, &list, &record);
                 });
             }
         });
-        Discovery { address, list, closed, delay_ms, open }
-    }
-
-    /// Changes the entry of an engine. The agent holds it from now on.
-    pub fn set(&self, engine: &Engine, state: &str) {
-        let mut list = self.list.0.lock().unwrap();
-        list.version += 1;
-        let version = list.version;
-        list.entries.insert(engine.name.clone(), (version, engine.entry(state)));
-        self.list.1.notify_all();
-    }
-
-    /// Takes no new connection from now on.
-    pub fn close_listener(&self) {
-        self.closed.store(true, Ordering::SeqCst);
-        // Wakes the listener, which then goes away.
-        let _ = TcpStream::connect(self.address);
-    }
-
-    /// Closes the open connections.
-    pub fn close_open(&self) {
-        for stream in self.open.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(std::net::Shutdown::Both);
-        }
+        Discovery { address }
     }
 }
 
@@ -411,7 +383,6 @@
     stream: TcpStream,
     name: &str,
     list: &(Mutex<ListState>, Condvar),
-    delay_ms: &AtomicU64,
     record: &Record,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
@@ -432,12 +403,6 @@
                 state = list.1.wait_timeout(state, until.saturating_duration_since(Instant::now())).unwrap().0;
             }
         }
-        let delay = delay_ms.load(Ordering::SeqCst);
-        if delay > 0 {
-            drop(state);
-            sleep_ms(delay);
-            state = list.0.lock().unwrap();
-        }
         let full = from == 0;
         let entries: Vec<&str> =
             state.entries.values().filter(|(version, _)| *version > from).map(|(_, entry)| entry.as_str()).collect();
@@ -457,46 +422,47 @@
 // ---- the node -------------------------------------------------------------------------------------------------------
 
 /// A deployment's settings: those of nimto-ktm, for one node and a handful of engines.
-pub fn settings(discovery: &str) -> String {
-    // The graces of nimto-ktm, and of many-classes, whose lists are asked for.
-    let grace = if discovery == "subscribe" { 1_500_000 } else { 1_000_000 };
-    format!(
-        r#"{{"balancers":1,"zone":0,"failure_domains":["ktm-baneshwor"],"host_types":["prefill","decode"],"family":"twostage",
-  "family_info":{{"kind_role":["read","write"],"local_read":false,"early_pairing":false,"let_go_by_us":300000,"resume":false,
+pub fn settings() -> &'static str {
+    r#"{"balancers":1,"zone":0,"failure_domains":["ktm-baneshwor"],"host_types":["prefill","decode"],"family":"twostage",
+  "family_info":{"kind_role":["read","write"],"local_read":false,"early_pairing":false,"let_go_by_us":300000,"resume":false,
     "memory_tokens":[250000,150000],"aim_us_per_1000_prompt_tokens":[40000.0,120000.0],"token_aim_us":[60000.0,80000.0],
-    "transfer_price":0.05}},
+    "transfer_price":0.05},
   "classes":[
-    {{"name":"draft","semantics":"retryable","target_us":1500000,"deadline_us":7500000,"importance":2.0,"late_share":0.1,
-      "key_ttl_us":5000000,"group":"all","streamed":true}},
-    {{"name":"send-batch","semantics":"fragile","target_us":2500000,"deadline_us":12000000,"importance":5.0,"late_share":0.1,
-      "key_ttl_us":5000000,"group":"all","streamed":true}}],
-  "parties":[{{"name":"himal-nimto","quota_per_s":500.0,"share":1.0}}],"over_share_worth":0.2,"worth_by":"work",
-  "guarantees":{{"answer_slack_us":8000,"drain_grace_us":{grace},"fall_multiple":2.5,"fall_us":3000000,"start_capacity":0.33,
-    "warm_after_us":13000000,"ask_every_us":10000000}},
-  "limits":{{"may_cancel":true,"probes":false,"second_copies":true,"try_limit":5,"retry_after":true,"max_retry_after_us":500000,
-    "keepalive_us":15000000,"dial_timeout_us":250000,"max_open":20000,"streams_per_conn":1}},
-  "clients":{{"marks_retry":true}},"weight_source":"nominal",
-  "report":{{"source":"none","fields":[]}},"discovery":"{discovery}"}}"#
-    )
+    {"name":"draft","semantics":"retryable","target_us":1500000,"deadline_us":7500000,"importance":2.0,"late_share":0.1,
+      "key_ttl_us":5000000,"group":"all","streamed":true},
+    {"name":"send-batch","semantics":"fragile","target_us":2500000,"deadline_us":12000000,"importance":5.0,"late_share":0.1,
+      "key_ttl_us":5000000,"group":"all","streamed":true}],
+  "parties":[{"name":"himal-nimto","quota_per_s":500.0,"share":1.0}],"over_share_worth":0.2,"worth_by":"work",
+  "guarantees":{"answer_slack_us":8000,"drain_grace_us":1000000,"fall_multiple":2.5,"fall_us":3000000,"start_capacity":0.33,
+    "warm_after_us":13000000,"ask_every_us":10000000},
+  "limits":{"may_cancel":true,"probes":false,"second_copies":true,"try_limit":5,"retry_after":true,"max_retry_after_us":500000,
+    "keepalive_us":15000000,"dial_timeout_us":250000,"max_open":20000,"streams_per_conn":1},
+  "clients":{"marks_retry":true},"weight_source":"nominal",
+  "report":{"source":"none","fields":[]},"discovery":"automatic"}"#
 }
 
 pub struct Node {
     child: Child,
     pub address: SocketAddr,
     pub folder: PathBuf,
-    config: PathBuf,
-    mode: &'static str,
 }
 
 impl Node {
-    /// Starts the node with the command of the deploy file, and waits until it is ready. `mode` is `discovery` in the
-    /// settings: `automatic` (lists are pushed) or `subscribe` (they are asked for).
-    pub fn start(folder: &Path, discovery: SocketAddr, mode: &'static str, record: &Record) -> Node {
+    /// Starts the node with the command of the deploy file, and waits until it is ready.
+    pub fn start(folder: &Path, discovery: SocketAddr, record: &Record) -> Node {
         let config = folder.join("config.json");
-        write_config(&config, discovery, mode);
+        write_config(&config, discovery);
         let run = std::env::var("RUN_COMMAND").unwrap_or_else(|_| cannot_run("RUN_COMMAND is not set"));
         let log = File::create(folder.join("node.log")).unwrap_or_else(|e| cannot_run(&format!("log: {e}")));
-        let mut child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // The node ends with this process, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(SIGNAL_AT_PARENTS_END, SIGKILL as u64);
+                Ok(())
+            })
+        };
+        let mut child = command
             .args(["-c", &run])
             .env("BALANCER_NAME", "n0")
             .env("BALANCER_LISTEN", "127.0.0.1:0")
@@ -508,6 +474,7 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|e| cannot_run(&format!("node: {e}")));
+        NODE.store(child.id() as i32, Ordering::SeqCst);
         let mut line = String::new();
         let mut output = BufReader::new(child.stdout.take().unwrap());
         let _ = output.read_line(&mut line);
@@ -516,7 +483,7 @@
             cannot_run(&format!("the node did not start: {line:?}"));
         };
         thread::spawn(move || io::copy(&mut output, &mut io::sink()));
-        let mut node = Node { child, address, folder: folder.to_owned(), config, mode };
+        let mut node = Node { child, address, folder: folder.to_owned() };
         for _ in 0..600 {
             if node.health() == 200 {
                 record.line(format!("node: ready at {address}"));
@@ -535,13 +502,6 @@
         read_message(&mut BufReader::new(stream)).ok().flatten().map_or(0, |m| m.status())
     }
 
-    /// Replaces the configuration by one that names another discovery.
-    pub fn replace_config(&self, discovery: SocketAddr) {
-        let new = self.config.with_extension("new");
-        write_config(&new, discovery, self.mode);
-        std::fs::rename(&new, &self.config).unwrap_or_else(|e| cannot_run(&format!("config: {e}")));
-    }
-
     pub fn signal(&self, signal: i32) {
         unsafe { kill(self.child.id() as i32, signal) };
     }
@@ -556,15 +516,16 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        NODE.store(0, Ordering::SeqCst);
     }
 }
 
-fn write_config(path: &Path, discovery: SocketAddr, mode: &str) {
+fn write_config(path: &Path, discovery: SocketAddr) {
     let text = format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
  "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
  "settings":{}}}"#,
-        settings(mode)
+        settings()
     );
     std::fs::write(path, text).unwrap_or_else(|e| cannot_run(&format!("config: {e}")));
 }
