Runtime: the longest turn of a task is measured and shown in the counters' log line

Change: tasks started with RuntimeExt::run are timed at each poll; the longest turn since the last report and the place that started its task stand in the platform's counters line (longest_turn_us, longest_turn_task).

--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -124,7 +124,7 @@
                 pool.sweep();
                 if runtime.now() >= report_at {
                     report_at = runtime.now().saturating_add(REPORT_INTERVAL);
-                    log_counters(&node, &server, &pool);
+                    log_counters(&node, &server, &pool, &runtime);
                 }
             }
         });
@@ -220,8 +220,9 @@
     })
 }
 
-fn log_counters(node: &Node, server: &Server, pool: &EnginePool) {
+fn log_counters(node: &Node, server: &Server, pool: &EnginePool, runtime: &RuntimeRef) {
     let metrics = node.metrics();
+    let longest_turn = runtime.turn_monitor().and_then(|m| m.take_longest());
     info!(
         open = node.open_requests(),
         clients = server.connections(),
@@ -240,6 +241,8 @@
         unconfirmed_releases = metrics.unconfirmed_releases.get(),
         module_us = metrics.router_us.get(),
         driver_us = metrics.driver_us.get(),
+        longest_turn_us = longest_turn.map(|turn| turn.duration),
+        longest_turn_task = longest_turn.map(|turn| tracing::field::display(turn.task)),
         "counters"
     );
 }
--- a/crates/ivyward-runtime/src/lib.rs
+++ b/crates/ivyward-runtime/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! - [`Runtime`]: the system services that a node, a fake engine or a client uses.
 //! - [`SmolRuntime`]: the implementation on the operating system, with async-io and async-executor.
+//! - [`TurnBudget`]: bounds the work of a task whose input may always be ready; [`ReadBudget`]: the same for reads.
+//! - [`TurnMonitor`]: the longest time for which a task kept its thread.
 //! - [`metered()`]: a handle to a runtime that counts bytes, reads, writes, connections and the time that tasks run.
 //! - [`io`]: adapters that give connections the I/O traits of hyper and h2.
 //!
@@ -12,14 +14,19 @@
 mod metered;
 mod origin;
 mod smol;
+mod turn_budget;
+mod turns;
 
 pub use metered::{metered, Meter, Usage};
 pub use origin::ErrorOrigin;
 pub use smol::SmolRuntime;
+pub use turn_budget::{ReadBudget, TurnBudget};
+pub use turns::{Turn, TurnMonitor};
 
 use futures_lite::{AsyncRead, AsyncWrite};
 use std::future::Future;
 use std::net::SocketAddr;
+use std::panic::Location;
 use std::pin::Pin;
 use std::sync::Arc;
 
@@ -100,6 +107,10 @@
     fn bind_datagram(&self, at: SocketAddr) -> std::io::Result<Box<dyn DatagramSocket>>;
     /// Returns a random number, uniform over all values. Not suitable for secrets.
     fn random(&self) -> u64;
+    /// Returns the record of how long tasks kept their thread; `None` if this runtime keeps none.
+    fn turn_monitor(&self) -> Option<&Arc<TurnMonitor>> {
+        None
+    }
 }
 
 /// A shared handle to a [`Runtime`].
@@ -109,7 +120,8 @@
 pub trait RuntimeExt {
     /// Waits for a duration in microseconds.
     fn sleep(&self, duration: Micros) -> BoxFuture<()>;
-    /// Boxes a future and runs it in the background with [`Runtime::spawn`].
+    /// Boxes a future and runs it in the background with [`Runtime::spawn`]. A [`TurnMonitor`] names the task by its caller.
+    #[track_caller]
     fn run(&self, task: impl Future<Output = ()> + Send + 'static);
     /// Returns a random number in [0, 1).
     fn random_f64(&self) -> f64;
@@ -119,8 +131,18 @@
     fn sleep(&self, duration: Micros) -> BoxFuture<()> {
         self.sleep_until(self.now().saturating_add(duration))
     }
+    #[track_caller]
     fn run(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.spawn(Box::pin(task));
+        let task: BoxFuture<()> = Box::pin(task);
+        let started_at = Location::caller();
+        match self.turn_monitor().cloned() {
+            None => self.spawn(task),
+            Some(monitor) => self.spawn(Box::pin(turns::MonitoredTask {
+                task,
+                started_at,
+                monitor,
+            })),
+        }
     }
     fn random_f64(&self) -> f64 {
         (self.random() >> 11) as f64 / (1u64 << 53) as f64
--- a/crates/ivyward-runtime/src/metered.rs
+++ b/crates/ivyward-runtime/src/metered.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     BorrowedFuture, BoxFuture, Conn, Connection, DatagramSocket, Listener, Micros, Peer, Runtime,
-    RuntimeRef,
+    RuntimeRef, TurnMonitor,
 };
 use futures_lite::{AsyncRead, AsyncWrite};
 use std::future::Future;
@@ -132,6 +132,9 @@
     fn random(&self) -> u64 {
         self.runtime.random()
     }
+    fn turn_monitor(&self) -> Option<&Arc<TurnMonitor>> {
+        self.runtime.turn_monitor()
+    }
 }
 
 /// A task that adds the duration of each poll to [`Usage::busy`].
--- a/crates/ivyward-runtime/src/smol.rs
+++ b/crates/ivyward-runtime/src/smol.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     BorrowedFuture, BoxFuture, Conn, Connection, DatagramSocket, Listener, Micros, Peer, Runtime,
+    TurnMonitor,
 };
 use async_executor::Executor;
 use async_net::{TcpListener, TcpStream};
@@ -35,6 +36,7 @@
     executor: Weak<Executor<'static>>,
     inner: Mutex<Inner>,
     stopped: Arc<AtomicBool>,
+    turn_monitor: Arc<TurnMonitor>,
 }
 
 struct Inner {
@@ -118,6 +120,7 @@
                 stop_signals,
             }),
             stopped,
+            turn_monitor: Arc::default(),
         })
     }
 
@@ -222,6 +225,9 @@
     fn random(&self) -> u64 {
         lock(&self.random).next_u64()
     }
+    fn turn_monitor(&self) -> Option<&Arc<TurnMonitor>> {
+        Some(&self.turn_monitor)
+    }
 }
 
 struct SmolListener {
