Platform: the bytes of an event are searched once, however small its pieces

Cause: EventParser::take_complete_events searched all pending bytes (up to 256 KiB) for the end of an event, and copied them, each time a chunk was added: the work grew with the square of the event's length.

Change: only the added bytes are searched, and nothing is copied until an event is complete.

--- a/crates/ivyward-platform/src/engine/event_parser.rs
+++ b/crates/ivyward-platform/src/engine/event_parser.rs
@@ -18,6 +18,8 @@
 pub(super) struct EventParser {
     /// Received bytes that do not form a complete event yet.
     pub(super) pending: Vec<u8>,
+    /// The number of bytes at the beginning of `pending` that contain no end of an event.
+    searched: usize,
     /// The number of prompt tokens that the engine found in its KV cache.
     pub(super) cached_tokens: u32,
     /// The last load report in a comment of the stream (`: X-Server-Load: ...`).
@@ -29,22 +31,32 @@
 impl EventParser {
     /// Removes the complete events from the pending bytes and returns them.
     pub(super) fn take_complete_events(&mut self) -> Result<Vec<u8>, EventError> {
-        let end = self
-            .pending
-            .windows(2)
-            .rposition(|window| window == b"\n\n")
-            .map_or(0, |start| start + 2);
-        if end == 0 && self.pending.len() > MAX_BODY_BYTES {
-            return Err(EventError::Unterminated);
-        }
+        let Some(end) = self.find_last_end() else {
+            return match self.pending.len() > MAX_BODY_BYTES {
+                true => Err(EventError::Unterminated),
+                false => Ok(Vec::new()),
+            };
+        };
         let rest = self.pending.split_off(end);
         let complete = std::mem::replace(&mut self.pending, rest);
+        self.searched = self.pending.len();
         for line in complete.split(|byte| *byte == b'\n') {
             self.inspect_line(line.strip_suffix(b"\r").unwrap_or(line))?;
         }
         Ok(complete)
     }
 
+    /// Returns the position behind the last complete event, if any. Searches only the bytes that were added since the last call:
+    /// an event may come in many pieces, and the work would grow with the square of its length otherwise.
+    fn find_last_end(&mut self) -> Option<usize> {
+        // The end may begin with the last byte that was searched.
+        let from = self.searched.saturating_sub(1);
+        self.searched = self.pending.len();
+        let added = &self.pending[from..];
+        let start = added.windows(2).rposition(|window| window == b"\n\n")?;
+        Some(from + start + 2)
+    }
+
     fn inspect_line(&mut self, line: &[u8]) -> Result<(), EventError> {
         if let Some(data) = line.strip_prefix(b"data:") {
             return self.inspect_data(data.trim_ascii());
