HTTP/1.1: the work for a head that comes in small pieces is linear

Change: ivyward-http1 decides when a head is parsed again (HeadProgress): after each of the first 64 pieces, when its length has doubled, at its end and at the limit. Server and engine client share one loop that reads a head.

No fault was seen on sockets from this path alone.

--- a/crates/ivyward-http1/src/lib.rs
+++ b/crates/ivyward-http1/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 framing without I/O.
 //!
 //! - [`head`]: parses and writes the heads of requests and responses.
+//! - [`head_progress`]: decides when a head that arrives in pieces is parsed again.
 //! - [`body`]: decodes bodies that are delimited by a length, by chunks or by the end of the connection, and writes chunks.
 //!
 //! The caller owns the socket. It passes the received bytes in, and gets back what they contain and how many of them were
@@ -8,9 +9,11 @@
 
 pub mod body;
 pub mod head;
+pub mod head_progress;
 
 pub use body::{BodyDecoder, BodyError, Decoded, Framing};
 pub use head::{HeadError, Headers, RequestHead, ResponseHead};
+pub use head_progress::HeadProgress;
 
 /// Limits on the size of messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/ivyward-platform/src/buffered_connection.rs
+++ b/crates/ivyward-platform/src/buffered_connection.rs
@@ -4,7 +4,9 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use ivyward::core::interface::Micros;
 use ivyward::runtime::{timeout_at, Conn, Peer, RuntimeRef};
-use ivyward_http1::{BodyDecoder, BodyError, Decoded, Limits, ResponseHead};
+use ivyward_http1::{
+    BodyDecoder, BodyError, Decoded, HeadError, HeadProgress, Limits, ResponseHead,
+};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -114,6 +116,26 @@
         poll_fn(|cx| self.poll_fill(cx)).await
     }
 
+    /// Reads a head with `parse`, which returns the head and its length, or `None` if it is incomplete.
+    pub(crate) async fn read_head<H>(
+        &mut self,
+        limits: &Limits,
+        parse: impl Fn(&[u8], &Limits) -> Result<Option<(H, usize)>, HeadError>,
+    ) -> Result<H, ReadHeadError> {
+        let mut progress = HeadProgress::default();
+        loop {
+            if progress.needs_parse(self.unread(), limits) {
+                if let Some((head, used)) = parse(self.unread(), limits)? {
+                    self.consume(used);
+                    return Ok(head);
+                }
+            }
+            if self.fill().await? == 0 {
+                return Err(ReadHeadError::Closed);
+            }
+        }
+    }
+
     /// Parses the next part of a body from the unread bytes, and appends its data to `output`.
     pub(crate) fn read_body_step(
         &mut self,
@@ -182,18 +204,26 @@
     }
 }
 
-/// Why no response head was received.
+/// Why no head was received.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum ResponseHeadError {
-    /// The peer closed the connection without a complete response head.
+pub(crate) enum ReadHeadError {
+    /// The peer closed the connection without a complete head.
     #[error("the connection ended without a response")]
     Closed,
     /// Reading from the connection failed.
     #[error("{0}")]
     Io(#[from] io::Error),
-    /// The received bytes are not a valid response head.
+    /// The received bytes are not a valid head.
     #[error("{0}")]
-    Invalid(#[from] ivyward_http1::HeadError),
+    Invalid(#[from] HeadError),
+}
+
+/// Why no response head was received.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ResponseHeadError {
+    /// The next head could not be read.
+    #[error(transparent)]
+    Head(#[from] ReadHeadError),
     /// More than `MAX_INTERIM_RESPONSES` (8) interim responses were received.
     #[error("more than {MAX_INTERIM_RESPONSES} interim responses")]
     TooManyInterimResponses,
@@ -204,26 +234,13 @@
     connection: &mut BufferedConnection,
     limits: &Limits,
 ) -> Result<ResponseHead, ResponseHeadError> {
-    let mut interim_responses = 0;
-    loop {
-        match ResponseHead::parse(connection.unread(), limits)? {
-            Some((response, used)) => {
-                connection.consume(used);
-                match response.status {
-                    100..=199 if interim_responses < MAX_INTERIM_RESPONSES => {
-                        interim_responses += 1;
-                    }
-                    100..=199 => return Err(ResponseHeadError::TooManyInterimResponses),
-                    _ => return Ok(response),
-                }
-            }
-            None => {
-                if connection.fill().await? == 0 {
-                    return Err(ResponseHeadError::Closed);
-                }
-            }
+    for _ in 0..=MAX_INTERIM_RESPONSES {
+        let response = connection.read_head(limits, ResponseHead::parse).await?;
+        if !(100..=199).contains(&response.status) {
+            return Ok(response);
         }
     }
+    Err(ResponseHeadError::TooManyInterimResponses)
 }
 
 /// Reads the whole body of a short response. Returns `None` if the connection fails, or the body is malformed or exceeds
--- a/crates/ivyward-platform/src/engine/attempt.rs
+++ b/crates/ivyward-platform/src/engine/attempt.rs
@@ -4,7 +4,9 @@
 use super::endpoint::{CallError, HttpEngineClient};
 use super::event_parser::cached_tokens;
 use super::stream::{StreamRelay, StreamResult};
-use crate::buffered_connection::{read_response_body, read_response_head, ResponseHeadError};
+use crate::buffered_connection::{
+    read_response_body, read_response_head, ReadHeadError, ResponseHeadError,
+};
 use crate::call::{HttpCall, Progress};
 use crate::config::LIMITS;
 use crate::prompt_budget::Prompt;
@@ -317,12 +319,15 @@
                     .await;
                 AttemptResult::new(Outcome::TimedOut, detail)
             }
-            AwaitError::Head(ResponseHeadError::Closed | ResponseHeadError::Io(_)) => {
+            AwaitError::Head(ResponseHeadError::Head(
+                ReadHeadError::Closed | ReadHeadError::Io(_),
+            )) => {
                 self.client.pool.record_use(connection.idle_time, true);
                 AttemptResult::new(Outcome::Reset, detail)
             }
             AwaitError::Head(
-                ResponseHeadError::Invalid(_) | ResponseHeadError::TooManyInterimResponses,
+                ResponseHeadError::Head(ReadHeadError::Invalid(_))
+                | ResponseHeadError::TooManyInterimResponses,
             ) => self.abandon(connection, Outcome::Error, detail).await,
         }
     }
--- a/crates/ivyward-platform/src/server/request_reader.rs
+++ b/crates/ivyward-platform/src/server/request_reader.rs
@@ -2,7 +2,7 @@
 
 use super::connection::RequestError;
 use super::Server;
-use crate::buffered_connection::BufferedConnection;
+use crate::buffered_connection::{BufferedConnection, ReadHeadError};
 use crate::config::{LIMITS, MAX_BODY_BYTES};
 use crate::prompt_budget::{BudgetShare, Prompt};
 use ivyward::core::interface::Micros;
@@ -93,23 +93,18 @@
 }
 
 async fn read_head(connection: &mut BufferedConnection) -> Result<RequestHead, ReadError> {
-    loop {
-        match RequestHead::parse(connection.unread(), &LIMITS) {
-            Ok(Some((request, used))) => {
-                connection.consume(used);
-                return Ok(request);
-            }
-            Ok(None) => fill(connection).await?,
-            Err(fault) => {
-                let status = match fault {
-                    HeadError::BodyTooLarge => 413,
-                    HeadError::TooLong => 431,
-                    _ => 400,
-                };
-                return Err(RequestError::closing(status, fault.to_string()).into());
-            }
-        }
-    }
+    let head = connection.read_head(&LIMITS, RequestHead::parse).await;
+    head.map_err(|error| {
+        let ReadHeadError::Invalid(fault) = error else {
+            return ReadError::Closed;
+        };
+        let status = match fault {
+            HeadError::BodyTooLarge => 413,
+            HeadError::TooLong => 431,
+            _ => 400,
+        };
+        RequestError::closing(status, fault.to_string()).into()
+    })
 }
 
 /// Waits for more bytes of a request. The end of the stream is an error, since the request is incomplete.
