Node: a peer that sends without pause no longer keeps the thread

Cause: reads went on for as long as the socket was ready, and a request that was in the buffer already was served at once. Nothing gave the executor's one thread back, so no timer, signal or other request ran meanwhile.

A request behind another one is served in a turn of its own, and each accept ends a turn. The gRPC accept loop looks at the stop first, which a full accept queue would have hidden. Checks of a connection's state do not use the limit: for them an empty budget must not look like an empty socket.

--- a/crates/ivyward-fakes/src/engine.rs
+++ b/crates/ivyward-fakes/src/engine.rs
@@ -508,7 +508,7 @@
             inner: self.clone(),
             pending_output: BytesMut::new(),
         };
-        let Ok(mut h2) = builder.handshake::<_, Bytes>(Io(conn)).await else {
+        let Ok(mut h2) = builder.handshake::<_, Bytes>(Io::new(conn)).await else {
             return;
         };
         let mut goaway_count = self.lock().goaway_count;
--- a/crates/ivyward-fakes/src/etcd/mod.rs
+++ b/crates/ivyward-fakes/src/etcd/mod.rs
@@ -176,7 +176,7 @@
                         // A connection error concerns this client alone.
                         let _ = hyper::server::conn::http2::Builder::new(tasks)
                             .auto_date_header(false)
-                            .serve_connection(Io(conn), service)
+                            .serve_connection(Io::new(conn), service)
                             .await;
                     });
                 }
--- a/crates/ivyward-grpc/src/handshake.rs
+++ b/crates/ivyward-grpc/src/handshake.rs
@@ -78,7 +78,7 @@
         .initial_connection_window_size(options.connection_window())
         .data_frame_budget(options.frame_budget())
         .enable_push(false)
-        .handshake(Io(conn))
+        .handshake(Io::new(conn))
         .await
 }
 
--- a/crates/ivyward-platform/src/buffered_connection.rs
+++ b/crates/ivyward-platform/src/buffered_connection.rs
@@ -3,7 +3,7 @@
 use futures_lite::future::poll_fn;
 use futures_lite::{AsyncRead, AsyncWrite};
 use ivyward::core::interface::Micros;
-use ivyward::runtime::{timeout_at, Conn, Peer, RuntimeRef};
+use ivyward::runtime::{timeout_at, Conn, Peer, ReadBudget, RuntimeRef};
 use ivyward_http1::{
     BodyDecoder, BodyError, Decoded, HeadError, HeadProgress, Limits, ResponseHead,
 };
@@ -28,6 +28,8 @@
     received_bytes: Option<Arc<AtomicU64>>,
     /// The number of received bytes that were dropped because they exceeded a limit.
     discarded_bytes: usize,
+    /// Limits what [`BufferedConnection::fill`] reads before it gives the thread back.
+    read_budget: ReadBudget,
 }
 
 impl BufferedConnection {
@@ -38,6 +40,7 @@
             consumed: 0,
             received_bytes: None,
             discarded_bytes: 0,
+            read_budget: ReadBudget::default(),
         }
     }
 
@@ -111,9 +114,16 @@
         }))
     }
 
-    /// Waits for more bytes and returns their number; 0 if the peer has closed its sending side.
+    /// Waits for more bytes and returns their number; 0 if the peer has closed its sending side. Gives the thread back from time
+    /// to time, also if the peer sends faster than its bytes are processed.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
-        poll_fn(|cx| self.poll_fill(cx)).await
+        poll_fn(|cx| {
+            let mut budget = self.read_budget;
+            let received = budget.poll_read(cx, |cx| self.poll_fill(cx));
+            self.read_budget = budget;
+            received
+        })
+        .await
     }
 
     /// Reads a head with `parse`, which returns the head and its length, or `None` if it is incomplete.
@@ -261,3 +271,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/ivyward-platform/src/server.rs
+++ b/crates/ivyward-platform/src/server.rs
@@ -18,7 +18,7 @@
 use crate::config::Bounds;
 use crate::prompt_budget::PromptBudget;
 use connection_table::{ConnectionTable, TableEntry};
-use futures_lite::future::{or, poll_once};
+use futures_lite::future::{or, poll_once, yield_now};
 use ivyward::core::interface::Micros;
 use ivyward::runtime::{Conn, ErrorOrigin, Listener, RuntimeExt, RuntimeRef};
 use ivyward::Node;
@@ -115,6 +115,8 @@
                     failures_in_a_row = 0;
                     self.clone().admit(conn);
                     self.table.all_closed().await;
+                    // The accept queue may never be empty.
+                    yield_now().await;
                 }
                 Err(error) => {
                     failures_in_a_row += 1;
--- a/crates/ivyward-platform/src/server/connection.rs
+++ b/crates/ivyward-platform/src/server/connection.rs
@@ -4,7 +4,7 @@
 use super::response::{error_body, Delivery, ShortResponse};
 use super::Server;
 use crate::buffered_connection::BufferedConnection;
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use ivyward::core::interface::Micros;
 use ivyward::runtime::timeout_at;
 use ivyward::CloseReason;
@@ -81,6 +81,8 @@
         let now = self.runtime.now();
         let until = now.saturating_add(timeout);
         if !connection.unread().is_empty() {
+            // A client that sends requests behind each other shares the thread with the others after each of them.
+            yield_now().await;
             return Ok(());
         }
         self.table.set_idle(id, now);
--- a/crates/ivyward-runtime/src/io.rs
+++ b/crates/ivyward-runtime/src/io.rs
@@ -2,7 +2,7 @@
 //!
 //! Only tokio's traits are used; no tokio runtime runs.
 
-use crate::{BoxFuture, RuntimeRef};
+use crate::{ReadBudget, RuntimeExt, RuntimeRef};
 use futures_lite::{AsyncRead, AsyncWrite};
 use std::future::Future;
 use std::io::{self, IoSlice};
@@ -10,12 +10,38 @@
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
-/// Wraps a futures-io stream and implements the I/O traits of tokio, for h2, and of hyper.
-pub struct Io<C>(pub C);
+/// Wraps a futures-io stream and implements the I/O traits of tokio, for h2, and of hyper. Limits what is read in one turn of
+/// the task, because h2 reads for as long as there is something to read.
+pub struct Io<C> {
+    stream: C,
+    read_budget: ReadBudget,
+}
+
+impl<C> Io<C> {
+    /// Wraps a stream.
+    pub fn new(stream: C) -> Io<C> {
+        Io {
+            stream,
+            read_budget: ReadBudget::default(),
+        }
+    }
+}
+
+impl<C: AsyncRead + Unpin> Io<C> {
+    fn poll_read_within_budget(
+        &mut self,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let stream = Pin::new(&mut self.stream);
+        self.read_budget
+            .poll_read(cx, |cx| stream.poll_read(cx, buffer))
+    }
+}
 
 /// Polls for a read into a buffer that may be uninitialized. Returns the number of bytes that were read into its front.
 fn poll_read_uninit<C: AsyncRead + Unpin>(
-    stream: &mut C,
+    io: &mut Io<C>,
     cx: &mut Context<'_>,
     buffer: &mut [MaybeUninit<u8>],
 ) -> Poll<io::Result<usize>> {
@@ -25,7 +51,7 @@
         // SAFETY: every byte was just initialized.
         unsafe { &mut *(buffer as *mut [MaybeUninit<u8>] as *mut [u8]) }
     };
-    Pin::new(stream).poll_read(cx, buffer)
+    io.poll_read_within_budget(cx, buffer)
 }
 
 impl<C: AsyncRead + Unpin> tokio::io::AsyncRead for Io<C> {
@@ -34,7 +60,7 @@
         cx: &mut Context<'_>,
         buf: &mut tokio::io::ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let length = ready!(Pin::new(&mut self.0).poll_read(cx, buf.initialize_unfilled()))?;
+        let length = ready!(self.poll_read_within_budget(cx, buf.initialize_unfilled()))?;
         buf.advance(length);
         Poll::Ready(Ok(()))
     }
@@ -46,23 +72,23 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, buf)
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write_vectored(cx, bufs)
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
     fn is_write_vectored(&self) -> bool {
         true
     }
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_close(cx)
+        Pin::new(&mut self.stream).poll_close(cx)
     }
 }
 
@@ -74,7 +100,7 @@
     ) -> Poll<io::Result<()>> {
         // SAFETY: `poll_read_uninit` never makes initialized bytes uninitialized, and it has initialized the bytes by
         // which the cursor advances.
-        let length = ready!(poll_read_uninit(&mut self.0, cx, unsafe { buf.as_mut() }))?;
+        let length = ready!(poll_read_uninit(&mut self, cx, unsafe { buf.as_mut() }))?;
         unsafe { buf.advance(length) };
         Poll::Ready(Ok(()))
     }
@@ -86,23 +112,23 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, buf)
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write_vectored(cx, bufs)
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
     fn is_write_vectored(&self) -> bool {
         true
     }
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_close(cx)
+        Pin::new(&mut self.stream).poll_close(cx)
     }
 }
 
@@ -115,9 +141,8 @@
     F::Output: Send,
 {
     fn execute(&self, future: F) {
-        let task: BoxFuture<()> = Box::pin(async move {
+        self.0.run(async move {
             future.await;
         });
-        self.0.spawn(task);
     }
 }
--- a/crates/ivyward/src/request/grpc_server.rs
+++ b/crates/ivyward/src/request/grpc_server.rs
@@ -3,7 +3,7 @@
 use crate::node::{Node, ResponseStream};
 use crate::request::clients::ClientConnection;
 use crate::response::{FailureReason, FinalStatus, RejectReason, ResponsePart};
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use futures_lite::{Stream, StreamExt};
 use hyper_util::service::TowerToHyperService;
 use ivyward_core::interface::Micros;
@@ -184,10 +184,13 @@
         let service = FrontServer::new(Service(self.clone()));
         let service = service.max_decoding_message_size(max_message);
         loop {
-            let accepted = or(async { Some(listener.accept().await) }, async {
+            let closed = async {
                 self.closed().await;
                 None
-            });
+            };
+            let accepted = or(closed, async { Some(listener.accept().await) });
+            // The accept queue may never be empty.
+            yield_now().await;
             let conn = match accepted.await {
                 None => return,
                 Some(Ok((conn, _))) => traffic.wrap(conn),
@@ -232,7 +235,7 @@
         let answered = hyper::service::Service::call(&service, call);
         async move { answered.await.map(mark_early_failure) }
     });
-    let mut connection = std::pin::pin!(builder.serve_connection(Io(conn), service));
+    let mut connection = std::pin::pin!(builder.serve_connection(Io::new(conn), service));
     let ended = or(async { Some(connection.as_mut().await) }, async {
         node.closed().await;
         None
