Platform: a request that comes whole after the stop's 650 ms is rejected, not forwarded

Cause: the platform's service closed its listener and its resting connections 650 ms after the signal, and took that for the end of admission. A connection with a part of a request is busy and stays; nothing asked when a request was whole. Node::accept refused only after Node::stop, which the platform never calls.

Change: ivyward-core::shutdown decides until when a stopping node accepts requests, by the time of a request's last byte; the node asks it for each request, whatever way it came, by the clock and not by a timer. What is late gets 503 and leaves for no engine, so a retry is harmless. A second stop signal does not extend the time.

--- a/crates/ivyward-core/src/lib.rs
+++ b/crates/ivyward-core/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`connection_reuse`] | which idle connections a request may use |
 //! | [`connect_backoff`] | when to retry a connection that failed locally |
 //! | [`keepalive`] | when to check connections |
+//! | [`shutdown`] | until when a stopping node accepts requests |
 //! | [`mutations`] | deliberate defects for mutation testing |
 //!
 //! ```
@@ -66,6 +67,7 @@
 pub mod release;
 pub mod reservations;
 pub mod router;
+pub mod shutdown;
 pub mod start_time;
 pub mod update_interval;
 
--- a/crates/ivyward-platform/src/server.rs
+++ b/crates/ivyward-platform/src/server.rs
@@ -24,7 +24,7 @@
 use ivyward::Node;
 use ivyward_settings::NamedSettings;
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use tracing::debug;
 
@@ -46,7 +46,6 @@
     /// The ids of the requests in flight, at most one for each connection.
     request_ids: Mutex<BTreeSet<String>>,
     pub(crate) ready: AtomicBool,
-    pub(crate) stopping: AtomicBool,
 }
 
 impl Server {
@@ -65,7 +64,6 @@
             table: ConnectionTable::new(bounds.client_connections),
             request_ids: Mutex::default(),
             ready: AtomicBool::new(false),
-            stopping: AtomicBool::new(false),
         })
     }
 
@@ -90,7 +88,7 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::SeqCst)
+        self.node.is_closing()
     }
 
     /// Accepts connections until the sender of `stop` is dropped, and then those that are still in the accept queue.
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -14,9 +14,6 @@
 use std::sync::Arc;
 use tracing::info;
 
-/// The time for which new connections are accepted after the stop signal: 650 ms, since the load balancer in front of the
-/// nodes notices the stop with a delay.
-const ACCEPT_AFTER_STOP: Micros = 650_000;
 /// The interval between two sweeps of the idle connections to engines: 500 ms.
 const SWEEP_INTERVAL: Micros = 500_000;
 /// The interval between two log lines with the node's counters: 10 s.
@@ -48,8 +45,8 @@
 /// The task that accepts connections.
 struct Acceptor {
     address: SocketAddr,
-    /// Dropped to stop listening.
-    stop: Option<async_channel::Sender<()>>,
+    /// Closed to stop listening.
+    stop: async_channel::Sender<()>,
     /// Closed when the listener is closed and all connections that it accepted are in the connection table.
     stopped: async_channel::Receiver<()>,
 }
@@ -145,14 +142,14 @@
         self.discovery.set_address(config.discovery);
     }
 
-    /// Stops the node. It accepts connections for another 650 ms, finishes all accepted requests, and returns when no
-    /// request and no connection is open and no release is pending. There is no timeout: the caller limits the wait, and
-    /// requests that are open when the process ends are lost.
-    pub async fn stop(&mut self) {
-        self.server.stopping.store(true, Ordering::SeqCst);
+    /// Stops the node. It accepts connections and requests for another 650 ms, rejects requests that are received later,
+    /// finishes all accepted ones, and returns when no request and no connection is open and no release is pending. There is no
+    /// timeout: the caller limits the wait, and requests that are open when the process ends are lost.
+    pub async fn stop(&self) {
+        let closed_at = self.node.close_admission();
         info!(open = self.node.open_requests(), "stopping");
-        self.runtime.sleep(ACCEPT_AFTER_STOP).await;
-        self.acceptor.stop = None;
+        self.runtime.sleep_until(closed_at).await;
+        self.acceptor.stop.close();
         // Waits until the last accepted connections are in the table; returns an error when the sender is dropped.
         let _ = self.acceptor.stopped.recv().await;
         self.server.close_idle();
@@ -215,7 +212,7 @@
     });
     Ok(Acceptor {
         address,
-        stop: Some(stop),
+        stop,
         stopped,
     })
 }
--- a/crates/ivyward/src/context.rs
+++ b/crates/ivyward/src/context.rs
@@ -3,6 +3,7 @@
 use crate::metrics::Metrics;
 use crate::settings::NodeSettings;
 use ivyward_core::interface as core;
+use ivyward_core::shutdown::Admission;
 use ivyward_runtime::RuntimeRef;
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -19,6 +20,7 @@
     pub(crate) open: AtomicUsize,
     pub(crate) next_request_id: AtomicU64,
     pub(crate) stopping: AtomicBool,
+    admission: Mutex<Admission>,
     pub(crate) stopping_event: event_listener::Event,
     /// Releases in progress, the oldest first.
     releases: Mutex<VecDeque<OngoingRelease>>,
@@ -41,6 +43,7 @@
             open: AtomicUsize::new(0),
             next_request_id: AtomicU64::new(1),
             stopping: AtomicBool::new(false),
+            admission: Mutex::default(),
             stopping_event: event_listener::Event::new(),
             releases: Mutex::default(),
             pending_releases: AtomicUsize::new(0),
@@ -63,6 +66,11 @@
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
     }
+    pub(crate) fn admission(&self) -> MutexGuard<'_, Admission> {
+        self.admission
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
     /// Waits until the node stops accepting requests.
     pub(crate) async fn stopped(&self) {
         loop {
--- a/crates/ivyward/src/node.rs
+++ b/crates/ivyward/src/node.rs
@@ -184,7 +184,7 @@
     /// Passes a request to the driver and returns its id, or rejects it.
     fn submit(&self, accepted: AcceptedRequest) -> Result<u64, RejectReason> {
         let (context, id) = (&self.context, accepted.request.id.0);
-        let reason = if context.stopping.load(Ordering::SeqCst) {
+        let reason = if !self.is_accepting() {
             RejectReason::Stopping
         } else if accepted.first_token_deadline <= context.runtime.now() {
             // The deadline has passed. Nothing was done for the request, so it can be rejected.
@@ -203,6 +203,18 @@
         Err(reason)
     }
 
+    /// Notifies the node of a stop signal: it accepts requests for a short time, and rejects those that are received later. Open
+    /// requests continue. Returns the time from which requests are rejected. A further call changes nothing.
+    pub fn close_admission(&self) -> Micros {
+        let now = self.context.runtime.now();
+        self.context.admission().stop(now)
+    }
+
+    /// Whether [`Node::close_admission`] was called.
+    pub fn is_closing(&self) -> bool {
+        self.context.admission().is_stopping()
+    }
+
     /// Stops the node: rejects new requests, gives open ones up to `within` microseconds to finish, and fails the rest. Returns
     /// when the node has stopped and its clients have received their last responses. Clients have until the end of `within` for
     /// that, and at least 50 ms.
@@ -302,9 +314,11 @@
     pub fn pending_releases(&self) -> usize {
         self.context.pending_releases.load(Ordering::SeqCst)
     }
-    /// Whether the node accepts requests; false once [`Node::stop`] was called.
+    /// Whether the node accepts requests: false once [`Node::stop`] was called, and some time after
+    /// [`Node::close_admission`].
     pub fn is_accepting(&self) -> bool {
-        !self.context.stopping.load(Ordering::SeqCst)
+        let now = self.context.runtime.now();
+        !self.context.stopping.load(Ordering::SeqCst) && self.context.admission().accepts(now)
     }
     /// The random number that identifies this run of the node to engines.
     pub fn incarnation(&self) -> u64 {
