Platform: a request read behind another one at a stop gets its answer before the close

What was read was closed without an answer.

Change: the connection closes once nothing is left in its buffer.

Test: a_request_behind_another_one_at_a_stop_gets_its_answer gets one answer of two without the change.

--- a/crates/ivyward-platform/src/server/connection.rs
+++ b/crates/ivyward-platform/src/server/connection.rs
@@ -134,7 +134,7 @@
             return Err(CloseReason::Pipelined);
         }
         match delivery {
-            Delivery::Complete if keep_alive && !self.is_stopping() => Ok(()),
+            Delivery::Complete if keep_alive && !self.closes_after_response(connection) => Ok(()),
             Delivery::Complete => Err(self.stopping_or(CloseReason::CloseRequested)),
             Delivery::Broken => Err(CloseReason::ResponseBroken),
         }
@@ -155,13 +155,19 @@
         if self.respond(connection, &response).await == Delivery::Broken {
             return Err(CloseReason::ClientDisconnected);
         }
-        if closes {
+        if error.closes || self.closes_after_response(connection) {
             self.linger(connection).await;
             return Err(self.stopping_or(CloseReason::InvalidRequest));
         }
         Ok(())
     }
 
+    /// Returns whether the connection closes because the node is stopping. A request that was received behind the last one, also
+    /// in part, gets its response first.
+    fn closes_after_response(&self, connection: &BufferedConnection) -> bool {
+        self.is_stopping() && connection.unread().is_empty()
+    }
+
     /// Returns [`CloseReason::Stopping`] if the node is stopping, otherwise `reason`.
     fn stopping_or(&self, reason: CloseReason) -> CloseReason {
         match self.is_stopping() {
--- a/crates/ivyward-platform/tests/service.rs
+++ b/crates/ivyward-platform/tests/service.rs
@@ -436,6 +436,40 @@
     }
 }
 
+/// Guards against a request that was read behind another one and closed without an answer, or forwarded after the stop.
+#[test]
+fn a_request_behind_another_one_at_a_stop_gets_its_answer() {
+    let script = |received: &EngineRequest| match is_decode(received) {
+        true => EngineBehavior::Delayed(1_000_000),
+        false => EngineBehavior::Normal,
+    };
+    for first in ["first", "a first request without an id"] {
+        ClusterSetup::new(script).run(move |cluster| async move {
+            let client = cluster.client.clone();
+            let mut conn = cluster.connect().await;
+            let id = first.replace(' ', "/");
+            let mut bytes = request(&id, "draft", 4_800);
+            bytes.extend(request("second", "draft", 4_800));
+            let stopping = async {
+                cluster.runtime.sleep(10_000).await;
+                cluster.service.stop().await;
+            };
+            let (responses, ()) = futures_lite::future::zip(
+                async {
+                    conn.write_all(&bytes).await.unwrap();
+                    let mut unread = Vec::new();
+                    conn.read_to_end(&mut unread).await.unwrap();
+                    String::from_utf8(unread).unwrap()
+                },
+                stopping,
+            )
+            .await;
+            drop(client);
+            assert_eq!(responses.matches("HTTP/1.1 ").count(), 2, "{responses}");
+        });
+    }
+}
+
 /// Guards against a late request on a connection whose close was already requested.
 #[test]
 fn a_request_that_crosses_the_close_of_its_connection_after_a_stop_is_not_forwarded() {
