Daemon: a stopping node still reloads its configuration at SIGHUP

The node stays with the old discovery service and never hears of a drain.

Cause: the loop that reads the signals ended with SIGTERM, on the platform and in the gRPC daemon; a reload that SIGTERM had interrupted while the file was unreadable was not taken up again.

Change: signals are read until the node has stopped. SIGTERM still does not wait for the retries of a reload; they go on beside the stop. Further stop signals change nothing.

Test: a_stopping_node_still_reloads_its_configuration fails before the change (the node ends with the old address). The gRPC daemon has the same change and no test of its own yet.

--- a/crates/ivywardd/src/grpc_node.rs
+++ b/crates/ivywardd/src/grpc_node.rs
@@ -56,13 +56,21 @@
     let run = format!("{:x}", node.incarnation());
     info!(%address, engines = flags.engines.len(), threads, seed, run, "taking requests");
     smol.block_on(async {
-        serve_until_stopped(&mut signals, &node, &runtime, flags, is_recording).await;
+        let until_stop_signal =
+            serve_until_stopped(&mut signals, &node, &runtime, flags, is_recording);
+        until_stop_signal.await;
         info!(
             open = node.open_requests(),
             within_us = flags.stop_timeout,
             "stopping"
         );
-        node.stop(flags.stop_timeout).await;
+        // A stopping node still sends to engines, so it learns of a new list. Further stop signals change nothing.
+        let while_stopping = async {
+            loop {
+                serve_until_stopped(&mut signals, &node, &runtime, flags, is_recording).await;
+            }
+        };
+        or(node.stop(flags.stop_timeout), while_stopping).await;
     });
     info!("stopped");
     smol.stop();
--- a/crates/ivywardd/src/platform.rs
+++ b/crates/ivywardd/src/platform.rs
@@ -65,11 +65,18 @@
     let smol = SmolRuntime::start(1, config.node.seed);
     let runtime: RuntimeRef = smol.clone();
     smol.block_on(async {
-        let mut service = Service::start(runtime.clone(), config).await?;
+        let service = Service::start(runtime.clone(), config).await?;
         // Scripts and tests wait for this line and read the address from it.
         println!("listening on {}", service.address());
-        serve_until_stopped(&mut signals, flags, &service, &runtime).await;
-        service.stop().await;
+        let mut handler = SignalHandler {
+            signals: &mut signals,
+            flags,
+            service: &service,
+            runtime: &runtime,
+            reload_requested: false,
+        };
+        handler.until_stop_signal().await;
+        or(service.stop(), handler.while_stopping()).await;
         runtime.sleep(FINAL_WRITE_WINDOW).await;
         Ok::<(), DaemonError>(())
     })?;
@@ -77,25 +84,41 @@
     Ok(())
 }
 
-/// Serves until SIGTERM or SIGINT. A signal interrupts the reload that an earlier SIGHUP started, so that retries for an
-/// unreadable configuration do not delay the shutdown.
-async fn serve_until_stopped(
-    signals: &mut SignalListener,
-    flags: &Flags,
-    service: &Service,
-    runtime: &RuntimeRef,
-) {
-    let mut reload_requested = false;
-    loop {
-        let reloading = async {
-            if reload_requested {
-                reload(flags, service, runtime).await;
+/// Applies signals to a running service.
+struct SignalHandler<'a> {
+    signals: &'a mut SignalListener,
+    flags: &'a Flags,
+    service: &'a Service,
+    runtime: &'a RuntimeRef,
+    /// SIGHUP was received, and the configuration has not been applied since.
+    reload_requested: bool,
+}
+
+impl SignalHandler<'_> {
+    /// Reloads the configuration at SIGHUP until SIGTERM or SIGINT. A signal interrupts the reload that an earlier SIGHUP
+    /// started, so that retries for an unreadable configuration do not delay the shutdown.
+    async fn until_stop_signal(&mut self) {
+        loop {
+            let requested = &mut self.reload_requested;
+            let reloading = async {
+                if *requested {
+                    reload(self.flags, self.service, self.runtime).await;
+                    *requested = false;
+                }
+                std::future::pending().await
+            };
+            match or(self.signals.next(self.runtime), reloading).await {
+                SignalRequest::Reload => self.reload_requested = true,
+                SignalRequest::Stop => return,
             }
-            std::future::pending().await
-        };
-        match or(signals.next(runtime), reloading).await {
-            SignalRequest::Reload => reload_requested = true,
-            SignalRequest::Stop => return,
+        }
+    }
+
+    /// Reloads the configuration at SIGHUP, also one that the stop signal interrupted: a stopping node still sends to engines,
+    /// and follows discovery to learn of drains. Further stop signals change nothing. Never returns.
+    async fn while_stopping(&mut self) {
+        loop {
+            self.until_stop_signal().await;
         }
     }
 }
--- a/crates/ivywardd/tests/platform.rs
+++ b/crates/ivywardd/tests/platform.rs
@@ -128,6 +128,60 @@
     assert!(process.0.wait().unwrap().success());
 }
 
+/// Guards against a stopping node that never hears of a drain: SIGHUP after SIGTERM was ignored, and a reload that SIGTERM had
+/// interrupted was not taken up again, so the node stayed with a discovery service that is gone. A second SIGTERM ends nothing.
+#[test]
+fn a_stopping_node_still_reloads_its_configuration() {
+    let file = TempFile::new("stopping", &config("127.0.0.1:0"));
+    let with_discovery_at = |port: u16| {
+        let address = format!("127.0.0.1:{port}\",\"seed");
+        config("127.0.0.1:0").replace("127.0.0.1:9\",\"seed", &address)
+    };
+    let mut process = ProcessGuard(start(&file));
+    let mut line = String::new();
+    BufReader::new(process.0.stdout.take().unwrap())
+        .read_line(&mut line)
+        .unwrap();
+    let address: SocketAddr = line
+        .trim()
+        .strip_prefix("listening on ")
+        .expect("its address")
+        .parse()
+        .unwrap();
+    let mut log = BufReader::new(process.0.stderr.take().unwrap())
+        .lines()
+        .map_while(Result::ok);
+    // The node waits for the rest of this request, so it does not end before the signals below.
+    let runtime = SmolRuntime::start(1, 1);
+    let mut half = runtime.block_on(runtime.connect(address)).unwrap();
+    std::fs::write(&file.0, "{").unwrap();
+    process.signal("-HUP");
+    assert!(log.any(|line| line.contains("configuration reload failed, will retry")));
+    runtime
+        .block_on(half.write_all(b"POST /v1/chat/completions HTTP/1.1\r\n"))
+        .unwrap();
+    process.signal("-TERM");
+    assert!(log.any(|line| line.contains("stopping")));
+    let mut reloaded_before_the_end = |port: u16| {
+        let applied = format!("address=127.0.0.1:{port}");
+        let line = log.find(|line| {
+            line.contains("stopped")
+                || line.contains("discovery address updated") && line.contains(&applied)
+        });
+        assert!(
+            line.as_deref().is_some_and(|line| line.contains("updated")),
+            "{port}: {line:?}"
+        );
+    };
+    std::fs::write(&file.0, with_discovery_at(19)).unwrap();
+    reloaded_before_the_end(19);
+    process.signal("-TERM");
+    std::fs::write(&file.0, with_discovery_at(20)).unwrap();
+    process.signal("-HUP");
+    reloaded_before_the_end(20);
+    assert!(process.0.wait().unwrap().success());
+}
+
 /// A node without an endpoint list, because discovery accepts its calls and never answers, is not ready. It reloads its
 /// configuration at each SIGHUP, also at two in a row and if nothing changed, and exits at SIGTERM.
 #[test]
