--- a/crates/ivyward/src/request/driver.rs
+++ b/crates/ivyward/src/request/driver.rs
@@ -19,13 +19,15 @@
 use ivyward_core::invariants::{Guard, NodePhase, Violation};
 use ivyward_core::reservations::ReleaseMode;
 use ivyward_core::router::Router;
-use ivyward_runtime::{BoxFuture, RuntimeExt};
+use ivyward_runtime::{BoxFuture, RuntimeExt, TurnBudget};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use tracing::{debug, error, info, warn};
 
 /// How often a stopping node checks whether its releases are done, in microseconds.
 const RELEASE_CHECK_INTERVAL: Micros = 5_000;
+/// Maximum number of messages that the driver handles before other tasks run.
+const MESSAGES_PER_TURN: usize = 64;
 
 /// Owns the router and all open requests.
 pub(crate) struct Driver {
@@ -43,6 +45,7 @@
     actions: Vec<Action>,
     stop_deadline: Option<Micros>,
     pub(super) stop_deadline_passed: bool,
+    turn_budget: TurnBudget,
 }
 
 /// The arguments of [`Driver::new`].
@@ -85,6 +88,7 @@
             actions: Vec::new(),
             stop_deadline: None,
             stop_deadline_passed: false,
+            turn_budget: TurnBudget::new(MESSAGES_PER_TURN),
         }
     }
 
@@ -115,9 +119,12 @@
     }
 
     async fn next_wakeup(&mut self, wakeup_timer: &mut Option<WakeupTimer>) -> Wakeup {
+        self.turn_budget.wait_if_spent().await;
         if let Ok(message) = self.messages.try_recv() {
+            self.turn_budget.spend(1);
             return Wakeup::Message(message);
         }
+        self.turn_budget.restore();
         // The timer is replaced only by an earlier one. A timer that fires too early only runs the loop once more.
         let due = self.next_due();
         if wakeup_timer.as_ref().is_none_or(|set| due < set.at) {
