Peers: a flood of datagrams no longer keeps the gossip task from its commands

Change: after 32 datagrams the task looks at its commands and ends its turn.

Test: the_gossip_task_shares_its_thread_while_many_datagrams_wait sees 120 datagrams handled in one step without the change.

--- a/crates/ivyward/src/peers/gossip.rs
+++ b/crates/ivyward/src/peers/gossip.rs
@@ -8,7 +8,7 @@
 use ivyward_core::interface::Micros;
 use ivyward_core::mutations::{self, Mutation};
 use ivyward_core::peers::{Message, NodeInfo, PeerAction, PeerState, Peers};
-use ivyward_runtime::{DatagramSocket, RuntimeExt, MAX_DATAGRAM_BYTES};
+use ivyward_runtime::{DatagramSocket, RuntimeExt, TurnBudget, MAX_DATAGRAM_BYTES};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use tracing::{error, info, warn};
@@ -17,6 +17,8 @@
 const RECEIVE_LOG_INTERVAL: Micros = 1_000_000;
 /// Pause after a failed receive, in microseconds. Without it, a socket whose receives all fail would make the task a busy loop.
 const RECEIVE_PAUSE: Micros = 10_000;
+/// Maximum number of datagrams that are handled before commands and other tasks run.
+const DATAGRAMS_PER_TURN: usize = 32;
 
 pub(super) struct Gossip {
     pub(super) host: PeerHost,
@@ -42,8 +44,9 @@
         let mut bytes = [0u8; MAX_DATAGRAM_BYTES + 1];
         let (mut tick_at, interval) = (runtime.now(), lock(&self.view).tick_interval());
         let mut last_failure = 0;
+        let mut budget = TurnBudget::new(DATAGRAMS_PER_TURN);
         loop {
-            let wakeup = self.next_wakeup(&mut bytes, tick_at).await;
+            let wakeup = self.next_wakeup(&mut budget, &mut bytes, tick_at).await;
             let now = runtime.now();
             // Checked for datagrams as well, so that a flood of them does not delay the ticks.
             if now >= tick_at && !matches!(wakeup, Wakeup::Command(_)) {
@@ -83,16 +86,23 @@
         }
     }
 
-    async fn next_wakeup(&mut self, bytes: &mut [u8], tick_at: Micros) -> Wakeup {
+    async fn next_wakeup(
+        &mut self,
+        budget: &mut TurnBudget,
+        bytes: &mut [u8],
+        tick_at: Micros,
+    ) -> Wakeup {
         let runtime = &self.host.context.runtime;
+        let datagram = async {
+            budget.wait_if_spent().await;
+            budget.spend(1);
+            Wakeup::Datagram(self.socket.receive(bytes).await)
+        };
         or(
-            or(
-                async { Wakeup::Datagram(self.socket.receive(bytes).await) },
-                async {
-                    let command = self.commands.recv().await;
-                    command.map_or(Wakeup::Closed, Wakeup::Command)
-                },
-            ),
+            or(datagram, async {
+                let command = self.commands.recv().await;
+                command.map_or(Wakeup::Closed, Wakeup::Command)
+            }),
             async {
                 runtime.sleep_until(tick_at).await;
                 Wakeup::Tick
