Daemon: a test holds the reload of a stopping gRPC node, its set-up in one place

Need: the gRPC daemon's part of the reload while stopping had no test.

Change: a_stopping_daemon_still_reloads_its_engine_list; the set-up of a daemon with an engine file stands once, for both tests.

--- a/crates/ivywardd/tests/daemon.rs
+++ b/crates/ivywardd/tests/daemon.rs
@@ -3,16 +3,18 @@
 
 use futures_lite::future::block_on;
 use ivyward::core::interface::EndpointState;
+use ivyward_fakes::event_log::ObservedEvent;
 use ivyward_fakes::{text, Client, EngineSpec, EventLog, Role};
 use ivyward_proto::front::front_client::FrontClient;
 use ivyward_proto::front::GenerateRequest;
-use ivyward_runtime::RuntimeRef;
+use ivyward_runtime::{RuntimeExt, RuntimeRef};
 use ivyward_testbed::local_cluster::{
     decisions, ivyward_flags, ClusterBuilder, LocalCluster, RecordingBuffer,
 };
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Lines};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::Duration;
 use tonic::Code;
 use tonic_types::StatusExt;
@@ -188,63 +190,97 @@
     });
 }
 
+/// A daemon that reads its engines from an `@file`, and the lines of its log.
+struct DaemonWithEngineFile {
+    cluster: LocalCluster,
+    path: PathBuf,
+    daemon: Daemon,
+    log: Lines<BufReader<ChildStderr>>,
+}
+
+impl DaemonWithEngineFile {
+    /// Starts a daemon with the engines of these indices out of six.
+    fn start(name: &str, engines_at_start: &[usize]) -> DaemonWithEngineFile {
+        let decode_engines = (5..=6).map(|i| EngineSpec::steady(i, Role::Decode));
+        let mut builder =
+            ClusterBuilder::new(23, engines().into_iter().chain(decode_engines).collect());
+        builder.use_long_deadlines();
+        let cluster = builder.build().unwrap();
+        let path = std::env::temp_dir().join(format!("ivywardd-{name}-{}", std::process::id()));
+        std::fs::write(&path, server_flags(&cluster, engines_at_start)).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_ivywardd"))
+            .env_clear()
+            .args(ivyward_flags(&cluster.builder().settings, &[]))
+            .args([
+                "--listen=127.0.0.1:0".to_string(),
+                format!("@{}", path.display()),
+            ])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap())
+            .read_line(&mut line)
+            .unwrap();
+        let address = line
+            .trim()
+            .strip_prefix("listening on ")
+            .unwrap()
+            .parse()
+            .unwrap();
+        let log = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut started = DaemonWithEngineFile {
+            cluster,
+            path,
+            daemon: Daemon { child, address },
+            log,
+        };
+        assert!(started.wait_for("taking requests"));
+        started
+    }
+
+    /// Reads the log up to the line that contains `text`. Returns whether there is one.
+    fn wait_for(&mut self, text: &str) -> bool {
+        self.log
+            .by_ref()
+            .any(|line| line.is_ok_and(|line| line.contains(text)))
+    }
+
+    /// Writes these engines into the file, and sends SIGHUP.
+    fn reload_with(&self, engines: &[usize]) {
+        std::fs::write(&self.path, server_flags(&self.cluster, engines)).unwrap();
+        self.daemon.signal("-HUP");
+    }
+}
+
+impl Drop for DaemonWithEngineFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// Returns the `--server` flags of these engines, one a line.
+fn server_flags(cluster: &LocalCluster, engines: &[usize]) -> String {
+    let listed: Vec<_> = engines
+        .iter()
+        .map(|engine| cluster.entry(*engine, EndpointState::Ready, 0))
+        .collect();
+    let flags = ivyward_flags(&cluster.builder().settings, &listed).into_iter();
+    let servers: Vec<String> = flags.filter(|flag| flag.starts_with("--server")).collect();
+    servers.join("\n")
+}
+
 /// At SIGHUP the daemon reads the engines of an `@file` again. An invalid file changes nothing.
 #[test]
 fn sighup_reloads_the_engine_list() {
-    let decode_engines = (5..=6).map(|i| EngineSpec::steady(i, Role::Decode));
-    let mut builder =
-        ClusterBuilder::new(23, engines().into_iter().chain(decode_engines).collect());
-    builder.use_long_deadlines();
-    let cluster = builder.build().unwrap();
-    let path = std::env::temp_dir().join(format!("ivywardd-engines-{}", std::process::id()));
-    let listed: Vec<_> = (0..6)
-        .map(|e| cluster.entry(e, EndpointState::Ready, 0))
-        .collect();
-    let servers = |of: &[usize]| {
-        let flags = ivyward_flags(
-            &cluster.builder().settings,
-            &of.iter().map(|e| listed[*e]).collect::<Vec<_>>(),
-        );
-        flags
-            .into_iter()
-            .filter(|f| f.starts_with("--server"))
-            .collect::<Vec<_>>()
-            .join("\n")
-    };
-    std::fs::write(&path, servers(&[0, 3])).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ivywardd"))
-        .env_clear()
-        .args(ivyward_flags(&cluster.builder().settings, &[]))
-        .args([
-            "--listen=127.0.0.1:0".to_string(),
-            format!("@{}", path.display()),
-        ])
-        .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().unwrap())
-        .read_line(&mut line)
-        .unwrap();
-    let address = line
-        .trim()
-        .strip_prefix("listening on ")
-        .unwrap()
-        .parse()
-        .unwrap();
-    let mut logs = BufReader::new(child.stderr.take().unwrap()).lines();
-    let daemon = Daemon { child, address };
-    let mut wait_for = |text: &str| logs.by_ref().any(|l| l.is_ok_and(|l| l.contains(text)));
-    assert!(wait_for("taking requests"));
-    std::fs::write(&path, "--server=id=1\n").unwrap();
-    daemon.signal("-HUP");
-    assert!(wait_for(
-        "configuration reload failed, keeping the current one"
-    ));
-    std::fs::write(&path, servers(&[1, 4])).unwrap();
-    daemon.signal("-HUP");
-    assert!(wait_for("endpoint list reloaded"));
+    let mut started = DaemonWithEngineFile::start("engines", &[0, 3]);
+    std::fs::write(&started.path, "--server=id=1\n").unwrap();
+    started.daemon.signal("-HUP");
+    assert!(started.wait_for("configuration reload failed, keeping the current one"));
+    started.reload_with(&[1, 4]);
+    assert!(started.wait_for("endpoint list reloaded"));
+    let (cluster, daemon) = (&started.cluster, &started.daemon);
     let runtime: RuntimeRef = cluster.runtime.clone();
     block_on(async {
         let client = Client::connect(&runtime, &cluster.log, daemon.address)
@@ -276,5 +312,39 @@
             "{served:?}"
         );
     });
-    std::fs::remove_file(&path).unwrap();
+}
+
+/// Guards against a stopping daemon that ignores SIGHUP: its open requests were still sent to engines that the new list drains.
+#[test]
+fn a_stopping_daemon_still_reloads_its_engine_list() {
+    let mut started = DaemonWithEngineFile::start("stopping", &[0, 3]);
+    let cluster = &started.cluster;
+    for engine in 0..cluster.engines() {
+        cluster.engine(engine).fault(|faults| faults.stall = 1.0);
+    }
+    // An open request, so that the daemon does not end before the signals below.
+    let runtime: RuntimeRef = cluster.runtime.clone();
+    let client = Client::connect(&runtime, &cluster.log, started.daemon.address);
+    let client = block_on(client).unwrap();
+    let mut open_request = cluster.new_request(0, 0, request(1).prompt, 6);
+    open_request.behavior.client_timeout = 10_000_000;
+    runtime.run(async move {
+        client.send(&open_request).await;
+    });
+    let has_arrived = || {
+        let log = cluster.log.all();
+        log.iter()
+            .any(|logged| matches!(logged.event, ObservedEvent::AttemptArrived { .. }))
+    };
+    while !has_arrived() {}
+    started.daemon.signal("-TERM");
+    assert!(started.wait_for("stopping"));
+    started.reload_with(&[1, 4]);
+    let line = started.log.by_ref().map_while(Result::ok);
+    let line = { line }.find(|line| line.contains("reloaded") || line.contains("stopped"));
+    assert!(
+        line.as_deref()
+            .is_some_and(|line| line.contains("reloaded")),
+        "{line:?}"
+    );
 }
