Review: a node never hears of drains while discovery answers 2.5 s late

Why: a call for the whole list is given up after 2 s, each time, so that a slow discovery is never heard although every answer comes.

--- a/review/stand-ins-2/lib.rs
+++ b/review/stand-ins-2/lib.rs
@@ -391,7 +391,7 @@
                 continue;
             }
             let id = request.header("x-request-id").unwrap_or("").to_owned();
-            if request.method() != "POST" || !self.ids.lock().unwrap().contains(&id) {
+            if request.method() != "POST" || !self.knows(&id) {
                 let status = if id.is_empty() {
                     "404 Not Found"
                 } else {
@@ -440,6 +440,12 @@
         Ok(())
     }
 
+    /// Whether clients have sent this id, or any id with its first eight characters.
+    fn knows(&self, id: &str) -> bool {
+        let ids = self.ids.lock().unwrap();
+        ids.contains(id) || id.get(..8).is_some_and(|group| ids.contains(group))
+    }
+
     /// Works on a request and answers it. Returns false if the connection ended meanwhile, which stops the work.
     fn answer(
         &self,
@@ -572,6 +578,11 @@
     state: Mutex<ListState>,
     changed: Condvar,
     record: Arc<Record>,
+    /// How long each answer takes once there is something to answer, in milliseconds.
+    pub slow_ms: AtomicU64,
+    /// How many of a hundred calls are turned away with 503 at once.
+    pub crowded: AtomicU64,
+    random: Mutex<Random>,
 }
 
 impl Discovery {
@@ -595,6 +606,9 @@
             }),
             changed: Condvar::new(),
             record: record.clone(),
+            slow_ms: AtomicU64::new(0),
+            crowded: AtomicU64::new(0),
+            random: Mutex::new(Random::new(u64::from(std::process::id()))),
         });
         let accepting = discovery.clone();
         thread::spawn(move || {
@@ -617,6 +631,16 @@
                     .split('&')
                     .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
             };
+            if self.random.lock().unwrap().next() % 100 < self.crowded.load(Ordering::SeqCst) {
+                self.record.line(format!(
+                    "discovery {}: {} turned away",
+                    self.name, call.start
+                ));
+                http.send(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")?;
+                continue;
+            }
+            self.record
+                .line(format!("discovery {}: {} taken", self.name, call.start));
             let from = query("from");
             let mut state = self.state.lock().unwrap();
             if let Some(from) = from {
@@ -634,8 +658,21 @@
                         .0;
                 }
             }
-            let full = from.is_none();
-            let version = state.version;
+            drop(state);
+            // A slow answer has what is current when it is written.
+            let until = Instant::now() + ms(self.slow_ms.load(Ordering::SeqCst));
+            while Instant::now() < until {
+                if has_closed(&http.stream) {
+                    self.record.line(format!(
+                        "discovery {}: {} was given up before its answer",
+                        self.name, call.start
+                    ));
+                    return Ok(());
+                }
+                thread::sleep(ms(5));
+            }
+            let state = self.state.lock().unwrap();
+            let (full, version) = (from.is_none(), state.version);
             let servers: Vec<String> = state
                 .entries
                 .values()
@@ -683,6 +720,8 @@
     pub deadline_us: u64,
     pub second_semantics: &'static str,
     pub nodes: usize,
+    pub memory_mb: u64,
+    pub sockets: u64,
 }
 
 impl Default for Settings {
@@ -694,6 +733,8 @@
             deadline_us: 7_500_000,
             second_semantics: "fragile",
             nodes: 1,
+            memory_mb: 192,
+            sockets: 1024,
         }
     }
 }
@@ -755,6 +796,8 @@
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
         let tmp = folder.join(format!("{name}.tmp"));
         let _ = std::fs::create_dir(&tmp);
+        // The platform's limit on file descriptors holds for the node alone.
+        let run = format!("ulimit -S -n {}; {run}", settings.sockets);
         let child = Command::new("/bin/sh")
             .arg("-c")
             .arg(&run)
@@ -825,6 +868,17 @@
         );
         self.signal("HUP");
     }
+    /// The memory of the node in kB, without the program's own files.
+    pub fn memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let field = |name: &str| -> u64 {
+            let line = status.lines().find(|line| line.starts_with(name));
+            line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+                .unwrap_or(0)
+        };
+        field("VmRSS:").saturating_sub(field("RssFile:"))
+    }
     /// Whether the process still runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -856,7 +910,9 @@
 ) {
     let text = format!(
         "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"8c1f30d27a5be964\",\
-         \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"known\":{known},\"settings\":{}}}",
+         \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{known},\"settings\":{}}}",
+        settings.memory_mb,
+        settings.sockets,
         settings.json()
     );
     let next = path.with_extension("next");
