Review: cases in the order of their gravity, stand-ins cut to what they use

Bad clients of case 6 send two requests at once, 900 in all, not 1,800; engines read for 0.7 s. The stand-ins lose what only dropped cases needed.

--- a/review/10/case.rs
+++ b/review/6/case.rs
@@ -1,4 +1,4 @@
-//! Bad clients, some hundreds, send several requests at once, read what they get, and come again.
+//! Bad clients, some hundreds, send two requests at once, read what they get, and come again.
 #[path = "../stand-ins-2/lib.rs"]
 mod stand_ins;
 
@@ -14,9 +14,9 @@
 /// The bad clients, in groups of a process each.
 const GROUPS: usize = 3;
 const CLIENTS: usize = 150;
-/// What each of them sends at once: requests with so many prompt tokens.
-const AT_ONCE: usize = 4;
-const TOKENS: usize = 4100;
+/// What each of them sends at once: two requests with so many prompt tokens.
+const AT_ONCE: usize = 2;
+const TOKENS: [usize; AT_ONCE] = [4_100, 16_000];
 const PLAY: Duration = Duration::from_secs(30);
 
 fn main() {
@@ -29,12 +29,12 @@
     let plan = FleetPlan {
         readers: 5,
         writers: 6,
-        read_time: ms(1500),
+        read_time: ms(700),
         first_token: ms(60),
         events: 8,
         between_events: ms(40),
     };
-    let fleet = Fleet::start(&record, plan, |_| Conduct::Normal);
+    let fleet = Fleet::start(&record, plan);
     let discovery = Discovery::start(&record, "a", 41, fleet.entries());
     let settings = Settings {
         memory_mb: MEMORY_MB,
@@ -150,7 +150,7 @@
         session: format!("{group}-{client}"),
         prefix: format!("{}", client % 9),
         timeout_ms: 7500,
-        prompt_tokens: TOKENS,
+        prompt_tokens: TOKENS[n],
     });
     let bytes: Vec<u8> = asks.flat_map(|ask| ask.bytes()).collect();
     let mut http = Http::connect(addr)?;
--- a/review/stand-ins-2/lib.rs
+++ b/review/stand-ins-2/lib.rs
@@ -278,14 +278,6 @@
     pub count: u64,
 }
 
-/// What an engine does with a request.
-#[derive(Clone, Debug)]
-pub enum Conduct {
-    Normal,
-    /// A normal answer, and the same bytes once more so much later.
-    AnswerTwice(Duration),
-}
-
 /// A run of a request at a writer: the effect.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -303,7 +295,6 @@
     states: Mutex<HashMap<String, usize>>,
     /// The ids that clients have sent. Another id at an engine voids the run.
     pub ids: Mutex<BTreeSet<String>>,
-    conduct: Box<dyn Fn(&Arrival) -> Conduct + Send + Sync>,
     pub read_time: Duration,
     pub first_token: Duration,
     pub events: usize,
@@ -320,11 +311,7 @@
 }
 
 impl Fleet {
-    pub fn start(
-        record: &Arc<Record>,
-        plan: FleetPlan,
-        conduct: impl Fn(&Arrival) -> Conduct + Send + Sync + 'static,
-    ) -> Arc<Fleet> {
+    pub fn start(record: &Arc<Record>, plan: FleetPlan) -> Arc<Fleet> {
         let mut engines = Vec::new();
         let mut listeners = Vec::new();
         for number in 0..plan.readers + plan.writers {
@@ -349,7 +336,6 @@
             runs: Mutex::default(),
             states: Mutex::default(),
             ids: Mutex::default(),
-            conduct: Box::new(conduct),
             read_time: plan.read_time,
             first_token: plan.first_token,
             events: plan.events,
@@ -373,8 +359,6 @@
     fn serve(&self, number: usize, stream: TcpStream, count: &AtomicU64) -> io::Result<()> {
         let kind = self.engines[number].kind;
         let mut http = Http::new(stream);
-        // Answers are written one at a time, also those that come a second time.
-        let writer = Arc::new(Mutex::new(http.stream.try_clone()?));
         while let Some(request) = http.message()? {
             if !request.whole {
                 return Ok(());
@@ -387,7 +371,7 @@
                 } else {
                     b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
                 };
-                writer.lock().unwrap().write_all(answer)?;
+                http.send(answer)?;
                 continue;
             }
             let id = request.header("x-request-id").unwrap_or("").to_owned();
@@ -402,7 +386,7 @@
                     request.start
                 ));
                 let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
-                writer.lock().unwrap().write_all(answer.as_bytes())?;
+                http.send(answer.as_bytes())?;
                 continue;
             }
             let arrival = Arrival {
@@ -417,25 +401,13 @@
                 count: count.fetch_add(1, Ordering::SeqCst) + 1,
             };
             self.arrivals.lock().unwrap().push(arrival.clone());
-            let conduct = (self.conduct)(&arrival);
             self.record.line(format!(
-                "engine s-{number} ({kind:?}) received {id}, {conduct:?}"
+                "engine s-{number} ({kind:?}) received {id}, {} ms left",
+                arrival.timeout_ms
             ));
-            let mut written = Vec::new();
-            if !self.answer(number, &id, &http.stream, &writer, &mut written)? {
+            if !self.answer(number, &id, &http.stream)? {
                 return Ok(());
             }
-            if let Conduct::AnswerTwice(late) = conduct {
-                let (writer, record) = (writer.clone(), self.record.clone());
-                thread::spawn(move || {
-                    thread::sleep(late);
-                    let result = writer.lock().unwrap().write_all(&written);
-                    record.line(format!(
-                        "engine s-{number} wrote its answer to {id} a second time, {late:?} late: {}",
-                        if result.is_ok() { "sent" } else { "the connection had ended" }
-                    ));
-                });
-            }
         }
         Ok(())
     }
@@ -447,14 +419,7 @@
     }
 
     /// Works on a request and answers it. Returns false if the connection ended meanwhile, which stops the work.
-    fn answer(
-        &self,
-        number: usize,
-        id: &str,
-        stream: &TcpStream,
-        writer: &Mutex<TcpStream>,
-        written: &mut Vec<u8>,
-    ) -> io::Result<bool> {
+    fn answer(&self, number: usize, id: &str, stream: &TcpStream) -> io::Result<bool> {
         let wait = |time: Duration| {
             let until = Instant::now() + time;
             loop {
@@ -468,10 +433,7 @@
                 thread::sleep(left.min(ms(5)));
             }
         };
-        let put = |text: &str, written: &mut Vec<u8>| {
-            written.extend_from_slice(text.as_bytes());
-            writer.lock().unwrap().write_all(text.as_bytes())
-        };
+        let put = |text: &str| (&mut &*stream).write_all(text.as_bytes());
         if self.engines[number].kind == Kind::Reader {
             if !wait(self.read_time) {
                 self.record.line(format!(
@@ -480,18 +442,12 @@
                 return Ok(false);
             }
             self.states.lock().unwrap().insert(id.into(), number);
-            put(
-                "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":4}",
-                written,
-            )?;
+            put("HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":4}")?;
             self.record.line(format!("engine s-{number} has read {id}"));
             return Ok(true);
         }
         if self.states.lock().unwrap().remove(id).is_none() {
-            put(
-                "HTTP/1.1 410 Gone\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
-                written,
-            )?;
+            put("HTTP/1.1 410 Gone\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")?;
             self.record
                 .line(format!("engine s-{number} has no state to fetch for {id}"));
             return Ok(true);
@@ -517,24 +473,18 @@
                 "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{id} {n} \"}},\"finish_reason\":null}}]}}\n\n"
             );
             let text = chunk(&event);
-            put(
-                &if n == 0 {
-                    format!("{head}{text}")
-                } else {
-                    text
-                },
-                written,
-            )?;
+            put(&if n == 0 {
+                format!("{head}{text}")
+            } else {
+                text
+            })?;
         }
         let usage = format!(
             "data: {{\"choices\":[],\"usage\":{{\"prompt_tokens\":40,\"completion_tokens\":{},\"prompt_tokens_details\":{{\"cached_tokens\":4}}}}}}\n\ndata: [DONE]\n\n",
             self.events
         );
         let report = ": X-Server-Load: TEXT inflight=1, queue=0, util=0.5\n\n";
-        put(
-            &format!("{}{}0\r\n\r\n", chunk(&usage), chunk(report)),
-            written,
-        )?;
+        put(&format!("{}{}0\r\n\r\n", chunk(&usage), chunk(report)))?;
         self.record
             .line(format!("engine s-{number} ended its answer to {id}"));
         Ok(true)
@@ -580,9 +530,6 @@
     record: Arc<Record>,
     /// How long each answer takes once there is something to answer, in milliseconds.
     pub slow_ms: AtomicU64,
-    /// How many of a hundred calls are turned away with 503 at once.
-    pub crowded: AtomicU64,
-    random: Mutex<Random>,
 }
 
 impl Discovery {
@@ -607,8 +554,6 @@
             changed: Condvar::new(),
             record: record.clone(),
             slow_ms: AtomicU64::new(0),
-            crowded: AtomicU64::new(0),
-            random: Mutex::new(Random::new(u64::from(std::process::id()))),
         });
         let accepting = discovery.clone();
         thread::spawn(move || {
@@ -631,16 +576,6 @@
                     .split('&')
                     .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
             };
-            if self.random.lock().unwrap().next() % 100 < self.crowded.load(Ordering::SeqCst) {
-                self.record.line(format!(
-                    "discovery {}: {} turned away",
-                    self.name, call.start
-                ));
-                http.send(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")?;
-                continue;
-            }
-            self.record
-                .line(format!("discovery {}: {} taken", self.name, call.start));
             let from = query("from");
             let mut state = self.state.lock().unwrap();
             if let Some(from) = from {
