--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -50,11 +50,10 @@
             fleet.ids.lock().unwrap().insert(group_id(group));
             let mut command = Command::new(&program);
             command.args(["bad-clients", &node.addr.to_string(), &group.to_string()]);
-            groups.push(
-                command
-                    .spawn()
-                    .unwrap_or_else(|e| cannot_run(&e.to_string())),
-            );
+            let started = command.spawn();
+            let started = started.unwrap_or_else(|e| cannot_run(&e.to_string()));
+            note_process(&started);
+            groups.push(started);
         }
         record.line(format!("{} bad clients begin", GROUPS * CLIENTS));
     }
@@ -96,8 +95,7 @@
         }
     }
     for mut group in groups {
-        let _ = group.kill();
-        let _ = group.wait();
+        end_process(&mut group);
     }
     clients.wait(ms(9000));
     node.kill();
--- a/review/stand-ins-2/lib.rs
+++ b/review/stand-ins-2/lib.rs
@@ -702,6 +702,23 @@
     }
 }
 
+fn process_file(child: &Child) -> PathBuf {
+    let folder = std::env::var("WORK").unwrap_or_else(|_| cannot_run("WORK is not set"));
+    PathBuf::from(folder).join(format!("pid.{}", child.id()))
+}
+
+/// Notes a started process: play.sh ends those whose notes are still there when the case is over.
+pub fn note_process(child: &Child) {
+    let _ = std::fs::write(process_file(child), "");
+}
+
+/// Ends a started process and takes its note away.
+pub fn end_process(child: &mut Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    let _ = std::fs::remove_file(process_file(child));
+}
+
 /// A node, started with the command `run` of the deploy file.
 pub struct Node {
     pub child: Child,
@@ -754,8 +771,7 @@
             settings: settings.clone(),
             known,
         };
-        // play.sh ends the processes whose files are still there when the case is over.
-        let _ = std::fs::write(node.pid_file(), "");
+        note_process(&node.child);
         record.line(format!("node {name} started, process {}", node.child.id()));
         let until = Instant::now() + ms(15_000);
         while !node.is_ready() {
@@ -819,13 +835,7 @@
         matches!(self.child.try_wait(), Ok(None))
     }
     pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(self.pid_file());
-    }
-    fn pid_file(&self) -> PathBuf {
-        self.config
-            .with_file_name(format!("pid.{}", self.child.id()))
+        end_process(&mut self.child);
     }
 }
 
--- a/review/stand-ins-2/play.sh
+++ b/review/stand-ins-2/play.sh
@@ -8,7 +8,8 @@
 export CASE RUN WORK
 "$PROGRAM" &
 pid=$!
-# The guard ends the program if it hangs; the nodes that it has not ended itself are ended below.
+trap 'kill -KILL $pid 2>/dev/null' INT TERM
+# The guard ends the program if it hangs; the processes that it has not ended itself are ended below.
 ( n=0; while [ $n -lt 115 ]; do sleep 1; kill -0 $pid 2>/dev/null || exit 0; n=$((n + 1)); done
   echo "cannot run: the case took too long"; kill -KILL $pid 2>/dev/null ) &
 guard=$!
@@ -18,6 +19,5 @@
 for file in "$WORK"/pid.*; do
   [ -e "$file" ] && kill -KILL "${file##*.}" 2>/dev/null
 done
-[ -n "$KEEP" ] && cp "$WORK"/*.log "$KEEP" 2>/dev/null
 rm -rf "$WORK"
 case $code in 0|1) exit $code;; *) exit 2;; esac
