--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10 into target/review-2, with the tool chain alone: no dependency, no network.
+# Builds the stand-ins of the cases of the second review into target/review-2, with the tool chain alone: no dependency, no network.
 cd "$(dirname "$0")/.." || exit 1
 mkdir -p target/review-2
 for case in 6 7 8 9 10; do
