--- a/crates/ivyward-http1/src/head.rs
+++ b/crates/ivyward-http1/src/head.rs
@@ -2,6 +2,7 @@
 
 use crate::body::Framing;
 use crate::Limits;
+use std::ops::Range;
 
 /// Why a head is rejected. The rest of the connection cannot be interpreted then, because the end of the message is unknown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -30,18 +31,24 @@
 /// The header lines of a message, with names in lowercase.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Headers {
-    lines: Vec<(String, Vec<u8>)>,
+    /// The names and values of all lines.
+    text: Vec<u8>,
+    lines: Vec<HeaderLine>,
     /// The minor version of HTTP/1: 0 or 1.
     minor_version: u8,
 }
 
+/// The positions of one header line in the text of its head.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct HeaderLine {
+    name: Range<usize>,
+    value: Range<usize>,
+}
+
 impl Headers {
     /// Returns the first value of a header. `name` must be in lowercase.
     pub fn get(&self, name: &str) -> Option<&[u8]> {
-        self.lines
-            .iter()
-            .find(|(n, _)| n == name)
-            .map(|(_, v)| v.as_slice())
+        self.all(name).next()
     }
     /// Returns the first value of a header without surrounding whitespace, or `None` if the header is absent or its value
     /// is not UTF-8. `name` must be in lowercase.
@@ -51,11 +58,15 @@
             .map(str::trim)
     }
     /// Returns all values of a header.
-    fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+    fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'n> {
         self.lines
             .iter()
-            .filter(move |(n, _)| n == name)
-            .map(|(_, v)| v.as_slice())
+            .filter(move |line| &self.text[line.name.clone()] == name.as_bytes())
+            .map(|line| &self.text[line.value.clone()])
+    }
+    /// Returns the memory that the lines occupy, in bytes.
+    fn memory(&self) -> usize {
+        self.text.capacity() + self.lines.capacity() * size_of::<HeaderLine>()
     }
     /// Returns whether a header with a comma-separated list contains a token, in any case.
     fn has_token(&self, name: &str, token: &str) -> bool {
@@ -133,16 +144,29 @@
 }
 
 fn to_headers(headers: &[httparse::Header<'_>], minor_version: Option<u8>) -> Headers {
-    let lines = headers
-        .iter()
-        .map(|h| (h.name.to_ascii_lowercase(), h.value.to_vec()))
-        .collect();
+    let length = headers.iter().map(|h| h.name.len() + h.value.len()).sum();
+    let mut text = Vec::with_capacity(length);
+    let mut lines = Vec::with_capacity(headers.len());
+    for header in headers {
+        let name = append(&mut text, header.name.as_bytes());
+        text[name.clone()].make_ascii_lowercase();
+        let value = append(&mut text, header.value);
+        lines.push(HeaderLine { name, value });
+    }
     Headers {
+        text,
         lines,
         minor_version: minor_version.unwrap_or(1),
     }
 }
 
+/// Appends `bytes` to `text`, and returns their position.
+fn append(text: &mut Vec<u8>, bytes: &[u8]) -> Range<usize> {
+    let start = text.len();
+    text.extend_from_slice(bytes);
+    start..text.len()
+}
+
 /// Returns an error if an incomplete head has reached the maximum length.
 fn check_incomplete(bytes: &[u8], limits: &Limits) -> Result<(), HeadError> {
     if bytes.len() >= limits.max_head_bytes {
@@ -153,6 +177,11 @@
 }
 
 impl RequestHead {
+    /// Returns the memory that the head occupies, in bytes.
+    pub fn memory(&self) -> usize {
+        self.method.capacity() + self.target.capacity() + self.headers.memory()
+    }
+
     /// Parses the head of a request at the beginning of `bytes`. Returns the head and its length in bytes, or `None` if it
     /// is incomplete.
     ///
--- a/crates/ivyward-platform/src/buffered_connection.rs
+++ b/crates/ivyward-platform/src/buffered_connection.rs
@@ -1,5 +1,6 @@
 //! A connection with a read buffer, and reading HTTP responses from it.
 
+use crate::memory_budget::{BudgetExhausted, BudgetShare};
 use futures_lite::future::poll_fn;
 use futures_lite::{AsyncRead, AsyncWrite};
 use ivyward::core::interface::Micros;
@@ -13,8 +14,14 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 
-/// The size of one read from the socket, in bytes.
-const READ_SIZE: usize = 16 << 10;
+/// The maximum size of one read from the socket, in bytes.
+pub(crate) const READ_SIZE: usize = 16 << 10;
+/// The size of one read while the memory budget is scarce, in bytes.
+const SCARCE_READ_SIZE: usize = 2 << 10;
+/// The maximum number of unread bytes: that of the longest head. All other elements are consumed in smaller parts.
+const MAX_UNREAD_BYTES: usize = 16 << 10;
+/// The smallest capacity of a buffer that is not empty, in bytes.
+const MIN_CAPACITY: usize = 512;
 /// The limit on interim (1xx) responses before the final one.
 const MAX_INTERIM_RESPONSES: usize = 8;
 
@@ -30,10 +37,24 @@
     discarded_bytes: usize,
     /// Limits what [`BufferedConnection::fill`] reads before it gives the thread back.
     read_budget: ReadBudget,
+    /// The size of one read, in bytes.
+    read_size: usize,
+    /// The memory of `buffer`.
+    memory: BudgetShare,
 }
 
 impl BufferedConnection {
-    pub(crate) fn new(conn: Conn) -> BufferedConnection {
+    /// Wraps a connection. `memory` is an empty share of the budget that the buffer counts against.
+    pub(crate) fn new(conn: Conn, memory: BudgetShare) -> BufferedConnection {
+        BufferedConnection::with_read_size(conn, memory, READ_SIZE)
+    }
+
+    /// Like [`BufferedConnection::new`], with reads of up to `read_size` bytes, at most [`READ_SIZE`].
+    pub(crate) fn with_read_size(
+        conn: Conn,
+        memory: BudgetShare,
+        read_size: usize,
+    ) -> BufferedConnection {
         BufferedConnection {
             conn,
             buffer: Vec::new(),
@@ -41,6 +62,8 @@
             received_bytes: None,
             discarded_bytes: 0,
             read_budget: ReadBudget::default(),
+            read_size: read_size.min(READ_SIZE),
+            memory,
         }
     }
 
@@ -59,11 +82,11 @@
         self.conn.peer()
     }
 
-    /// Truncates the unread bytes to `limit`, and counts the dropped ones as discarded.
-    pub(crate) fn truncate_unread(&mut self, limit: usize) {
-        let excess = self.unread().len().saturating_sub(limit);
-        self.buffer.truncate(self.buffer.len() - excess);
-        self.discarded_bytes += excess;
+    /// Discards all unread bytes.
+    fn discard_unread(&mut self) {
+        let unread = self.unread().len();
+        self.discarded_bytes += unread;
+        self.consume(unread);
     }
 
     /// Returns the number of dropped bytes. If it is not 0, the bytes that follow on the connection cannot be parsed.
@@ -71,11 +94,11 @@
         self.discarded_bytes
     }
 
-    /// Reads without waiting until `limit` bytes are unread. Returns whether the peer has closed its sending side, or the
-    /// connection has failed.
-    pub(crate) fn peer_has_closed(&mut self, limit: usize) -> bool {
+    /// Returns whether the peer has closed its sending side behind the bytes that a full buffer can hold, or the connection has
+    /// failed. Does not wait.
+    pub(crate) fn peer_has_closed(&mut self) -> bool {
         let mut cx = Context::from_waker(Waker::noop());
-        while self.unread().len() < limit {
+        while self.unread().len() < MAX_UNREAD_BYTES {
             match self.poll_fill(&mut cx) {
                 Poll::Ready(Ok(received)) if received > 0 => {}
                 Poll::Ready(_) => return true,
@@ -96,18 +119,40 @@
         if self.consumed >= self.buffer.len() {
             self.buffer = Vec::new();
             self.consumed = 0;
+            self.memory.resize(0);
         }
     }
 
+    /// Appends received bytes to the buffer, whose capacity is a power of two of at most [`MAX_UNREAD_BYTES`].
+    fn append(&mut self, received: &[u8]) {
+        if self.consumed > 0 {
+            self.buffer.drain(..self.consumed);
+            self.consumed = 0;
+        }
+        let needed = self.buffer.len() + received.len();
+        if needed > self.buffer.capacity() {
+            let capacity = needed.next_power_of_two().max(MIN_CAPACITY);
+            self.buffer.reserve_exact(capacity - self.buffer.len());
+        }
+        self.buffer.extend_from_slice(received);
+        self.memory.resize(self.buffer.capacity());
+    }
+
+    /// Reads once. If the buffer is full, the received bytes are discarded.
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let mut chunk = [0; READ_SIZE];
-        let read = std::task::ready!(Pin::new(&mut self.conn).poll_read(cx, &mut chunk));
+        let space = MAX_UNREAD_BYTES.saturating_sub(self.unread().len());
+        let size = match (space, self.memory.budget().is_scarce()) {
+            (0, _) => READ_SIZE,
+            (space, true) => space.min(self.read_size).min(SCARCE_READ_SIZE),
+            (space, false) => space.min(self.read_size),
+        };
+        let read = std::task::ready!(Pin::new(&mut self.conn).poll_read(cx, &mut chunk[..size]));
         Poll::Ready(read.inspect(|received| {
-            if self.consumed > 0 {
-                self.buffer.drain(..self.consumed);
-                self.consumed = 0;
+            match space {
+                0 => self.discarded_bytes += received,
+                _ => self.append(&chunk[..*received]),
             }
-            self.buffer.extend_from_slice(&chunk[..*received]);
             if let Some(counter) = &self.received_bytes {
                 counter.fetch_add(*received as u64, Ordering::Relaxed);
             }
@@ -126,6 +171,16 @@
         .await
     }
 
+    /// Like [`BufferedConnection::fill`], for bytes that are not needed yet. Keeps them if there is memory for them, and otherwise
+    /// discards all unread bytes: what follows discarded bytes cannot be parsed.
+    pub(crate) async fn fill_ahead(&mut self) -> io::Result<usize> {
+        let received = self.fill().await?;
+        if self.discarded_bytes > 0 || self.memory.budget().is_scarce() {
+            self.discard_unread();
+        }
+        Ok(received)
+    }
+
     /// Reads a head with `parse`, which returns the head and its length, or `None` if it is incomplete.
     pub(crate) async fn read_head<H>(
         &mut self,
@@ -143,18 +198,19 @@
             if self.fill().await? == 0 {
                 return Err(ReadHeadError::Closed);
             }
+            self.memory.granted().await?;
         }
     }
 
-    /// Parses the next part of a body from the unread bytes, and appends its data to `output`.
+    /// Parses the next part of a body from the unread bytes, and passes its data to `output`.
     pub(crate) fn read_body_step(
         &mut self,
         body: &mut BodyDecoder,
-        output: &mut Vec<u8>,
+        output: impl FnOnce(&[u8]),
     ) -> Result<Decoded, BodyError> {
         let (step, used) = body.decode(self.unread())?;
         if let Decoded::Data(range) = &step {
-            output.extend_from_slice(&self.unread()[range.clone()]);
+            output(&self.unread()[range.clone()]);
         }
         self.consume(used);
         Ok(step)
@@ -166,14 +222,15 @@
         self.unread().is_empty() && self.poll_fill(&mut cx).is_pending()
     }
 
-    /// Writes both slices. If the future is dropped before it completes, any part of them but the last byte may have been
-    /// sent.
-    pub(crate) async fn write(&mut self, mut first: &[u8], mut second: &[u8]) -> io::Result<()> {
-        while !first.is_empty() || !second.is_empty() {
-            let written = self.write_some(first, second).await?;
-            let from_first = written.min(first.len());
-            first = &first[from_first..];
-            second = &second[written - from_first..];
+    /// Writes all parts. If the future is dropped before it completes, any part of them but the last byte may have been sent.
+    pub(crate) async fn write(&mut self, parts: &[&[u8]]) -> io::Result<()> {
+        let mut parts: Vec<IoSlice<'_>> = parts.iter().map(|part| IoSlice::new(part)).collect();
+        let mut rest = parts.as_mut_slice();
+        // Removes empty parts, of which a write would return 0.
+        IoSlice::advance_slices(&mut rest, 0);
+        while !rest.is_empty() {
+            let written = self.write_some(rest).await?;
+            IoSlice::advance_slices(&mut rest, written);
         }
         self.flush().await
     }
@@ -187,7 +244,7 @@
     ) -> io::Result<()> {
         while !bytes.is_empty() {
             let until = runtime.now().saturating_add(stall);
-            let result = timeout_at(runtime, until, self.write_some(bytes, &[])).await;
+            let result = timeout_at(runtime, until, self.write_some(&[IoSlice::new(bytes)])).await;
             let written = result.unwrap_or(Err(io::ErrorKind::TimedOut.into()))?;
             bytes = &bytes[written..];
         }
@@ -195,9 +252,8 @@
     }
 
     /// Writes once, and returns the number of bytes that the socket accepted, at least 1.
-    async fn write_some(&mut self, first: &[u8], second: &[u8]) -> io::Result<usize> {
-        let parts = [IoSlice::new(first), IoSlice::new(second)];
-        match poll_fn(|cx| Pin::new(&mut self.conn).poll_write_vectored(cx, &parts)).await? {
+    async fn write_some(&mut self, parts: &[IoSlice<'_>]) -> io::Result<usize> {
+        match poll_fn(|cx| Pin::new(&mut self.conn).poll_write_vectored(cx, parts)).await? {
             0 => Err(io::ErrorKind::WriteZero.into()),
             written => Ok(written),
         }
@@ -226,6 +282,9 @@
     /// The received bytes are not a valid head.
     #[error("{0}")]
     Invalid(#[from] HeadError),
+    /// There is no memory for the head.
+    #[error("{0}")]
+    OutOfMemory(#[from] BudgetExhausted),
 }
 
 /// Why no response head was received.
@@ -253,22 +312,26 @@
     Err(ResponseHeadError::TooManyInterimResponses)
 }
 
-/// Reads the whole body of a short response. Returns `None` if the connection fails, or the body is malformed or exceeds
-/// the limit.
+/// Reads the whole body of a short response. Returns `None` if the connection fails, there is no memory for the body, or the body is
+/// malformed or exceeds the limit.
 pub(crate) async fn read_response_body(
     connection: &mut BufferedConnection,
     response: &ResponseHead,
     limits: &Limits,
 ) -> Option<Vec<u8>> {
     let mut body = BodyDecoder::new(response.framing, limits);
+    let mut memory = BudgetShare::new(connection.memory.budget());
     let mut bytes = Vec::new();
     loop {
-        match connection.read_body_step(&mut body, &mut bytes).ok()? {
+        let append = |data: &[u8]| bytes.extend_from_slice(data);
+        match connection.read_body_step(&mut body, append).ok()? {
             Decoded::Done => return Some(bytes),
             _ if bytes.len() as u64 > limits.max_body_bytes => return None,
             Decoded::NeedMoreInput if connection.fill().await.ok()? == 0 => return None,
             _ => {}
         }
+        memory.resize(bytes.capacity());
+        memory.granted().await.ok()?;
     }
 }
 
--- a/crates/ivyward-platform/src/buffered_connection/tests.rs
+++ b/crates/ivyward-platform/src/buffered_connection/tests.rs
@@ -1,6 +1,7 @@
 //! Reading from a peer that never pauses.
 
 use super::*;
+use crate::memory_budget::MemoryBudget;
 use ivyward::runtime::Connection;
 use std::future::Future;
 use std::pin::pin;
@@ -14,6 +15,10 @@
     reads: Arc<AtomicU64>,
 }
 
+fn unlimited() -> BudgetShare {
+    BudgetShare::new(&MemoryBudget::unlimited())
+}
+
 impl Connection for EndlessConnection {
     fn reset_on_close(&mut self) {}
     fn peer(&self) -> Arc<dyn Peer> {
@@ -51,10 +56,11 @@
 fn reads_from_a_peer_that_never_pauses_give_the_thread_back() {
     for piece in [1, 700, READ_SIZE] {
         let reads = Arc::new(AtomicU64::new(0));
-        let mut connection = BufferedConnection::new(Box::new(EndlessConnection {
+        let connection = EndlessConnection {
             piece,
             reads: reads.clone(),
-        }));
+        };
+        let mut connection = BufferedConnection::new(Box::new(connection), unlimited());
         let mut reading = pin!(async {
             while connection.fill().await.unwrap() > 0 {
                 connection.consume(connection.unread().len());
@@ -77,10 +83,11 @@
 /// Guards against a reused connection on which bytes wait: the limit on reads must not look like an empty socket.
 #[test]
 fn bytes_in_the_socket_are_seen_after_the_reads_of_a_turn_are_used_up() {
-    let mut connection = BufferedConnection::new(Box::new(EndlessConnection {
+    let connection = EndlessConnection {
         piece: READ_SIZE,
         reads: Arc::default(),
-    }));
+    };
+    let mut connection = BufferedConnection::new(Box::new(connection), unlimited());
     let mut cx = Context::from_waker(Waker::noop());
     assert!(pin!(connection.fill()).poll(&mut cx).is_ready());
     assert!(pin!(connection.fill()).poll(&mut cx).is_pending());
--- a/crates/ivyward-platform/src/call.rs
+++ b/crates/ivyward-platform/src/call.rs
@@ -1,11 +1,11 @@
 //! The HTTP part of a client's request: what is sent to engines, and the buffer of the response.
 
-use crate::prompt_budget::Prompt;
+use crate::memory_budget::{BudgetExhausted, BudgetShare, MemoryBudget, Prompt};
 use crate::sync::lock;
 use event_listener::Event;
 use ivyward::core::interface::Outcome;
 use ivyward::engines::Call;
-use ivyward::response::{FinalStatus, TokenBuffer};
+use ivyward::response::{AlreadyFinished, FinalStatus, TokenBuffer};
 use ivyward::runtime::Peer;
 use ivyward_http1::RequestHead;
 use std::any::Any;
@@ -44,7 +44,9 @@
     may_have_run: AtomicBool,
     /// The engine's events on the way to the client. While the buffer is full nothing is read from the engine, so that a
     /// slow client applies backpressure to its engine.
-    pub(crate) response_buffer: TokenBuffer<u8>,
+    pub(crate) response_buffer: ResponseBuffer,
+    /// The memory of the strings above, which are kept until the end of the request.
+    _memory: BudgetShare,
 }
 
 impl HttpCall {
@@ -54,21 +56,25 @@
         is_idempotent: bool,
         prompt: Prompt,
         client: Arc<dyn Peer>,
-        buffer_capacity: usize,
+        response_buffer: ResponseBuffer,
     ) -> HttpCall {
+        let idempotency_key = request.headers.text(IDEMPOTENCY_KEY);
+        let mut memory = BudgetShare::new(prompt.memory.budget());
+        memory.resize(id.len() + request.target.len() + idempotency_key.map_or(0, str::len));
         HttpCall {
             id: id.into(),
             method: request.method.clone(),
             target: request.target.clone(),
-            idempotency_key: request.headers.text(IDEMPOTENCY_KEY).map(str::to_owned),
+            idempotency_key: idempotency_key.map(str::to_owned),
             is_idempotent,
+            _memory: memory,
             prompt: Mutex::new(Some(Arc::new(prompt))),
             progress: Mutex::new(None),
             progress_changed: Event::new(),
             client,
             disconnected: AtomicBool::new(false),
             may_have_run: AtomicBool::new(false),
-            response_buffer: TokenBuffer::new(buffer_capacity),
+            response_buffer,
         }
     }
 
@@ -145,5 +151,58 @@
     }
 }
 
+/// The events of a response between its engine and its client, and their memory.
+pub(crate) struct ResponseBuffer {
+    pub(crate) events: TokenBuffer<u8>,
+    /// The memory of the events that have not been written to the client yet.
+    memory: Mutex<BudgetShare>,
+}
+
+impl ResponseBuffer {
+    /// Creates an empty buffer with this bound, in bytes.
+    pub(crate) fn new(bound: usize, budget: &Arc<MemoryBudget>) -> ResponseBuffer {
+        ResponseBuffer {
+            events: TokenBuffer::new(bound),
+            memory: Mutex::new(BudgetShare::new(budget)),
+        }
+    }
+
+    /// Appends events, also if the bound is exceeded.
+    pub(crate) fn push(&self, events: &[u8]) -> Result<(), AlreadyFinished> {
+        self.events.push(events)?;
+        let mut memory = lock(&self.memory);
+        let bytes = memory.bytes() + events.len();
+        memory.resize(bytes);
+        Ok(())
+    }
+
+    /// Waits until the memory of the events is granted.
+    pub(crate) async fn granted(&self) -> Result<(), BudgetExhausted> {
+        let (budget, bytes) = {
+            let memory = lock(&self.memory);
+            (memory.budget().clone(), memory.bytes())
+        };
+        budget.grant(bytes).await
+    }
+
+    /// Releases the memory of events that were written to the client.
+    pub(crate) fn release(&self, bytes: usize) {
+        let mut memory = lock(&self.memory);
+        let left = memory.bytes().saturating_sub(bytes);
+        memory.resize(left);
+    }
+
+    /// Sets the final status, unless one is set. Returns whether this call set it. Any status but `Served` discards the events
+    /// that the client has not taken.
+    fn finish(&self, status: FinalStatus) -> bool {
+        let keeps_events = status == FinalStatus::Served;
+        let is_set = self.events.finish(status);
+        if is_set && !keeps_events {
+            lock(&self.memory).resize(0);
+        }
+        is_set
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/ivyward-platform/src/call/tests.rs
+++ b/crates/ivyward-platform/src/call/tests.rs
@@ -1,8 +1,10 @@
 //! Detection of a disconnected client.
 
 use super::*;
-use crate::prompt_budget::{BudgetShare, PromptBudget};
+use crate::body_buffer::BodyBuffer;
+use crate::memory_budget::{BudgetShare, MemoryBudget};
 use ivyward::runtime::RuntimeExt;
+use ivyward_http1::Framing;
 use ivyward_sim::{NetworkConfig, Sim};
 use std::net::SocketAddr;
 
@@ -26,10 +28,11 @@
         };
         let (request, _) = RequestHead::parse(text, &limits).unwrap().unwrap();
         let prompt = Prompt {
-            bytes: Vec::new(),
-            _share: BudgetShare::new(&PromptBudget::new(1)),
+            body: BodyBuffer::new(Framing::Length(0)),
+            memory: BudgetShare::new(&MemoryBudget::unlimited()),
         };
-        let call = HttpCall::new("x", &request, true, prompt, server_side.peer(), 1);
+        let buffer = ResponseBuffer::new(1, &MemoryBudget::unlimited());
+        let call = HttpCall::new("x", &request, true, prompt, server_side.peer(), buffer);
         assert!(!call.is_disconnected());
         drop(client_side);
         runtime.sleep(1_000).await;
--- a/crates/ivyward-platform/src/config.rs
+++ b/crates/ivyward-platform/src/config.rs
@@ -43,9 +43,11 @@
 /// 1,024 entries with long names and indentation take a third of `MIN_LIST_BYTES`.
 const LIST_MEMORY_DIVISOR: usize = 32;
 const MIN_LIST_BYTES: usize = 1 << 20;
-/// The memory is divided by these numbers to get the limits on all prompts and on all response buffers together.
-const PROMPT_MEMORY_DIVISOR: usize = 4;
-const RESPONSE_MEMORY_DIVISOR: usize = 8;
+/// The memory is divided by these numbers to get the limits on the bytes of all requests and of all responses, and the size of
+/// all response buffers together.
+const REQUEST_MEMORY_DIVISOR: usize = 4;
+const RESPONSE_MEMORY_DIVISOR: usize = 4;
+const RESPONSE_BUFFER_DIVISOR: usize = 8;
 /// The minimum size of a client's response buffer, in bytes.
 const MIN_RESPONSE_BUFFER: usize = 8 << 10;
 /// The maximum number of connections to one engine that [`NodeSettings::check`] accepts.
@@ -122,8 +124,10 @@
     pub client_connections: usize,
     /// The maximum number of connections to all engines together.
     pub engine_connections: usize,
-    /// The maximum number of bytes of all prompts in memory.
+    /// The maximum number of bytes of all requests in memory: prompts, heads, and what was received of them.
     pub prompt_bytes: usize,
+    /// The maximum number of bytes of all responses in memory.
+    pub response_bytes: usize,
     /// The size of the response buffer for one client, in bytes.
     pub response_buffer: usize,
     /// The number of connections that only releases and health checks may open, in addition to `engine_connections`.
@@ -209,12 +213,13 @@
         // More than the third of the descriptors that the platform states for clients: that is the limit for its regular
         // clients only, and idle connections of other clients come on top.
         let client_connections = connections / 2;
-        let response_buffer = memory / RESPONSE_MEMORY_DIVISOR / client_connections;
+        let response_buffer = memory / RESPONSE_BUFFER_DIVISOR / client_connections;
         Ok(Bounds {
             client_connections,
             engine_connections: connections - client_connections,
             release_connections,
-            prompt_bytes: memory / PROMPT_MEMORY_DIVISOR,
+            prompt_bytes: memory / REQUEST_MEMORY_DIVISOR,
+            response_bytes: memory / RESPONSE_MEMORY_DIVISOR,
             response_buffer: response_buffer.clamp(MIN_RESPONSE_BUFFER, MAX_BODY_BYTES),
             // Twice the open requests: releases of earlier requests may be pending in addition to those of the open ones.
             pending_releases: 2 * client_connections,
--- a/crates/ivyward-platform/src/discovery/list_call.rs
+++ b/crates/ivyward-platform/src/discovery/list_call.rs
@@ -3,6 +3,7 @@
 use super::error::ListCallError;
 use super::list::List;
 use crate::buffered_connection::{read_response_body, read_response_head, BufferedConnection};
+use crate::memory_budget::{BudgetShare, MemoryBudget};
 use ivyward::core::interface::Micros;
 use ivyward::core::long_poll::LongPoll;
 use ivyward::runtime::{timeout_at, RuntimeRef};
@@ -72,7 +73,11 @@
         let timeout = self.schedule.connect_timeout();
         let until = self.runtime.now().saturating_add(timeout);
         match timeout_at(&self.runtime, until, self.runtime.connect(self.address)).await {
-            Some(Ok(conn)) => Ok(BufferedConnection::new(conn)),
+            Some(Ok(conn)) => {
+                // The maximum length of a list limits the memory.
+                let memory = BudgetShare::new(&MemoryBudget::unlimited());
+                Ok(BufferedConnection::new(conn, memory))
+            }
             Some(Err(error)) => Err(ListCallError::Connect(error)),
             None => Err(ListCallError::NoResponse),
         }
@@ -109,7 +114,7 @@
             &[("Host", &self.address.to_string())],
         );
         connection
-            .write(&request, &[])
+            .write(&[&request])
             .await
             .map_err(ListCallError::Write)?;
         let response = read_response_head(connection, &self.limits).await?;
--- a/crates/ivyward-platform/src/engine/attempt.rs
+++ b/crates/ivyward-platform/src/engine/attempt.rs
@@ -9,7 +9,7 @@
 };
 use crate::call::{HttpCall, Progress};
 use crate::config::LIMITS;
-use crate::prompt_budget::Prompt;
+use crate::memory_budget::Prompt;
 use futures_lite::future::{or, poll_fn};
 use ivyward::core::connection_reuse::{self, AttemptTraits, DeliveryCheck};
 use ivyward::core::interface::{LoadReport, Micros, Outcome};
@@ -146,7 +146,7 @@
         }
         let prompt = self.call.prompt().ok_or_else(not_sent)?;
         let head = self.request_head(&prompt);
-        let writing = self.while_connected(self.write(connection, &head, &prompt.bytes));
+        let writing = self.while_connected(self.write(connection, &head, &prompt));
         match self.request.wait_cancel_first(timer, writing).await {
             WaitResult::Completed(Some(Ok(()))) => Ok(()),
             WaitResult::Completed(Some(Err(error))) => Err(self.write_failed(connection, &error)),
@@ -163,7 +163,7 @@
         let time_left = self.request.deadline.saturating_sub(self.runtime().now());
         let timeout_ms = (time_left / 1_000).max(1).to_string();
         let host = self.client.endpoint.address.to_string();
-        let length = prompt.bytes.len().to_string();
+        let length = prompt.body.length.to_string();
         let mut headers = vec![
             ("Host", host.as_str()),
             ("X-Request-ID", &self.call.id),
@@ -187,22 +187,26 @@
         &self,
         connection: &mut EngineConnection,
         head: &[u8],
-        body: &[u8],
+        prompt: &Prompt,
     ) -> io::Result<()> {
         connection.has_pending_request = true;
-        if self.is_repeatable() || body.is_empty() {
-            return connection.write(head, body).await;
-        }
-        let (all_but_last, last_byte) = body.split_at(body.len() - 1);
-        connection.write(head, all_but_last).await?;
+        let mut parts: Vec<&[u8]> = vec![head];
+        parts.extend(prompt.body.parts());
+        let last_part = parts.last_mut().filter(|_| prompt.body.length > 0);
+        let Some(last_part) = last_part.filter(|_| !self.is_repeatable()) else {
+            return connection.write(&parts).await;
+        };
+        let (all_but_last, last_byte) = last_part.split_at(last_part.len() - 1);
+        *last_part = all_but_last;
+        connection.write(&parts).await?;
         let until = self
             .runtime()
             .now()
             .saturating_add(2 * connection.round_trip);
         match timeout_at(self.runtime(), until, connection.fill()).await {
             // An engine that accepts the request sends nothing before it has the last byte.
-            None => connection.write(last_byte, &[]).await,
-            Some(Ok(received)) if received > 0 => connection.write(last_byte, &[]).await,
+            None => connection.write(&[last_byte]).await,
+            Some(Ok(received)) if received > 0 => connection.write(&[last_byte]).await,
             Some(Ok(_)) => Err(io::ErrorKind::UnexpectedEof.into()),
             Some(Err(error)) => Err(error),
         }
@@ -326,7 +330,7 @@
                 AttemptResult::new(Outcome::Reset, detail)
             }
             AwaitError::Head(
-                ResponseHeadError::Head(ReadHeadError::Invalid(_))
+                ResponseHeadError::Head(ReadHeadError::Invalid(_) | ReadHeadError::OutOfMemory(_))
                 | ResponseHeadError::TooManyInterimResponses,
             ) => self.abandon(connection, Outcome::Error, detail).await,
         }
@@ -345,7 +349,7 @@
         match (response.status, self.request.prefill_only) {
             (200, false) => {
                 return self
-                    .relay_stream(connection, &response, report, &mut timer)
+                    .relay_stream(connection, response, report, &mut timer)
                     .await
             }
             (202, true) => {
@@ -404,16 +408,18 @@
     async fn relay_stream(
         &self,
         mut connection: EngineConnection,
-        response: &ResponseHead,
+        response: ResponseHead,
         report: LoadReport,
         timer: &mut BoxFuture<()>,
     ) -> AttemptResult {
+        let keep_alive = response.headers.is_keep_alive();
         let mut relay = StreamRelay::new(self.client, self.request, self.call, response.framing);
+        // A head may be long, and is not needed while the stream is forwarded.
+        drop(response);
         match relay.run(&mut connection, timer, report).await {
             StreamResult::Ended(result) => {
                 if result.outcome == Outcome::Served {
-                    self.client
-                        .return_connection(connection, response.headers.is_keep_alive());
+                    self.client.return_connection(connection, keep_alive);
                 }
                 result
             }
--- a/crates/ivyward-platform/src/engine/connection.rs
+++ b/crates/ivyward-platform/src/engine/connection.rs
@@ -1,6 +1,7 @@
 //! A connection to an engine, and the limit on how many may be open.
 
 use crate::buffered_connection::BufferedConnection;
+use crate::memory_budget::BudgetShare;
 use ivyward::core::interface::Micros;
 use ivyward::runtime::{timeout_at, Conn, RuntimeRef};
 use std::ops::{Deref, DerefMut};
@@ -70,9 +71,11 @@
         conn: Conn,
         connect_time: Micros,
         permit: ConnectionPermit,
+        memory: BudgetShare,
+        read_size: usize,
     ) -> EngineConnection {
         EngineConnection {
-            connection: BufferedConnection::new(conn),
+            connection: BufferedConnection::with_read_size(conn, memory, read_size),
             idle_time: None,
             round_trip: connect_time.clamp(MIN_ROUND_TRIP, MAX_ROUND_TRIP),
             has_pending_request: false,
--- a/crates/ivyward-platform/src/engine/endpoint.rs
+++ b/crates/ivyward-platform/src/engine/endpoint.rs
@@ -5,6 +5,7 @@
 use super::pool::{EnginePool, PooledEndpoint};
 use crate::buffered_connection::{read_response_body, read_response_head, ResponseHeadError};
 use crate::config::LIMITS;
+use crate::memory_budget::BudgetShare;
 use ivyward::core::connection_reuse::ReusePolicy;
 use ivyward::core::interface::{LoadReport, Micros};
 use ivyward::engines::connect::{connect, ConnectFailure, Connected};
@@ -122,7 +123,13 @@
         let permit = self.pool.permit(reserve).ok_or(CallError::NoDescriptor)?;
         let address = self.endpoint.address;
         match connect(&self.pool.runtime, address, until).await {
-            Ok(Connected { conn, duration }) => Ok(EngineConnection::new(conn, duration, permit)),
+            Ok(Connected { conn, duration }) => {
+                let memory = BudgetShare::new(&self.pool.response_memory);
+                let read_size = self.pool.read_size;
+                Ok(EngineConnection::new(
+                    conn, duration, permit, memory, read_size,
+                ))
+            }
             Err(ConnectFailure::Local(error)) => Err(CallError::NoLocalResources(error)),
             Err(failure) => Err(CallError::Connect { address, failure }),
         }
@@ -200,7 +207,7 @@
             &format!("{method} {target} HTTP/1.1"),
             &headers,
         );
-        connection.write(&request, &[]).await
+        connection.write(&[&request]).await
     }
 
     /// Parses a load report; an absent or malformed one yields an empty report.
--- a/crates/ivyward-platform/src/engine/pool.rs
+++ b/crates/ivyward-platform/src/engine/pool.rs
@@ -2,6 +2,7 @@
 
 use super::connection::{ConnectionLimit, ConnectionPermit, EngineConnection};
 use super::pending_releases::PendingReleases;
+use crate::memory_budget::MemoryBudget;
 use crate::sync::lock;
 use ivyward::core::connection_reuse::ReuseHistory;
 use ivyward::core::interface::{EndpointId, Micros};
@@ -31,6 +32,10 @@
     pub(crate) report_fields: Vec<String>,
     /// The time limit of a release, and the limits on concurrent and pending releases.
     pub(crate) release: ReleaseSettings,
+    /// The budget of the memory of responses.
+    pub(crate) response_memory: Arc<MemoryBudget>,
+    /// The size of one read from an engine, in bytes.
+    pub(crate) read_size: usize,
 }
 
 /// The state that all engine clients of a node share.
@@ -42,6 +47,9 @@
     /// The number of connections that releases and health checks may open beyond the limit.
     pub(super) release_connections: usize,
     pub(crate) releases: Arc<PendingReleases>,
+    pub(super) response_memory: Arc<MemoryBudget>,
+    /// The size of one read from an engine, in bytes.
+    pub(super) read_size: usize,
     idle_timeout: Micros,
     limit: Arc<ConnectionLimit>,
     reuse_history: Mutex<ReuseHistory>,
@@ -61,6 +69,8 @@
             report_fields: settings.report_fields,
             release_connections: settings.release.max_concurrent_attempts,
             releases: Arc::new(PendingReleases::new(settings.release)),
+            response_memory: settings.response_memory,
+            read_size: settings.read_size,
             idle_timeout,
             limit: ConnectionLimit::new(settings.max_connections),
             reuse_history: Mutex::default(),
--- a/crates/ivyward-platform/src/engine/pool/tests.rs
+++ b/crates/ivyward-platform/src/engine/pool/tests.rs
@@ -17,6 +17,8 @@
             max_concurrent_attempts: RESERVE,
             max_pending: 10,
         },
+        response_memory: MemoryBudget::unlimited(),
+        read_size: 1,
     };
     let pool = EnginePool::new(&runtime, settings);
     let regular: Vec<ConnectionPermit> = (0..2)
--- a/crates/ivyward-platform/src/engine/stream.rs
+++ b/crates/ivyward-platform/src/engine/stream.rs
@@ -5,6 +5,7 @@
 use super::event_parser::EventParser;
 use crate::call::HttpCall;
 use crate::config::LIMITS;
+use crate::memory_budget::{BudgetExhausted, BudgetShare};
 use ivyward::core::interface::{LoadReport, Outcome};
 use ivyward::engines::{AttemptRequest, AttemptResult, CancelReason, StallDetector, WaitResult};
 use ivyward::runtime::BoxFuture;
@@ -36,6 +37,10 @@
     }
 }
 
+fn out_of_memory(error: BudgetExhausted) -> StreamResult {
+    StreamResult::abandoned(Outcome::Error, error.to_string())
+}
+
 /// Forwards one stream from an engine to the client.
 pub(super) struct StreamRelay<'a> {
     client: &'a HttpEngineClient,
@@ -45,6 +50,8 @@
     events: EventParser,
     /// Set with the first event. From then on the stall timeout applies in place of the attempt's deadline.
     stall: Option<StallDetector>,
+    /// The memory of the bytes that do not form a complete event yet.
+    memory: BudgetShare,
 }
 
 impl<'a> StreamRelay<'a> {
@@ -61,6 +68,7 @@
             body: BodyDecoder::new(framing, &LIMITS),
             events: EventParser::default(),
             stall: None,
+            memory: BudgetShare::new(&client.pool.response_memory),
         }
     }
 
@@ -73,7 +81,8 @@
         report: LoadReport,
     ) -> StreamResult {
         loop {
-            let step = match connection.read_body_step(&mut self.body, &mut self.events.pending) {
+            let append = |data: &[u8]| self.events.pending.extend_from_slice(data);
+            let step = match connection.read_body_step(&mut self.body, append) {
                 Ok(step) => step,
                 Err(error) => return StreamResult::abandoned(Outcome::Error, error.to_string()),
             };
@@ -94,6 +103,8 @@
             .events
             .take_complete_events()
             .map_err(|error| StreamResult::abandoned(Outcome::Error, error.to_string()))?;
+        self.memory.resize(self.events.pending.capacity());
+        self.memory.granted().await.map_err(out_of_memory)?;
         if events.is_empty() {
             return Ok(());
         }
@@ -103,11 +114,13 @@
         };
         let buffer = &self.call.response_buffer;
         buffer.push(&events).map_err(|_| cancelled())?;
+        drop(events);
         if self.stall.is_none() {
             self.request.notify_first_token();
             self.call.drop_prompt();
         }
-        let capacity = self.request.wait_for_capacity(buffer).await;
+        buffer.granted().await.map_err(out_of_memory)?;
+        let capacity = self.request.wait_for_capacity(&buffer.events).await;
         capacity.map_err(|_| cancelled())?;
         let runtime = &self.client.pool.runtime;
         let timeout = self.request.context.settings().stream_idle_timeout;
--- a/crates/ivyward-platform/src/lib.rs
+++ b/crates/ivyward-platform/src/lib.rs
@@ -5,18 +5,19 @@
 //! - `server`: client connections and their requests.
 //! - `engine`: connections, attempts, reservations and releases at engines.
 //! - `discovery`: follows the list of engines.
-//! - `call`: the HTTP part of a client's request; `prompt_budget`: the limit on the memory of prompts.
-//! - `buffered_connection`: a connection with a read buffer.
+//! - `call`: the HTTP part of a client's request; `memory_budget`: the limits on the memory of requests and responses.
+//! - `buffered_connection`: a connection with a read buffer; `body_buffer`: the body of a request.
 //!
 //! The crate implements the traits of [`ivyward::engines`], through which the driver runs attempts. The router makes all
 //! routing decisions.
 
+mod body_buffer;
 mod buffered_connection;
 mod call;
 pub mod config;
 mod discovery;
 mod engine;
-mod prompt_budget;
+mod memory_budget;
 mod server;
 pub mod service;
 mod sync;
--- a/crates/ivyward-platform/src/server.rs
+++ b/crates/ivyward-platform/src/server.rs
@@ -16,7 +16,7 @@
 
 use crate::buffered_connection::BufferedConnection;
 use crate::config::Bounds;
-use crate::prompt_budget::PromptBudget;
+use crate::memory_budget::{BudgetShare, MemoryBudget};
 use connection_table::{ConnectionTable, TableEntry};
 use futures_lite::future::{or, poll_once, yield_now};
 use ivyward::core::interface::Micros;
@@ -41,7 +41,10 @@
     runtime: RuntimeRef,
     deployment: NamedSettings,
     bounds: Bounds,
-    prompt_budget: Arc<PromptBudget>,
+    /// The memory of requests: received bytes, heads and prompts.
+    request_memory: Arc<MemoryBudget>,
+    /// The memory of responses, from the engines' connections to the clients' sockets.
+    response_memory: Arc<MemoryBudget>,
     table: ConnectionTable,
     /// The ids of the requests in flight, at most one for each connection.
     request_ids: Mutex<BTreeSet<String>>,
@@ -54,12 +57,14 @@
         runtime: RuntimeRef,
         deployment: NamedSettings,
         bounds: Bounds,
+        response_memory: Arc<MemoryBudget>,
     ) -> Arc<Server> {
         Arc::new(Server {
             node,
             runtime,
             deployment,
-            prompt_budget: PromptBudget::new(bounds.prompt_bytes),
+            request_memory: MemoryBudget::new(bounds.prompt_bytes, 0),
+            response_memory,
             bounds,
             table: ConnectionTable::new(bounds.client_connections),
             request_ids: Mutex::default(),
@@ -77,9 +82,14 @@
         self.table.unclosed()
     }
 
-    /// Returns the number of bytes of prompts in memory.
-    pub(crate) fn prompt_bytes(&self) -> usize {
-        self.prompt_budget.used()
+    /// Returns the budget of requests: received bytes, heads and prompts.
+    pub(crate) fn request_memory(&self) -> &MemoryBudget {
+        &self.request_memory
+    }
+
+    /// Returns the budget of responses.
+    pub(crate) fn response_memory(&self) -> &MemoryBudget {
+        &self.response_memory
     }
 
     /// Closes the connections that have no request in progress.
@@ -171,7 +181,8 @@
                 table: &self.table,
                 id,
             };
-            let connection = BufferedConnection::new(conn);
+            let memory = BudgetShare::new(&self.request_memory);
+            let connection = BufferedConnection::new(conn, memory);
             let reason = self.serve_connection(connection, id, close_requested).await;
             self.node.metrics().count_client_close(reason);
             debug!(
--- a/crates/ivyward-platform/src/server/in_flight.rs
+++ b/crates/ivyward-platform/src/server/in_flight.rs
@@ -38,7 +38,7 @@
 
 impl Drop for InFlightRequest<'_> {
     fn drop(&mut self) {
-        if !self.call.response_buffer.is_delivered() {
+        if !self.call.response_buffer.events.is_delivered() {
             self.call.set_disconnected();
             self.node.client_disconnected(self.number);
         }
--- a/crates/ivyward-platform/src/server/request.rs
+++ b/crates/ivyward-platform/src/server/request.rs
@@ -2,11 +2,11 @@
 
 use super::connection::RequestError;
 use super::in_flight::{InFlightRequest, RequestId};
-use super::response::{Delivery, ShortResponse, MAX_PIPELINED_BYTES};
+use super::response::{Delivery, ShortResponse};
 use super::Server;
 use crate::buffered_connection::BufferedConnection;
-use crate::call::HttpCall;
-use crate::prompt_budget::Prompt;
+use crate::call::{HttpCall, ResponseBuffer};
+use crate::memory_budget::Prompt;
 use ivyward::core::interface::{Idempotency, Request as RouterRequest};
 use ivyward_http1::RequestHead;
 use std::sync::atomic::Ordering;
@@ -34,14 +34,14 @@
         if request.method != "POST" {
             return Err(RequestError::new(405, "POST is taken"));
         }
-        let (id, router_request) = self.parse_headers(&request, prompt.bytes.len())?;
-        if serde_json::from_slice::<serde::de::IgnoredAny>(&prompt.bytes).is_err() {
+        let (id, router_request) = self.parse_headers(&request, prompt.body.length)?;
+        if !prompt.body.is_json() {
             return Err(RequestError::new(400, "the body is no JSON"));
         }
         let _id = RequestId::register(self, &id)
             .ok_or_else(|| RequestError::new(409, "a request with this id is open"))?;
         // The client may have disconnected while its request was waiting to be read.
-        if connection.peer_has_closed(MAX_PIPELINED_BYTES) {
+        if connection.peer_has_closed() {
             return Ok(Delivery::Broken);
         }
         let call = Arc::new(HttpCall::new(
@@ -50,8 +50,11 @@
             self.is_idempotent(&router_request),
             prompt,
             connection.peer(),
-            self.bounds.response_buffer,
+            // One half holds the events that are being written, the other one those that follow.
+            ResponseBuffer::new(self.bounds.response_buffer / 2, &self.response_memory),
         ));
+        // A head may be long, and is not needed while the response is awaited.
+        drop(request);
         Ok(self.route(connection, router_request, &call).await)
     }
 
--- a/crates/ivyward-platform/src/server/request_reader.rs
+++ b/crates/ivyward-platform/src/server/request_reader.rs
@@ -2,9 +2,10 @@
 
 use super::connection::RequestError;
 use super::Server;
+use crate::body_buffer::BodyBuffer;
 use crate::buffered_connection::{BufferedConnection, ReadHeadError};
 use crate::config::{LIMITS, MAX_BODY_BYTES};
-use crate::prompt_budget::{BudgetShare, Prompt};
+use crate::memory_budget::{BudgetExhausted, BudgetShare, Prompt};
 use ivyward::core::interface::Micros;
 use ivyward::runtime::timeout_at;
 use ivyward_http1::{BodyDecoder, Decoded, HeadError, RequestHead};
@@ -23,14 +24,26 @@
     }
 }
 
+impl From<BudgetExhausted> for ReadError {
+    fn from(_: BudgetExhausted) -> ReadError {
+        let text = "the node holds as many prompts as it can";
+        RequestError::closing(503, text).into()
+    }
+}
+
 impl Server {
-    /// Waits for a complete request. Responds with status 408 at `until`.
+    /// Waits for a complete request. Responds with status 408 at `until`. If the memory for requests is used up, the requests
+    /// that have been received for the longest time get status 503.
     pub(super) async fn receive(
         &self,
         connection: &mut BufferedConnection,
         until: Micros,
     ) -> Result<(RequestHead, Prompt), ReadError> {
-        let request = timeout_at(&self.runtime, until, self.read_request(connection)).await;
+        let reading = timeout_at(&self.runtime, until, self.read_request(connection));
+        let request = self.request_memory.hold(reading).await;
+        let Some(request) = request else {
+            return Err(BudgetExhausted.into());
+        };
         request.unwrap_or_else(|| {
             let text = "the request did not come whole in time";
             Err(RequestError::closing(408, text).into())
@@ -48,62 +61,59 @@
             .is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
         if expects_continue {
             connection
-                .write(b"HTTP/1.1 100 Continue\r\n\r\n", &[])
+                .write(&[b"HTTP/1.1 100 Continue\r\n\r\n"])
                 .await
                 .map_err(|_| ReadError::Closed)?;
         }
-        let prompt = self.read_body(connection, &request).await?;
+        let mut memory = BudgetShare::new(&self.request_memory);
+        memory.grow(request.memory()).await?;
+        let body = read_body(connection, &request, &mut memory).await?;
+        let prompt = Prompt { body, memory };
         Ok((request, prompt))
     }
+}
 
-    async fn read_body(
-        &self,
-        connection: &mut BufferedConnection,
-        request: &RequestHead,
-    ) -> Result<Prompt, ReadError> {
-        let mut body = BodyDecoder::new(request.framing, &LIMITS);
-        let mut share = BudgetShare::new(&self.prompt_budget);
+/// Reads the body of a request. Its memory is added to `memory`.
+async fn read_body(
+    connection: &mut BufferedConnection,
+    request: &RequestHead,
+    memory: &mut BudgetShare,
+) -> Result<BodyBuffer, ReadError> {
+    let mut body = BodyDecoder::new(request.framing, &LIMITS);
+    let mut bytes = BodyBuffer::new(request.framing);
+    let head_memory = memory.bytes();
+    loop {
         // Memory is allocated and counted for received bytes only, not for the length that the client states.
-        let mut bytes = Vec::new();
-        loop {
-            let length_before = bytes.len();
-            let step = connection
-                .read_body_step(&mut body, &mut bytes)
-                .map_err(|error| RequestError::closing(400, error.to_string()))?;
-            let added = bytes.len() - length_before;
-            if added > 0 && !share.grow(added) {
-                let text = "the node holds as many prompts as it can";
-                return Err(RequestError::closing(503, text).into());
-            }
-            match step {
-                Decoded::Done => {
-                    return Ok(Prompt {
-                        bytes,
-                        _share: share,
-                    })
-                }
-                _ if bytes.len() > MAX_BODY_BYTES => {
-                    return Err(RequestError::closing(413, "the body is too long").into());
-                }
-                Decoded::NeedMoreInput => fill(connection).await?,
-                Decoded::Data(_) => {}
+        let missing = bytes.missing(connection.unread().len());
+        memory.grow(missing).await?;
+        let step = connection
+            .read_body_step(&mut body, |data| bytes.append(data))
+            .map_err(|error| RequestError::closing(400, error.to_string()))?;
+        memory.resize(head_memory + bytes.capacity);
+        match step {
+            Decoded::Done => return Ok(bytes),
+            _ if bytes.length > MAX_BODY_BYTES => {
+                return Err(RequestError::closing(413, "the body is too long").into());
             }
+            Decoded::NeedMoreInput => fill(connection).await?,
+            Decoded::Data(_) => {}
         }
     }
 }
 
 async fn read_head(connection: &mut BufferedConnection) -> Result<RequestHead, ReadError> {
     let head = connection.read_head(&LIMITS, RequestHead::parse).await;
-    head.map_err(|error| {
-        let ReadHeadError::Invalid(fault) = error else {
-            return ReadError::Closed;
-        };
-        let status = match fault {
-            HeadError::BodyTooLarge => 413,
-            HeadError::TooLong => 431,
-            _ => 400,
-        };
-        RequestError::closing(status, fault.to_string()).into()
+    head.map_err(|error| match error {
+        ReadHeadError::Closed | ReadHeadError::Io(_) => ReadError::Closed,
+        ReadHeadError::OutOfMemory(exhausted) => exhausted.into(),
+        ReadHeadError::Invalid(error) => {
+            let status = match error {
+                HeadError::BodyTooLarge => 413,
+                HeadError::TooLong => 431,
+                _ => 400,
+            };
+            RequestError::closing(status, error.to_string()).into()
+        }
     })
 }
 
--- a/crates/ivyward-platform/src/server/response.rs
+++ b/crates/ivyward-platform/src/server/response.rs
@@ -4,18 +4,18 @@
 use super::Server;
 use crate::buffered_connection::BufferedConnection;
 use crate::call::HttpCall;
-use futures_lite::future::{or, poll_fn};
+use futures_lite::future::{or, poll_fn, poll_once};
 use ivyward::core::interface::Micros;
 use ivyward::runtime::RuntimeExt;
 use ivyward::{FailureReason, FinalStatus, RejectReason};
 use ivyward_http1::{body, head};
+use std::pin::pin;
 
 /// A client that accepts no byte of its response for 5 s counts as disconnected. The value depends on clients' machines and
 /// networks, not on the deadline of the request.
 const WRITE_STALL_TIMEOUT: Micros = 5_000_000;
-/// The limit on buffered bytes behind a request in flight: 16 KiB. Further bytes are read, so that the client's close behind
-/// them is detected, and discarded; the connection then closes after the response.
-pub(super) const MAX_PIPELINED_BYTES: usize = 16 << 10;
+/// The length of the head and of the framing of a chunk in a stream, at most, in bytes.
+const STREAM_PART_OVERHEAD: usize = 160;
 /// After 4 MiB of discarded bytes each read is preceded by a pause of 0.5 ms, so that one client cannot occupy the node.
 const MAX_UNTHROTTLED_BYTES: usize = 4 << 20;
 const THROTTLE_PAUSE: Micros = 500;
@@ -101,13 +101,10 @@
             let Some(part) = self.next_part(connection, request.call).await else {
                 return Delivery::Broken;
             };
-            let mut output = Vec::new();
-            match part {
+            let (output, length) = match part {
                 Ok(events) => {
-                    if !std::mem::replace(&mut has_begun, true) {
-                        self.write_stream_head(&mut output);
-                    }
-                    body::write_chunk(&mut output, &events);
+                    let is_first = !std::mem::replace(&mut has_begun, true);
+                    (self.stream_part(is_first, &events), events.len())
                 }
                 Err(FinalStatus::Served) if has_begun => {
                     return self.write(connection, body::LAST_CHUNK).await;
@@ -115,10 +112,11 @@
                 // The missing last chunk shows the client that the stream is incomplete.
                 Err(_) if has_begun => return Delivery::Broken,
                 Err(status) => return self.respond_with_status(connection, status).await,
-            }
+            };
             if self.write(connection, &output).await == Delivery::Broken {
                 return Delivery::Broken;
             }
+            request.call.response_buffer.release(length);
         }
     }
 
@@ -129,7 +127,7 @@
         call: &HttpCall,
     ) -> Option<Result<Vec<u8>, FinalStatus>> {
         let part = async {
-            let items = poll_fn(|cx| call.response_buffer.poll_items(cx)).await;
+            let items = poll_fn(|cx| call.response_buffer.events.poll_items(cx)).await;
             Some(items.map(|(_, events)| events))
         };
         let disconnected = async {
@@ -138,8 +136,8 @@
                 if connection.discarded_bytes() >= MAX_UNTHROTTLED_BYTES {
                     self.runtime.sleep(THROTTLE_PAUSE).await;
                 }
-                match connection.fill().await {
-                    Ok(received) if received > 0 => connection.truncate_unread(MAX_PIPELINED_BYTES),
+                match connection.fill_ahead().await {
+                    Ok(received) if received > 0 => {}
                     _ => return None,
                 }
             }
@@ -147,15 +145,21 @@
         or(part, disconnected).await
     }
 
-    fn write_stream_head(&self, output: &mut Vec<u8>) {
-        let mut headers = vec![
-            ("Content-Type", "text/event-stream"),
-            ("Transfer-Encoding", "chunked"),
-        ];
-        if self.is_stopping() {
-            headers.push(("Connection", "close"));
+    /// Returns a part of a stream: one chunk, after the head if it is the first one.
+    fn stream_part(&self, is_first: bool, events: &[u8]) -> Vec<u8> {
+        let mut output = Vec::with_capacity(events.len() + STREAM_PART_OVERHEAD);
+        if is_first {
+            let mut headers = vec![
+                ("Content-Type", "text/event-stream"),
+                ("Transfer-Encoding", "chunked"),
+            ];
+            if self.is_stopping() {
+                headers.push(("Connection", "close"));
+            }
+            head::write(&mut output, "HTTP/1.1 200 OK", &headers);
         }
-        head::write(output, "HTTP/1.1 200 OK", &headers);
+        body::write_chunk(&mut output, events);
+        output
     }
 
     /// Responds to a request that ended before the first event of its stream.
@@ -181,13 +185,17 @@
         self.respond(connection, &response).await
     }
 
+    /// Writes to a client. The response is shed if its client accepts it slowly and the memory for responses is used up.
     async fn write(&self, connection: &mut BufferedConnection, bytes: &[u8]) -> Delivery {
-        let written = connection
-            .write_with_stall_timeout(&self.runtime, WRITE_STALL_TIMEOUT, bytes)
-            .await;
+        let mut writing =
+            pin!(connection.write_with_stall_timeout(&self.runtime, WRITE_STALL_TIMEOUT, bytes));
+        let written = match poll_once(writing.as_mut()).await {
+            Some(written) => Some(written),
+            None => self.response_memory.hold(writing).await,
+        };
         match written {
-            Ok(()) => Delivery::Complete,
-            Err(_) => Delivery::Broken,
+            Some(Ok(())) => Delivery::Complete,
+            Some(Err(_)) | None => Delivery::Broken,
         }
     }
 }
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -3,6 +3,7 @@
 use crate::config::{list_limits, Bounds, Config};
 use crate::discovery::{Discovery, ListReader, Watch};
 use crate::engine::{EnginePool, EnginePoolSettings, HttpProtocol, PendingReleases};
+use crate::memory_budget::MemoryBudget;
 use crate::server::Server;
 use ivyward::core::interface::{ListKind, Micros};
 use ivyward::core::release::ReleaseSettings;
@@ -66,7 +67,13 @@
             bounds,
             node: settings,
         } = config;
-        let pool = EnginePool::new(&runtime, pool_settings(&deployment, &bounds, &settings));
+        // Each client may hold its part of the memory at any time.
+        let response_memory = MemoryBudget::new(
+            bounds.response_bytes,
+            bounds.response_bytes / bounds.client_connections,
+        );
+        let pool_settings = pool_settings(&deployment, &bounds, &settings, &response_memory);
+        let pool = EnginePool::new(&runtime, pool_settings);
         let protocol = Arc::new(HttpProtocol { pool: pool.clone() });
         let node = Node::start_with(runtime.clone(), settings, None, protocol)?;
         let mut reader = ListReader::new(deployment.clone(), &runtime);
@@ -81,7 +88,13 @@
             limits: list_limits(&bounds),
             is_costly: deployment.router.must_subscribe,
         };
-        let server = Server::new(node.clone(), runtime.clone(), deployment, bounds);
+        let server = Server::new(
+            node.clone(),
+            runtime.clone(),
+            deployment,
+            bounds,
+            response_memory,
+        );
         let acceptor = start_accepting(&runtime, &server, listen)?;
         let address = acceptor.address;
         let service = Service {
@@ -179,6 +192,7 @@
     deployment: &NamedSettings,
     bounds: &Bounds,
     settings: &NodeSettings,
+    response_memory: &Arc<MemoryBudget>,
 ) -> EnginePoolSettings {
     EnginePoolSettings {
         connect_timeout: settings.dial_timeout,
@@ -190,6 +204,9 @@
             max_concurrent_attempts: bounds.release_connections,
             max_pending: bounds.pending_releases,
         },
+        response_memory: response_memory.clone(),
+        // What is read of a response beyond its buffer waits with it for the client.
+        read_size: bounds.response_buffer / 2,
     }
 }
 
@@ -224,7 +241,10 @@
         open = node.open_requests(),
         clients = server.connections(),
         connections = pool.open_connections(),
-        prompt_bytes = server.prompt_bytes(),
+        prompt_bytes = server.request_memory().used(),
+        response_bytes = server.response_memory().used(),
+        shed_requests = server.request_memory().shed(),
+        shed_responses = server.response_memory().shed(),
         engines = metrics.engines.get(),
         known = metrics.engines_known.get(),
         requests = metrics.requests.get(),
