Platform: a client's close is seen behind any received bytes before its request is sent

What callers saw: clients that sent more than 16 KiB behind a request and closed while the node was held up had their requests sent to engines up to 0.3 s after they had gone; 0.1 s are allowed.

Cause: before a request was passed on, the node read behind it until 16 KiB were unread, and took the client for connected if no end had come by then. The look at the socket itself sees no end behind unread bytes.

Change: all that has been received behind the request is read first, up to 4 MiB, in turns of 16 KiB; what the buffer does not hold is dropped, as it is while a request is in flight.

Measured: `hundreds_of_clients_disconnect_from_a_busy_node_behind_unread_bytes` failed before (an attempt 300,224 us after the close) and holds now. `disconnect_behind_unread_bytes_while_the_node_is_paused_between_prefill_and_decode` held before and guards the path beside it.

--- a/crates/ivyward-platform/src/buffered_connection.rs
+++ b/crates/ivyward-platform/src/buffered_connection.rs
@@ -4,7 +4,7 @@
 use futures_lite::future::poll_fn;
 use futures_lite::{AsyncRead, AsyncWrite};
 use ivyward::core::interface::Micros;
-use ivyward::runtime::{timeout_at, Conn, Peer, ReadBudget, RuntimeRef};
+use ivyward::runtime::{timeout_at, Conn, Peer, ReadBudget, RuntimeRef, TurnBudget};
 use ivyward_http1::{
     BodyDecoder, BodyError, Decoded, HeadError, HeadProgress, Limits, ResponseHead,
 };
@@ -94,15 +94,19 @@
         self.discarded_bytes
     }
 
-    /// Returns whether the peer has closed its sending side behind the bytes that a full buffer can hold, or the connection has
-    /// failed. Does not wait.
-    pub(crate) fn peer_has_closed(&mut self) -> bool {
-        let mut cx = Context::from_waker(Waker::noop());
-        while self.unread().len() < MAX_UNREAD_BYTES {
-            match self.poll_fill(&mut cx) {
-                Poll::Ready(Ok(received)) if received > 0 => {}
+    /// Reads all that has been received, up to `limit` bytes, and returns whether the peer has closed its sending side behind it, or
+    /// the connection has failed. Does not wait for more. Bytes beyond the buffer are discarded.
+    pub(crate) async fn peer_has_closed(&mut self, limit: usize) -> bool {
+        let (mut read, mut turn) = (0, TurnBudget::new(READ_SIZE));
+        while read < limit {
+            turn.wait_if_spent().await;
+            match self.poll_fill(&mut Context::from_waker(Waker::noop())) {
+                Poll::Ready(Ok(received)) if received > 0 => {
+                    read += received;
+                    turn.spend(received);
+                }
                 Poll::Ready(_) => return true,
-                Poll::Pending => break,
+                Poll::Pending => return false,
             }
         }
         false
--- a/crates/ivyward-platform/src/server/request.rs
+++ b/crates/ivyward-platform/src/server/request.rs
@@ -2,7 +2,7 @@
 
 use super::connection::RequestError;
 use super::in_flight::{InFlightRequest, RequestId};
-use super::response::{Delivery, ShortResponse};
+use super::response::{Delivery, ShortResponse, MAX_UNTHROTTLED_BYTES};
 use super::Server;
 use crate::buffered_connection::BufferedConnection;
 use crate::call::{HttpCall, ResponseBuffer};
@@ -40,8 +40,8 @@
         }
         let _id = RequestId::register(self, &id)
             .ok_or_else(|| RequestError::new(409, "a request with this id is open"))?;
-        // The client may have disconnected while its request was waiting to be read.
-        if connection.peer_has_closed() {
+        // The client may have disconnected while its request was waiting to be read, also behind further bytes.
+        if connection.peer_has_closed(MAX_UNTHROTTLED_BYTES).await {
             return Ok(Delivery::Broken);
         }
         let call = Arc::new(HttpCall::new(
--- a/crates/ivyward-platform/src/server/response.rs
+++ b/crates/ivyward-platform/src/server/response.rs
@@ -17,7 +17,7 @@
 /// The length of the head and of the framing of a chunk in a stream, at most, in bytes.
 const STREAM_PART_OVERHEAD: usize = 160;
 /// After 4 MiB of discarded bytes each read is preceded by a pause of 0.5 ms, so that one client cannot occupy the node.
-const MAX_UNTHROTTLED_BYTES: usize = 4 << 20;
+pub(super) const MAX_UNTHROTTLED_BYTES: usize = 4 << 20;
 const THROTTLE_PAUSE: Micros = 500;
 
 /// Whether a response was delivered completely.
--- a/crates/ivyward-platform/tests/client_disconnect.rs
+++ b/crates/ivyward-platform/tests/client_disconnect.rs
@@ -267,8 +267,7 @@
 
 /// The node is paused while 300 clients send requests and disconnect. When it resumes, it sends none of these requests to
 /// engines.
-#[test]
-fn hundreds_of_clients_disconnect_from_a_busy_node() {
+fn clients_of_a_busy_node_disconnect_behind(pipelined: usize) {
     for how in DISCONNECTS {
         for (may_cancel, setup) in setups(|_| EngineBehavior::Normal) {
             let (sim, node) = (setup.sim.clone(), setup.node.id());
@@ -286,7 +285,8 @@
                 cluster.client.run(async move {
                     let mut open = Vec::new();
                     for (mut conn, id) in conns.into_iter().zip(&sent_ids) {
-                        conn.write_all(&request(id, "draft", 4_800)).await.unwrap();
+                        let bytes = [request(id, "draft", 4_800), vec![b'x'; pipelined]];
+                        conn.write_all(&bytes.concat()).await.unwrap();
                         open.push(conn);
                     }
                     client.sleep(5 * MS).await;
@@ -304,10 +304,65 @@
                 let late = last_attempt_after(&cluster, &ids, disconnected_at);
                 assert!(
                     late <= MAX_DELAY,
-                    "{how:?}, may cancel {may_cancel}: {late} us"
+                    "{how:?}, {pipelined} pipelined bytes, may cancel {may_cancel}: {late} us"
                 );
                 assert_eq!(cluster.service.node().open_requests(), 0);
             });
         }
     }
 }
+
+#[test]
+fn hundreds_of_clients_disconnect_from_a_busy_node() {
+    clients_of_a_busy_node_disconnect_behind(0);
+}
+
+/// Guards against a close that is not seen behind more bytes than the node keeps of them.
+#[test]
+fn hundreds_of_clients_disconnect_from_a_busy_node_behind_unread_bytes() {
+    clients_of_a_busy_node_disconnect_behind(40_000);
+}
+
+/// Guards against a decode that is sent before the bytes are read behind which its client has closed.
+#[test]
+fn disconnect_behind_unread_bytes_while_the_node_is_paused_between_prefill_and_decode() {
+    for how in DISCONNECTS {
+        for pipelined in [1_000, 40_000, 600_000] {
+            for (may_cancel, setup) in setups(|received| match is_prefill(received) {
+                true => EngineBehavior::Delayed(300 * MS),
+                false => EngineBehavior::Normal,
+            }) {
+                let (sim, node) = (setup.sim.clone(), setup.node.id());
+                sim.update_network(|net| net.buffer_bytes = 1 << 20);
+                setup.run(move |cluster| async move {
+                    assert_eq!(cluster.send_request("before", "draft").await.status, 200);
+                    let client = cluster.client.clone();
+                    let mut conn = cluster.connect().await;
+                    let (done, wait) = async_channel::bounded(1);
+                    cluster.client.run(async move {
+                        conn.write_all(&request("one", "draft", 4_800))
+                            .await
+                            .unwrap();
+                        client.sleep(100 * MS).await;
+                        sim.set_paused(node, true);
+                        conn.write_all(&vec![b'x'; pipelined]).await.unwrap();
+                        client.sleep(50 * MS).await;
+                        let disconnected_at = client.now();
+                        let open = disconnect(conn, how).await;
+                        client.sleep(300 * MS).await;
+                        sim.set_paused(node, false);
+                        client.sleep(3_000 * MS).await;
+                        done.send((disconnected_at, open)).await.unwrap();
+                    });
+                    let (disconnected_at, _open) = wait.recv().await.unwrap();
+                    assert!(!cluster.attempts("one").is_empty());
+                    let late = last_attempt_after(&cluster, &["one".into()], disconnected_at);
+                    assert!(
+                        late <= MAX_DELAY,
+                        "{how:?}, {pipelined} pipelined bytes, may cancel {may_cancel}: {late} us"
+                    );
+                });
+            }
+        }
+    }
+}
