Platform: a request that must not run twice is not run again when its id comes again

Cause: an id was known only while its client's connection waited for the response. When the client left it was forgotten at once, while an attempt that may not be cancelled ran on, or one that was cancelled may have run.

Change: the id is registered until nothing of its request is in progress. A repeat gets 409: a refusal would promise that a retry is harmless.

One check is replaced: `the_id_of_a_request_in_flight_is_rejected` wanted a non-idempotent id to be served again after its response. That is a second effect under one id, and the protocol gives each request a fresh id, retries included. It now wants 409, no further attempt, and that an idempotent id is served again.

--- a/crates/ivyward-core/src/lib.rs
+++ b/crates/ivyward-core/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`connection_reuse`] | which idle connections a request may use |
 //! | [`connect_backoff`] | when to retry a connection that failed locally |
 //! | [`keepalive`] | when to check connections |
+//! | [`request_ids`] | whether a request whose id comes again is accepted |
 //! | [`shutdown`] | until when a stopping node accepts requests |
 //! | [`mutations`] | deliberate defects for mutation testing |
 //!
@@ -65,6 +66,7 @@
 pub mod mutations;
 pub mod peers;
 pub mod release;
+pub mod request_ids;
 pub mod reservations;
 pub mod router;
 pub mod shutdown;
--- a/crates/ivyward-platform/src/call.rs
+++ b/crates/ivyward-platform/src/call.rs
@@ -1,6 +1,7 @@
 //! The HTTP part of a client's request: what is sent to engines, and the buffer of the response.
 
 use crate::memory_budget::{BudgetExhausted, BudgetShare, MemoryBudget, Prompt};
+use crate::request_id::RequestId;
 use crate::sync::lock;
 use event_listener::Event;
 use ivyward::core::interface::Outcome;
@@ -27,7 +28,7 @@
 /// One client's request, from its arrival to its final status.
 pub(crate) struct HttpCall {
     /// The client's `X-Request-ID`. Engines identify the reservations of the request by it.
-    pub(crate) id: String,
+    pub(crate) id: RequestId,
     pub(crate) method: String,
     pub(crate) target: String,
     /// The client's `Idempotency-Key`, by which engines recognise a retry.
@@ -51,7 +52,7 @@
 
 impl HttpCall {
     pub(crate) fn new(
-        id: &str,
+        id: RequestId,
         request: &RequestHead,
         is_idempotent: bool,
         prompt: Prompt,
@@ -60,9 +61,10 @@
     ) -> HttpCall {
         let idempotency_key = request.headers.text(IDEMPOTENCY_KEY);
         let mut memory = BudgetShare::new(prompt.memory.budget());
-        memory.resize(id.len() + request.target.len() + idempotency_key.map_or(0, str::len));
+        memory
+            .resize(id.as_str().len() + request.target.len() + idempotency_key.map_or(0, str::len));
         HttpCall {
-            id: id.into(),
+            id,
             method: request.method.clone(),
             target: request.target.clone(),
             idempotency_key: idempotency_key.map(str::to_owned),
@@ -97,6 +99,10 @@
         if outcome.may_have_run() {
             self.may_have_run.store(true, Ordering::SeqCst);
         }
+        let has_run = outcome.may_have_run() || outcome == Outcome::Served;
+        if has_run && !self.is_idempotent {
+            self.id.record_run();
+        }
     }
 
     /// Returns whether the next attempt would repeat a non-idempotent request that may have run.
@@ -147,7 +153,7 @@
     }
 
     fn name(&self) -> &str {
-        &self.id
+        self.id.as_str()
     }
 }
 
--- a/crates/ivyward-platform/src/call/tests.rs
+++ b/crates/ivyward-platform/src/call/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::body_buffer::BodyBuffer;
 use crate::memory_budget::{BudgetShare, MemoryBudget};
+use crate::request_id::IdRegistry;
 use ivyward::runtime::RuntimeExt;
 use ivyward_http1::Framing;
 use ivyward_sim::{NetworkConfig, Sim};
@@ -31,8 +32,9 @@
             body: BodyBuffer::new(Framing::Length(0)),
             memory: BudgetShare::new(&MemoryBudget::unlimited()),
         };
+        let id = IdRegistry::new(1).register("x").unwrap();
         let buffer = ResponseBuffer::new(1, &MemoryBudget::unlimited());
-        let call = HttpCall::new("x", &request, true, prompt, server_side.peer(), buffer);
+        let call = HttpCall::new(id, &request, true, prompt, server_side.peer(), buffer);
         assert!(!call.is_disconnected());
         drop(client_side);
         runtime.sleep(1_000).await;
--- a/crates/ivyward-platform/src/engine/attempt.rs
+++ b/crates/ivyward-platform/src/engine/attempt.rs
@@ -166,7 +166,7 @@
         let length = prompt.body.length.to_string();
         let mut headers = vec![
             ("Host", host.as_str()),
-            ("X-Request-ID", &self.call.id),
+            ("X-Request-ID", self.call.id.as_str()),
             ("X-Timeout-Ms", &timeout_ms),
             ("Content-Type", "application/json"),
             ("Content-Length", &length),
--- a/crates/ivyward-platform/src/engine/release_dispatcher.rs
+++ b/crates/ivyward-platform/src/engine/release_dispatcher.rs
@@ -28,7 +28,7 @@
         };
         context.runtime().run(async move { dispatcher.run().await });
     }
-    let path = reservation_path(&call.id);
+    let path = reservation_path(call.id.as_str());
     pool.releases
         .enqueue(request.request, path, request.reservations);
 }
--- a/crates/ivyward-platform/src/engine/reservation.rs
+++ b/crates/ivyward-platform/src/engine/reservation.rs
@@ -67,7 +67,7 @@
             return ReservationStatus::Denied;
         }
         *status_if_abandoned = ReservationStatus::Unknown;
-        let path = reservation_path(&self.call.id);
+        let path = reservation_path(self.call.id.as_str());
         let written = client
             .write_empty_request(&mut connection, "POST", &path)
             .await;
--- a/crates/ivyward-platform/src/server.rs
+++ b/crates/ivyward-platform/src/server.rs
@@ -3,7 +3,7 @@
 //! - `connection_table`: the states of the client connections, and the limit on them; `connection`: the requests on one
 //!   connection.
 //! - `request_reader`: reads a request; `request_headers`: parses and checks its headers.
-//! - `request`: handles one request; `in_flight`: requests that are being handled.
+//! - `request`: handles one request; `in_flight`: tells the node when a client disconnects.
 //! - `response`: writes responses.
 
 mod connection;
@@ -17,15 +17,15 @@
 use crate::buffered_connection::BufferedConnection;
 use crate::config::Bounds;
 use crate::memory_budget::{BudgetShare, MemoryBudget};
+use crate::request_id::IdRegistry;
 use connection_table::{ConnectionTable, TableEntry};
 use futures_lite::future::{or, poll_once, yield_now};
 use ivyward::core::interface::Micros;
 use ivyward::runtime::{Conn, ErrorOrigin, Listener, RuntimeExt, RuntimeRef};
 use ivyward::Node;
 use ivyward_settings::NamedSettings;
-use std::collections::BTreeSet;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use tracing::debug;
 
 /// The pause after an accept that failed for want of local resources, or after too many failures in a row: 5 ms.
@@ -46,8 +46,7 @@
     /// The memory of responses, from the engines' connections to the clients' sockets.
     response_memory: Arc<MemoryBudget>,
     table: ConnectionTable,
-    /// The ids of the requests in flight, at most one for each connection.
-    request_ids: Mutex<BTreeSet<String>>,
+    request_ids: Arc<IdRegistry>,
     pub(crate) ready: AtomicBool,
 }
 
@@ -59,6 +58,7 @@
         bounds: Bounds,
         response_memory: Arc<MemoryBudget>,
     ) -> Arc<Server> {
+        let request_id_seed = runtime.random();
         Arc::new(Server {
             node,
             runtime,
@@ -67,7 +67,7 @@
             response_memory,
             bounds,
             table: ConnectionTable::new(bounds.client_connections),
-            request_ids: Mutex::default(),
+            request_ids: IdRegistry::new(request_id_seed),
             ready: AtomicBool::new(false),
         })
     }
--- a/crates/ivyward-platform/src/server/request.rs
+++ b/crates/ivyward-platform/src/server/request.rs
@@ -1,13 +1,14 @@
 //! Handles one client request.
 
 use super::connection::RequestError;
-use super::in_flight::{InFlightRequest, RequestId};
+use super::in_flight::InFlightRequest;
 use super::response::{Delivery, ShortResponse, MAX_UNTHROTTLED_BYTES};
 use super::Server;
 use crate::buffered_connection::BufferedConnection;
 use crate::call::{HttpCall, ResponseBuffer};
 use crate::memory_budget::Prompt;
 use ivyward::core::interface::{Idempotency, Request as RouterRequest};
+use ivyward::core::request_ids::RepeatedId;
 use ivyward_http1::RequestHead;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -38,14 +39,13 @@
         if !prompt.body.is_json() {
             return Err(RequestError::new(400, "the body is no JSON"));
         }
-        let _id = RequestId::register(self, &id)
-            .ok_or_else(|| RequestError::new(409, "a request with this id is open"))?;
+        let id = self.request_ids.register(&id).map_err(repeated_id)?;
         // The client may have disconnected while its request was waiting to be read, also behind further bytes.
         if connection.peer_has_closed(MAX_UNTHROTTLED_BYTES).await {
             return Ok(Delivery::Broken);
         }
         let call = Arc::new(HttpCall::new(
-            &id,
+            id,
             &request,
             self.is_idempotent(&router_request),
             prompt,
@@ -100,3 +100,12 @@
         }
     }
 }
+
+/// Returns the error for a request whose id was used before. It is no refusal, which would promise that a retry is harmless.
+fn repeated_id(error: RepeatedId) -> RequestError {
+    let text = match error {
+        RepeatedId::Open => "a request with this id is open",
+        RepeatedId::MayHaveRun => "a request with this id may have run",
+    };
+    RequestError::new(409, text)
+}
--- a/crates/ivyward-platform/tests/clients.rs
+++ b/crates/ivyward-platform/tests/clients.rs
@@ -173,8 +173,12 @@
         let response = read_response(&cluster.client, &mut first).await;
         assert_eq!((response.status, response.complete), (200, true));
         assert_eq!(cluster.attempts("same").len(), 2, "one prefill, one decode");
-        // After the response the id may be used again.
-        assert_eq!(cluster.send_request("same", "send").await.status, 200);
+        // After the response the id may be used again for what may run twice, and not for what may not.
+        assert_eq!(cluster.send_request("same", "send").await.status, 409);
+        assert_eq!(cluster.attempts("same").len(), 2, "it ran again");
+        for _ in 0..2 {
+            assert_eq!(cluster.send_request("safe", "draft").await.status, 200);
+        }
     });
 }
 
