Router: the tables of sessions and prefixes are bounded, whatever names clients choose

Cause: sessions and prefixes were keyed by names of clients, left the tables after 120 s without use, and nothing bounded their number. A prefix was entered before its request could be refused.

Change: `RecentMap` holds 32,768 sessions and 16,384 prefixes and drops the quarter that was not used for longest. Below the limits nothing changes.

--- a/crates/ivyward-core/src/router/dispatch.rs
+++ b/crates/ivyward-core/src/router/dispatch.rs
@@ -50,8 +50,7 @@
         self.prompt_tokens.add(now, CELL_DECAY, tokens);
         if request.prefix != 0 {
             self.prefix_tokens
-                .entry(request.prefix)
-                .or_default()
+                .get_or_default(request.prefix)
                 .add(now, CELL_DECAY, tokens);
         }
     }
--- a/crates/ivyward-core/src/router/endpoints.rs
+++ b/crates/ivyward-core/src/router/endpoints.rs
@@ -100,7 +100,7 @@
         });
         if self.endpoints.len() < before {
             self.sessions
-                .retain(|_, session| self.endpoints.contains_key(&session.decode_endpoint));
+                .retain(|session| self.endpoints.contains_key(&session.decode_endpoint));
         }
     }
 
--- a/crates/ivyward-core/src/router/mod.rs
+++ b/crates/ivyward-core/src/router/mod.rs
@@ -16,6 +16,7 @@
 //! | `health` | outlier detection, stalls, service times |
 //! | `slow_start` | capacity and budgets of cold endpoints |
 //! | `retry` | attempt timeouts, idempotency, final answers |
+//! | `recent_map` | a map with a limit, for names that clients choose |
 //! | `reservations` | the time limit of KV states and decode slots |
 //! | `attempts` | first tokens and ends of attempts |
 
@@ -26,6 +27,7 @@
 mod endpoints;
 mod health;
 mod ppd;
+mod recent_map;
 mod reservations;
 mod retry;
 mod slow_start;
@@ -34,6 +36,7 @@
 use crate::decaying_mean::DecayingMean;
 use crate::hash::{mix, unit_interval};
 use crate::interface::{Action, EndpointId, Event, Micros, RequestId, Settings};
+use recent_map::RecentMap;
 use reservations::ReservationDeadline;
 use state::{
     AttemptKey, CellStats, LocalityPreference, MachineTypeWeight, RequestState, ServiceKey,
@@ -73,7 +76,7 @@
     /// For each rack, its share of all decode capacity divided by its share of all prefill capacity, clamped.
     rack_affinities: BTreeMap<u16, f64>,
 
-    sessions: BTreeMap<SessionKey, Session>,
+    sessions: RecentMap<SessionKey, Session, { ppd::MAX_SESSIONS }>,
     workload_cells: BTreeMap<WorkloadCell, CellStats>,
     open_requests: BTreeMap<RequestId, RequestState>,
     /// At most one entry for each sent attempt; entries leave when their time has come.
@@ -98,7 +101,7 @@
     /// the KV state of an idle session.
     kv_retention: Vec<f64>,
     /// Recent prompt tokens of each shared prefix.
-    prefix_tokens: BTreeMap<u64, DecayingMean>,
+    prefix_tokens: RecentMap<u64, DecayingMean, { ppd::MAX_PREFIXES }>,
     /// Recent prompt tokens of all requests.
     prompt_tokens: DecayingMean,
     next_session_sweep: Micros,
--- a/crates/ivyward-core/src/router/ppd.rs
+++ b/crates/ivyward-core/src/router/ppd.rs
@@ -32,6 +32,10 @@
 pub(super) const CELL_DECAY: f64 = 60e6;
 /// A session is dropped after this idle time (docs/design.md).
 const SESSION_IDLE_TIMEOUT: Micros = 120_000_000;
+/// The maximum number of sessions and shared prefixes whose decode endpoint is known, and of prefixes whose prompt tokens are
+/// counted. At the limit the ones that were not used for the longest time are dropped.
+pub(super) const MAX_SESSIONS: usize = 1 << 15;
+pub(super) const MAX_PREFIXES: usize = 1 << 14;
 /// Idle sessions are looked for this many times per idle timeout.
 const SWEEPS_PER_TIMEOUT: u64 = 16;
 /// If a prefill is expected to take more than this share of the first-token objective, the prefill endpoints count as
@@ -117,6 +121,11 @@
 }
 
 impl Router {
+    /// Returns the number of entries for sessions and prefixes, whose names clients choose.
+    pub fn client_names(&self) -> usize {
+        self.sessions.len() + self.prefix_tokens.len()
+    }
+
     /// Drops idle sessions and prefixes.
     pub(super) fn sweep_sessions(&mut self, now: Micros) {
         if now < self.next_session_sweep {
@@ -124,9 +133,9 @@
         }
         self.next_session_sweep = now + SESSION_IDLE_TIMEOUT / SWEEPS_PER_TIMEOUT;
         self.sessions
-            .retain(|_, session| now.saturating_sub(session.last_used) < SESSION_IDLE_TIMEOUT);
+            .retain(|session| now.saturating_sub(session.last_used) < SESSION_IDLE_TIMEOUT);
         self.prefix_tokens
-            .retain(|_, tokens| now.saturating_sub(tokens.updated_at) < SESSION_IDLE_TIMEOUT);
+            .retain(|tokens| now.saturating_sub(tokens.updated_at) < SESSION_IDLE_TIMEOUT);
     }
 
     /// Returns the number of prompt tokens that no endpoint is expected to have cached: the prompt without the shared
@@ -316,8 +325,9 @@
             context_tokens: request.prompt_tokens,
             token_flow: self.token_flow,
         };
-        self.sessions
-            .extend(session_keys(request).map(|key| (key, session)));
+        for key in session_keys(request) {
+            self.sessions.insert(key, session);
+        }
     }
 
     /// Restarts the idle timeout of a served request's session entries.
--- a/crates/ivyward-core/src/router/state.rs
+++ b/crates/ivyward-core/src/router/state.rs
@@ -1,5 +1,6 @@
 //! The router's data about endpoints, sessions, requests and attempts. The types make no decisions.
 
+use super::recent_map::LastUsed;
 use crate::decaying_mean::DecayingMean;
 use crate::interface::{Action, Endpoint, EndpointId, Micros, Request, RequestId, Role};
 use std::collections::{BTreeMap, VecDeque};
@@ -158,6 +159,12 @@
     pub(super) token_flow: f64,
 }
 
+impl LastUsed for Session {
+    fn last_used(&self) -> Micros {
+        self.last_used
+    }
+}
+
 /// First-token time and time per output token, in microseconds, of one path in one workload cell.
 #[derive(Clone, Copy, Default)]
 pub(super) struct PathStats {
