Platform: a stream is not cut while its engine writes an event slowly

Change: `StallDetector` knows parts and items. 4.5 s without a byte of an event, or 27 s without a complete one, cut the stream, so an event without end still ends. Framing is no progress. What cannot become an event is rejected at its first bytes.

--- a/crates/ivyward-platform/src/config.rs
+++ b/crates/ivyward-platform/src/config.rs
@@ -14,7 +14,8 @@
 const MAX_FILE_BYTES: u64 = 4 << 20;
 /// The maximum length of a body that the platform specifies: 256 KiB.
 pub(crate) const MAX_BODY_BYTES: usize = 256 << 10;
-/// How long a response stream that has begun may go without a byte from its engine before its client is disconnected: 4.5 s.
+/// How long a response stream that has begun may go without a byte of an event from its engine before its client is disconnected:
+/// 4.5 s.
 /// The platform requires the disconnection within 5 s; the difference is the time that it takes.
 const STREAM_IDLE_TIMEOUT: Micros = 4_500_000;
 /// How long before the client's deadline the final response is sent: 20 ms, but at most the shortest deadline of all classes
--- a/crates/ivyward-platform/src/engine/event_parser.rs
+++ b/crates/ivyward-platform/src/engine/event_parser.rs
@@ -2,6 +2,9 @@
 
 use crate::config::MAX_BODY_BYTES;
 
+/// The begin of a line with an event's data.
+const DATA_FIELD: &[u8] = b"data:";
+
 /// Why a stream cannot be forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum EventError {
@@ -32,10 +35,7 @@
     /// Removes the complete events from the pending bytes and returns them.
     pub(super) fn take_complete_events(&mut self) -> Result<Vec<u8>, EventError> {
         let Some(end) = self.find_last_end() else {
-            return match self.pending.len() > MAX_BODY_BYTES {
-                true => Err(EventError::Unterminated),
-                false => Ok(Vec::new()),
-            };
+            return self.check_incomplete().map(|()| Vec::new());
         };
         let rest = self.pending.split_off(end);
         let complete = std::mem::replace(&mut self.pending, rest);
@@ -57,8 +57,22 @@
         Some(from + start + 2)
     }
 
+    /// Checks the beginning of an event that is not complete yet. One that cannot become valid is rejected without a wait for its end.
+    fn check_incomplete(&self) -> Result<(), EventError> {
+        if self.pending.len() > MAX_BODY_BYTES {
+            return Err(EventError::Unterminated);
+        }
+        let begin = &self.pending[..self.pending.len().min(DATA_FIELD.len())];
+        let may_be_valid = DATA_FIELD.starts_with(begin)
+            || matches!(self.pending.first(), Some(b':' | b'\r' | b'\n'));
+        match may_be_valid {
+            true => Ok(()),
+            false => Err(EventError::Malformed),
+        }
+    }
+
     fn inspect_line(&mut self, line: &[u8]) -> Result<(), EventError> {
-        if let Some(data) = line.strip_prefix(b"data:") {
+        if let Some(data) = line.strip_prefix(DATA_FIELD) {
             return self.inspect_data(data.trim_ascii());
         }
         if let Some(comment) = line.strip_prefix(b":") {
--- a/crates/ivyward-platform/src/engine/stream.rs
+++ b/crates/ivyward-platform/src/engine/stream.rs
@@ -105,7 +105,9 @@
             .map_err(|error| StreamResult::abandoned(Outcome::Error, error.to_string()))?;
         self.memory.resize(self.events.pending.capacity());
         self.memory.granted().await.map_err(out_of_memory)?;
+        let now = self.client.pool.runtime.now();
         if events.is_empty() {
+            self.stall.iter_mut().for_each(|s| s.part_received(now));
             return Ok(());
         }
         let cancelled = || {
@@ -126,7 +128,7 @@
         let timeout = self.request.context.settings().stream_idle_timeout;
         self.stall
             .get_or_insert_with(|| StallDetector::new(runtime, timeout))
-            .last_progress = runtime.now();
+            .item_received(runtime.now());
         Ok(())
     }
 
@@ -173,7 +175,7 @@
                 match stall.is_stalled(&self.client.pool.runtime) {
                     true => Err(StreamResult::ended(
                         Outcome::Reset,
-                        "no event within the stall timeout",
+                        "no event, and no part of one, within the stall timeout",
                     )),
                     false => Ok(()),
                 }
--- a/crates/ivyward-platform/tests/common/engine.rs
+++ b/crates/ivyward-platform/tests/common/engine.rs
@@ -40,6 +40,12 @@
     Respond(Vec<u8>),
     /// Writes the first event of a stream and then these bytes, and leaves the connection open.
     RespondAfterFirstEvent(Vec<u8>),
+    /// Writes the first event of a stream and then these bytes in pieces of some bytes, with a pause before each of them.
+    RespondSlowly {
+        bytes: Vec<u8>,
+        piece: usize,
+        pause: Micros,
+    },
     /// Writes these bytes, and closes the connection.
     RespondAndClose(Vec<u8>),
     /// Responds normally after this delay.
@@ -270,6 +276,20 @@
                 self.runtime.sleep(PAUSE).await;
                 Ok(Output::new(bytes))
             }
+            EngineBehavior::RespondSlowly {
+                bytes,
+                piece,
+                pause,
+            } => {
+                let first = SERVED_EVENTS.split_inclusive("\n\n").next().unwrap();
+                let begin = format!("{STREAM_HEAD}{}", chunk(first));
+                conn.write_all(begin.as_bytes()).await?;
+                for piece in bytes.chunks(piece) {
+                    self.runtime.sleep(pause).await;
+                    conn.write_all(piece).await?;
+                }
+                Ok(Output::new(Vec::new()))
+            }
             EngineBehavior::Delayed(delay) => {
                 self.runtime.sleep(delay).await;
                 Ok(normal_response(request))
--- a/crates/ivyward/src/engines/mod.rs
+++ b/crates/ivyward/src/engines/mod.rs
@@ -224,11 +224,16 @@
     TimedOut,
 }
 
+/// An item of a stream may take this many times the idle timeout, if parts of it arrive all the time.
+const MAX_ITEM_TIMEOUTS: Micros = 6;
+
 /// Detects streams without progress. Sets one timer per timeout interval instead of one for each received message.
 pub struct StallDetector {
     timeout: Micros,
     /// The time at which the stream last made progress.
-    pub last_progress: Micros,
+    last_progress: Micros,
+    /// The time at which the last complete item was received.
+    last_item: Micros,
     /// The timer to wait for. After it fired, call [`StallDetector::is_stalled`].
     pub timer: BoxFuture<()>,
 }
@@ -236,16 +241,31 @@
 impl StallDetector {
     /// Creates a detector for a stream that made progress just now and is stalled after `timeout` microseconds without any.
     pub fn new(runtime: &RuntimeRef, timeout: Micros) -> StallDetector {
-        let last_progress = runtime.now();
+        let now = runtime.now();
         StallDetector {
             timeout,
-            last_progress,
-            timer: runtime.sleep_until(last_progress.saturating_add(timeout)),
+            last_progress: now,
+            last_item: now,
+            timer: runtime.sleep_until(now.saturating_add(timeout)),
         }
     }
+    /// Records that a complete item was received and can be forwarded.
+    pub fn item_received(&mut self, now: Micros) {
+        self.last_progress = now;
+        self.last_item = now;
+    }
+    /// Records that a part of an item was received. An item that never ends is no progress in the long run.
+    pub fn part_received(&mut self, now: Micros) {
+        self.last_progress = now;
+    }
+    fn due(&self) -> Micros {
+        let item_timeout = self.timeout.saturating_mul(MAX_ITEM_TIMEOUTS);
+        let idle = self.last_progress.saturating_add(self.timeout);
+        idle.min(self.last_item.saturating_add(item_timeout))
+    }
     /// Returns whether the timeout passed without progress. If not, the timer is set again.
     pub fn is_stalled(&mut self, runtime: &RuntimeRef) -> bool {
-        let due = self.last_progress.saturating_add(self.timeout);
+        let due = self.due();
         if runtime.now() >= due {
             return true;
         }
--- a/crates/ivyward/src/request/answer_stream.rs
+++ b/crates/ivyward/src/request/answer_stream.rs
@@ -124,7 +124,7 @@
             .wait_for_capacity(&attempt.buffer)
             .await
             .map_err(abandoned)?;
-        self.stall.last_progress = attempt.context.runtime.now();
+        self.stall.item_received(attempt.context.runtime.now());
         Ok(())
     }
 
