--- a/crates/ivyward-platform/tests/slow_streams.rs
+++ b/crates/ivyward-platform/tests/slow_streams.rs
@@ -99,3 +99,39 @@
         assert!(open < MAX_SILENCE, "cut after {open} us");
     });
 }
+
+/// Guards against an answer after its time: engines read a large request so slowly that no attempt is sent whole.
+#[test]
+fn a_large_request_that_engines_read_slowly_is_answered_in_time() {
+    const TIMEOUT: Micros = 1_500 * MS;
+    for class in ["draft", "send"] {
+        for bytes_per_second in [2_000, 20_000, 120_000] {
+            ClusterSetup::new(|_| EngineBehavior::Normal).run(move |cluster| async move {
+                let body = format!(r#"{{"messages":["{}"]}}"#, "x".repeat(240_000));
+                let text = String::from_utf8(request("large", class, TIMEOUT / MS)).unwrap();
+                let text = text.replace(BODY, &body).replace(
+                    &format!("Content-Length: {}", BODY.len()),
+                    &format!("Content-Length: {}", body.len()),
+                );
+                cluster.sim.update_network(|net| net.bytes_per_second = 0);
+                let mut conn = cluster.connect().await;
+                conn.write_all(text.as_bytes()).await.unwrap();
+                let sent_at = cluster.client.now();
+                let slow = bytes_per_second;
+                cluster
+                    .sim
+                    .update_network(|net| net.bytes_per_second = slow);
+                let response = read_response(&cluster.client, &mut conn).await;
+                let waited = response.ended_at - sent_at;
+                assert!(
+                    response.status >= 400,
+                    "{class}, {slow}: {}",
+                    response.status
+                );
+                // The response itself crosses the slow network.
+                assert!(waited < TIMEOUT + 200 * MS, "{class}, {slow}: {waited} us");
+                assert!(cluster.attempts("large").iter().all(|r| !is_decode(r)));
+            });
+        }
+    }
+}
