Platform: smaller guaranteed shares, and response buffers that grow in steps

Each response has three shares of the budget, and each was granted a whole client's part although the budget was used up; buffers that double their capacity held more than was counted.

Change: a share is granted a third of its client's part; the buffer of a response grows in steps of 1,024 items.

--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -15,6 +15,8 @@
 use std::sync::Arc;
 use tracing::info;
 
+/// The shares of the memory budget that one response has: its engine's connection, an incomplete event, and complete events.
+const SHARES_PER_RESPONSE: usize = 3;
 /// The interval between two sweeps of the idle connections to engines: 500 ms.
 const SWEEP_INTERVAL: Micros = 500_000;
 /// The interval between two log lines with the node's counters: 10 s.
@@ -68,10 +70,9 @@
             node: settings,
         } = config;
         // Each client may hold its part of the memory at any time.
-        let response_memory = MemoryBudget::new(
-            bounds.response_bytes,
-            bounds.response_bytes / bounds.client_connections,
-        );
+        let shares = SHARES_PER_RESPONSE * bounds.client_connections;
+        let response_memory =
+            MemoryBudget::new(bounds.response_bytes, bounds.response_bytes / shares);
         let pool_settings = pool_settings(&deployment, &bounds, &settings, &response_memory);
         let pool = EnginePool::new(&runtime, pool_settings);
         let protocol = Arc::new(HttpProtocol { pool: pool.clone() });
--- a/crates/ivyward/src/response.rs
+++ b/crates/ivyward/src/response.rs
@@ -5,6 +5,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 
+/// The capacity of a buffer is a multiple of this number of items.
+const CAPACITY_STEP: usize = 1 << 10;
+
 /// Why a request was rejected. Nothing was done for it, so a retry is harmless.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RejectReason {
@@ -120,6 +123,13 @@
         if state.final_status.is_some() {
             return Err(AlreadyFinished);
         }
+        let needed = state.items.len() + items.len();
+        if needed > state.items.capacity() {
+            // Many buffers that double their capacity would hold far more memory than their bounds say.
+            let capacity = needed.next_multiple_of(CAPACITY_STEP);
+            let added = capacity - state.items.len();
+            state.items.reserve_exact(added);
+        }
         state.items.extend_from_slice(items);
         let (reader, buffered) = (state.reader.take(), state.items.len());
         drop(state);
