Platform: bytes read ahead of a send are dropped where memory is scarce, too

Cause: bytes behind a request in flight are dropped at three quarters of the memory for requests. Those that the check for a closed client reads just before the request is sent were kept: by reading of the code up to 16 KiB for each of 482 clients, beyond the limit.

Change: both ways of reading ahead share one rule. The step by which a response's buffer grows is counted in bytes, not in items, so that a gRPC node's buffers do not begin with 4 KiB each.

--- a/crates/ivyward-platform/src/buffered_connection.rs
+++ b/crates/ivyward-platform/src/buffered_connection.rs
@@ -95,8 +95,14 @@
     }
 
     /// Reads all that has been received, up to `limit` bytes, and returns whether the peer has closed its sending side behind it, or
-    /// the connection has failed. Does not wait for more. Bytes beyond the buffer are discarded.
+    /// the connection has failed. Does not wait for more. Keeps what it read as [`BufferedConnection::fill_ahead`] does.
     pub(crate) async fn peer_has_closed(&mut self, limit: usize) -> bool {
+        let has_closed = self.read_received(limit).await;
+        self.discard_if_scarce();
+        has_closed
+    }
+
+    async fn read_received(&mut self, limit: usize) -> bool {
         let (mut read, mut turn) = (0, TurnBudget::new(READ_SIZE));
         while read < limit {
             turn.wait_if_spent().await;
@@ -179,10 +185,14 @@
     /// discards all unread bytes: what follows discarded bytes cannot be parsed.
     pub(crate) async fn fill_ahead(&mut self) -> io::Result<usize> {
         let received = self.fill().await?;
+        self.discard_if_scarce();
+        Ok(received)
+    }
+
+    fn discard_if_scarce(&mut self) {
         if self.discarded_bytes > 0 || self.memory.budget().is_scarce() {
             self.discard_unread();
         }
-        Ok(received)
     }
 
     /// Reads a head with `parse`, which returns the head and its length, or `None` if it is incomplete.
--- a/crates/ivyward/src/response.rs
+++ b/crates/ivyward/src/response.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 
-/// The capacity of a buffer is a multiple of this number of items.
+/// The capacity of a buffer is a multiple of this number of bytes.
 const CAPACITY_STEP: usize = 1 << 10;
 
 /// Why a request was rejected. Nothing was done for it, so a retry is harmless.
@@ -126,7 +126,7 @@
         let needed = state.items.len() + items.len();
         if needed > state.items.capacity() {
             // Many buffers that double their capacity would hold far more memory than their bounds say.
-            let capacity = needed.next_multiple_of(CAPACITY_STEP);
+            let capacity = needed.next_multiple_of(CAPACITY_STEP / size_of::<T>());
             let added = capacity - state.items.len();
             state.items.reserve_exact(added);
         }
