Testbed: the daemons of a cluster bind addresses that no other socket can take

Need: most_nodes_killed_at_once_then_rolling_restart failed once beside load with "--peer-listen 127.0.0.1:52282: Address already in use". The rig asked the system for free UDP ports, released them, and named them in the daemons' flags; until a daemon bound its port, any other socket of the machine could be given it. Five tries of a start all met the same port.

Change: the addresses are in a part of 127.0.0.0/8 that belongs to the process of the rig, with ports below the system's own range, each given out once. The tries are gone, since a start that fails now shows a fault.

Result: addresses_of_nodes_are_taken_by_no_other_socket binds the same ports on 127.0.0.1 and the daemons' addresses beside them.

--- a/crates/ivyward-testbed/src/cluster/mod.rs
+++ b/crates/ivyward-testbed/src/cluster/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`links`]: the relays and the faults that they inject.
 //! - [`process`]: the daemon processes.
+//! - `peer_addresses`: the addresses that the daemons bind for datagrams.
 //! - [`plan`]: fault plans, drawn from a seed or read from a file.
 //! - [`play`]: runs a plan and reports the results.
 //!
@@ -9,6 +10,7 @@
 //! their process ids.
 
 pub mod links;
+mod peer_addresses;
 pub mod plan;
 pub mod play;
 pub mod process;
@@ -33,8 +35,6 @@
 
 /// The peer key of all nodes of a cluster. Messages from other nodes on this machine are dropped.
 const KEY: &str = "key of a test cluster, not a secret";
-/// The number of attempts to start a daemon. A port that was free may be taken before the daemon binds it.
-const MAX_START_ATTEMPTS: usize = 5;
 /// The longest time that data may be in flight on a busy machine, for the rule checker.
 const MAX_FLIGHT: Micros = 250_000;
 /// The interval at which views are requested.
@@ -194,15 +194,8 @@
             );
         }
         let announced: Vec<SocketAddr> = relays.iter().map(|d| d.address()).collect();
-        let mut reserved_ports = Vec::new();
         for (node, relay) in relays.into_iter().enumerate() {
-            // Finds a free port, which the node binds later.
-            let socket = runtime
-                .bind_datagram(local())
-                .map_err(io("finding a port"))?;
-            let real = socket.address();
-            // The sockets stay open until all ports are found; otherwise the same port could be found twice.
-            reserved_ports.push(socket);
+            let real = peer_addresses::allocate();
             self.links.set_source(real, node);
             runtime.run(links::relay_datagrams(
                 runtime.clone(),
@@ -319,14 +312,7 @@
     /// [`ClusterError::Start`] if the daemon does not start.
     pub fn start_node(&mut self, node: usize) -> Result<(), ClusterError> {
         let slot = &mut self.nodes[node];
-        let mut attempts = 0;
-        let process = loop {
-            attempts += 1;
-            match Process::start(&self.size.daemon, &slot.flags, KEY) {
-                Err(_) if attempts < MAX_START_ATTEMPTS => {}
-                other => break other?,
-            }
-        };
+        let process = Process::start(&self.size.daemon, &slot.flags, KEY)?;
         (slot.process, slot.stopped) = (Some(process), false);
         Ok(())
     }
