--- a/crates/ivyward-testbed/src/stall_monitor.rs
+++ b/crates/ivyward-testbed/src/stall_monitor.rs
@@ -6,48 +6,38 @@
 use ivyward::core::interface::Micros;
 use ivyward_fakes::event_log::ObservedEvent;
 use ivyward_fakes::EventLog;
-use std::sync::atomic::{AtomicBool, Ordering};
+use ivyward_runtime::{RuntimeExt, SmolRuntime};
 use std::sync::Arc;
-use std::time::Duration;
 
 /// How long the monitor sleeps at a time, in microseconds.
 const SLEEP: Micros = 10_000;
 /// The shortest stall that is recorded, in microseconds. On a busy machine a thread also waits for others of its process.
 const MIN_STALL: Micros = 100_000;
 
-/// A thread that sleeps for short times, and records when it wakes late. It ends when the monitor is dropped.
+/// Sleeps for short times on a thread of its own, and records when it wakes late, until it is dropped.
 pub(crate) struct StallMonitor {
-    stopped: Arc<AtomicBool>,
+    _runtime: Arc<SmolRuntime>,
 }
 
 impl StallMonitor {
     /// Starts recording stalls in `log`.
     pub(crate) fn start(log: EventLog) -> StallMonitor {
-        let stopped = Arc::new(AtomicBool::new(false));
-        let monitor = StallMonitor {
-            stopped: stopped.clone(),
-        };
-        std::thread::spawn(move || {
-            while !stopped.load(Ordering::Relaxed) {
-                sleep_and_record(&log);
+        let runtime = SmolRuntime::start(1, 0);
+        let timers = Arc::downgrade(&runtime);
+        runtime.run(async move {
+            while let Some(sleep) = timers.upgrade().map(|runtime| runtime.sleep(SLEEP)) {
+                let due = log.now() + SLEEP;
+                sleep.await;
+                record_stall(&log, log.now().saturating_sub(due));
             }
         });
-        monitor
+        StallMonitor { _runtime: runtime }
     }
 }
 
-/// Sleeps, and records by how much the sleep took too long.
-fn sleep_and_record(log: &EventLog) {
-    let due = log.now() + SLEEP;
-    std::thread::sleep(Duration::from_micros(SLEEP));
-    let duration = log.now().saturating_sub(due);
+/// Records a stall if a sleep took this much too long.
+fn record_stall(log: &EventLog, duration: Micros) {
     if duration >= MIN_STALL {
         log.add(ObservedEvent::ProcessStalled { duration });
     }
 }
-
-impl Drop for StallMonitor {
-    fn drop(&mut self) {
-        self.stopped.store(true, Ordering::Relaxed);
-    }
-}
