gRPC: what clients make a node hold of their requests is limited in sum

Need: one client that begins 4,000 calls on one connection, sends 900 kB of each message and stops, took ivywardd to 1.8 GB in 5 s and to 3.6 GB in 20 s (release, one play each).

Cause: the same as on the platform, a sum that nobody kept. Headers, messages and prompts are bounded for one call, and calls for one connection; nothing bounded what all of them hold.

Received bytes and headers of calls count while they are received, and at the limit the call that began first is refused; prompts of open requests count until they end, and at the limit further requests are refused. MemoryBudget moves to ivyward, where both protocols use it.

--- a/crates/ivyward-platform/src/body_buffer.rs
+++ b/crates/ivyward-platform/src/body_buffer.rs
@@ -1,5 +1,6 @@
 //! The body of a request.
 
+use ivyward::memory_budget::BudgetShare;
 use ivyward_http1::Framing;
 use serde::de::IgnoredAny;
 
@@ -80,5 +81,11 @@
     }
 }
 
+/// The body of a client's request, with its share of the budget.
+pub(crate) struct Prompt {
+    pub(crate) body: BodyBuffer,
+    pub(crate) memory: BudgetShare,
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/ivyward-platform/src/buffered_connection.rs
+++ b/crates/ivyward-platform/src/buffered_connection.rs
@@ -1,9 +1,9 @@
 //! A connection with a read buffer, and reading HTTP responses from it.
 
-use crate::memory_budget::{BudgetExhausted, BudgetShare};
 use futures_lite::future::poll_fn;
 use futures_lite::{AsyncRead, AsyncWrite};
 use ivyward::core::interface::Micros;
+use ivyward::memory_budget::{BudgetExhausted, BudgetShare};
 use ivyward::runtime::{timeout_at, Conn, Peer, ReadBudget, RuntimeRef, TurnBudget};
 use ivyward_http1::{
     BodyDecoder, BodyError, Decoded, HeadError, HeadProgress, Limits, ResponseHead,
--- a/crates/ivyward-platform/src/buffered_connection/tests.rs
+++ b/crates/ivyward-platform/src/buffered_connection/tests.rs
@@ -1,7 +1,7 @@
 //! Reading from a peer that never pauses.
 
 use super::*;
-use crate::memory_budget::MemoryBudget;
+use ivyward::memory_budget::MemoryBudget;
 use ivyward::runtime::Connection;
 use std::future::Future;
 use std::pin::pin;
--- a/crates/ivyward-platform/src/call.rs
+++ b/crates/ivyward-platform/src/call.rs
@@ -1,11 +1,12 @@
 //! The HTTP part of a client's request: what is sent to engines, and the buffer of the response.
 
-use crate::memory_budget::{BudgetExhausted, BudgetShare, MemoryBudget, Prompt};
+use crate::body_buffer::Prompt;
 use crate::request_id::RequestId;
 use crate::sync::lock;
 use event_listener::Event;
 use ivyward::core::interface::Outcome;
 use ivyward::engines::Call;
+use ivyward::memory_budget::{BudgetExhausted, BudgetShare, MemoryBudget};
 use ivyward::response::{AlreadyFinished, FinalStatus, TokenBuffer};
 use ivyward::runtime::Peer;
 use ivyward_http1::RequestHead;
--- a/crates/ivyward-platform/src/call/tests.rs
+++ b/crates/ivyward-platform/src/call/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 use crate::body_buffer::BodyBuffer;
-use crate::memory_budget::{BudgetShare, MemoryBudget};
 use crate::request_id::IdRegistry;
+use ivyward::memory_budget::{BudgetShare, MemoryBudget};
 use ivyward::runtime::RuntimeExt;
 use ivyward_http1::Framing;
 use ivyward_sim::{NetworkConfig, Sim};
--- a/crates/ivyward-platform/src/discovery/list_call.rs
+++ b/crates/ivyward-platform/src/discovery/list_call.rs
@@ -3,9 +3,9 @@
 use super::error::ListCallError;
 use super::list::List;
 use crate::buffered_connection::{read_response_body, read_response_head, BufferedConnection};
-use crate::memory_budget::{BudgetShare, MemoryBudget};
 use ivyward::core::interface::Micros;
 use ivyward::core::long_poll::LongPoll;
+use ivyward::memory_budget::{BudgetShare, MemoryBudget};
 use ivyward::runtime::{timeout_at, RuntimeRef};
 use ivyward_http1::{head, Limits};
 use std::net::SocketAddr;
--- a/crates/ivyward-platform/src/engine/attempt.rs
+++ b/crates/ivyward-platform/src/engine/attempt.rs
@@ -4,12 +4,12 @@
 use super::endpoint::{CallError, HttpEngineClient};
 use super::event_parser::cached_tokens;
 use super::stream::{StreamRelay, StreamResult};
+use crate::body_buffer::Prompt;
 use crate::buffered_connection::{
     read_response_body, read_response_head, ReadHeadError, ResponseHeadError,
 };
 use crate::call::{HttpCall, Progress};
 use crate::config::LIMITS;
-use crate::memory_budget::Prompt;
 use futures_lite::future::{or, poll_fn};
 use ivyward::core::connection_reuse::{self, AttemptTraits, DeliveryCheck};
 use ivyward::core::interface::{LoadReport, Micros, Outcome};
--- a/crates/ivyward-platform/src/engine/connection.rs
+++ b/crates/ivyward-platform/src/engine/connection.rs
@@ -1,8 +1,8 @@
 //! A connection to an engine, and the limit on how many may be open.
 
 use crate::buffered_connection::BufferedConnection;
-use crate::memory_budget::BudgetShare;
 use ivyward::core::interface::Micros;
+use ivyward::memory_budget::BudgetShare;
 use ivyward::runtime::{timeout_at, Conn, RuntimeRef};
 use std::ops::{Deref, DerefMut};
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/crates/ivyward-platform/src/engine/pool.rs
+++ b/crates/ivyward-platform/src/engine/pool.rs
@@ -2,11 +2,11 @@
 
 use super::connection::{ConnectionLimit, ConnectionPermit, EngineConnection};
 use super::pending_releases::PendingReleases;
-use crate::memory_budget::MemoryBudget;
 use crate::sync::lock;
 use ivyward::core::connection_reuse::ReuseHistory;
 use ivyward::core::interface::{EndpointId, Micros};
 use ivyward::core::release::{reserve_timeout, ReleaseSettings, ReleaseTarget};
+use ivyward::memory_budget::MemoryBudget;
 use ivyward::runtime::RuntimeRef;
 use ivyward::Engine;
 use std::collections::VecDeque;
--- a/crates/ivyward-platform/src/engine/stream.rs
+++ b/crates/ivyward-platform/src/engine/stream.rs
@@ -5,9 +5,9 @@
 use super::event_parser::EventParser;
 use crate::call::HttpCall;
 use crate::config::LIMITS;
-use crate::memory_budget::{BudgetExhausted, BudgetShare};
 use ivyward::core::interface::{LoadReport, Outcome};
 use ivyward::engines::{AttemptRequest, AttemptResult, CancelReason, StallDetector, WaitResult};
+use ivyward::memory_budget::{BudgetExhausted, BudgetShare};
 use ivyward::runtime::BoxFuture;
 use ivyward_http1::{BodyDecoder, Decoded, Framing};
 
--- a/crates/ivyward-platform/src/lib.rs
+++ b/crates/ivyward-platform/src/lib.rs
@@ -5,7 +5,7 @@
 //! - `server`: client connections and their requests.
 //! - `engine`: connections, attempts, reservations and releases at engines.
 //! - `discovery`: follows the list of engines.
-//! - `call`: the HTTP part of a client's request; `request_id`: its id; `memory_budget`: the limits on the memory of requests and responses.
+//! - `call`: the HTTP part of a client's request; `request_id`: its id.
 //! - `buffered_connection`: a connection with a read buffer; `body_buffer`: the body of a request.
 //!
 //! The crate implements the traits of [`ivyward::engines`], through which the driver runs attempts. The router makes all
@@ -17,7 +17,6 @@
 pub mod config;
 mod discovery;
 mod engine;
-mod memory_budget;
 mod request_id;
 mod server;
 pub mod service;
--- a/crates/ivyward-platform/src/server.rs
+++ b/crates/ivyward-platform/src/server.rs
@@ -16,11 +16,11 @@
 
 use crate::buffered_connection::BufferedConnection;
 use crate::config::Bounds;
-use crate::memory_budget::{BudgetShare, MemoryBudget};
 use crate::request_id::IdRegistry;
 use connection_table::{ConnectionTable, TableEntry};
 use futures_lite::future::{or, poll_once, yield_now};
 use ivyward::core::interface::Micros;
+use ivyward::memory_budget::{BudgetShare, MemoryBudget};
 use ivyward::runtime::{Conn, ErrorOrigin, Listener, RuntimeExt, RuntimeRef};
 use ivyward::Node;
 use ivyward_settings::NamedSettings;
--- a/crates/ivyward-platform/src/server/request_reader.rs
+++ b/crates/ivyward-platform/src/server/request_reader.rs
@@ -3,10 +3,11 @@
 use super::connection::RequestError;
 use super::Server;
 use crate::body_buffer::BodyBuffer;
+use crate::body_buffer::Prompt;
 use crate::buffered_connection::{BufferedConnection, ReadHeadError};
 use crate::config::{LIMITS, MAX_BODY_BYTES};
-use crate::memory_budget::{BudgetExhausted, BudgetShare, Prompt};
 use ivyward::core::interface::Micros;
+use ivyward::memory_budget::{BudgetExhausted, BudgetShare};
 use ivyward::runtime::timeout_at;
 use ivyward_http1::{BodyDecoder, Decoded, HeadError, RequestHead};
 
--- a/crates/ivyward-platform/src/service.rs
+++ b/crates/ivyward-platform/src/service.rs
@@ -3,10 +3,10 @@
 use crate::config::{list_limits, Bounds, Config};
 use crate::discovery::{Discovery, ListReader, Watch};
 use crate::engine::{EnginePool, EnginePoolSettings, HttpProtocol, PendingReleases};
-use crate::memory_budget::MemoryBudget;
 use crate::server::Server;
 use ivyward::core::interface::{ListKind, Micros};
 use ivyward::core::release::ReleaseSettings;
+use ivyward::memory_budget::MemoryBudget;
 use ivyward::runtime::{RuntimeExt, RuntimeRef};
 use ivyward::{Node, NodeSettings, StartError};
 use ivyward_settings::NamedSettings;
--- a/crates/ivyward/src/context.rs
+++ b/crates/ivyward/src/context.rs
@@ -1,6 +1,8 @@
 //! What the parts of a node share: its runtime, settings, counters and limits. This module depends on none of those parts.
 
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
+use crate::response::RejectReason;
 use crate::settings::NodeSettings;
 use ivyward_core::interface as core;
 use ivyward_core::shutdown::Admission;
@@ -19,6 +21,10 @@
     /// Number of open requests.
     pub(crate) open: AtomicUsize,
     pub(crate) next_request_id: AtomicU64,
+    /// The memory of gRPC requests that are being received. The ones that began first are rejected at the limit.
+    pub(crate) receiving_memory: Arc<MemoryBudget>,
+    /// The memory of the prompts of open requests. Further requests are rejected at the limit.
+    pub(crate) prompt_memory: Arc<MemoryBudget>,
     pub(crate) stopping: AtomicBool,
     admission: Mutex<Admission>,
     pub(crate) stopping_event: event_listener::Event,
@@ -36,6 +42,8 @@
         router_settings: core::Settings,
     ) -> Arc<NodeContext> {
         Arc::new(NodeContext {
+            receiving_memory: MemoryBudget::new(settings.max_request_bytes, 0),
+            prompt_memory: MemoryBudget::new(settings.max_request_bytes, 0),
             incarnation: runtime.random(),
             runtime,
             settings,
@@ -66,6 +74,10 @@
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
     }
+    pub(crate) fn count_rejection(&self, reason: RejectReason) {
+        self.metrics.rejected.add(1);
+        self.metrics.count_rejection(reason);
+    }
     pub(crate) fn admission(&self) -> MutexGuard<'_, Admission> {
         self.admission
             .lock()
--- a/crates/ivyward/src/lib.rs
+++ b/crates/ivyward/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`settings`]: the settings of a node, and the checks on them.
 //! - [`metrics`], [`close_reason`]: counters and gauges, and the reasons for which client connections are closed.
+//! - [`memory_budget`]: limits on the memory that connections and requests hold.
 //! - [`response`]: the final status of a request, and the bounded buffer between an attempt and its client.
 //! - `context`: the runtime, settings and metrics that all parts of a node share.
 //! - [`engines`]: the interface between the driver and the protocols that engines speak, and the connections of the gRPC
@@ -26,6 +27,7 @@
 mod context;
 pub mod engines;
 pub mod membership;
+pub mod memory_budget;
 pub mod metrics;
 mod node;
 pub mod peers;
--- a/crates/ivyward-platform/src/memory_budget.rs
+++ b/crates/ivyward/src/memory_budget.rs
@@ -4,21 +4,19 @@
 //! that has been received for the longest time, or the response whose client has not read for the longest time. A client that
 //! sends and reads at a normal speed is a holder for a short time only.
 
-use crate::body_buffer::BodyBuffer;
-use crate::sync::lock;
 use event_listener::Event;
 use futures_lite::future::{or, poll_once};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// The budget is scarce when less than one part in this number is left.
 const SCARCE_DIVISOR: usize = 4;
 
 /// Counts the bytes that are held, up to a limit.
 #[derive(Debug)]
-pub(crate) struct MemoryBudget {
+pub struct MemoryBudget {
     used: AtomicUsize,
     max: usize,
     /// The size up to which a share may grow even if the budget is used up.
@@ -43,11 +41,11 @@
 /// The budget is used up, and no holder can be shed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the limit on memory is reached")]
-pub(crate) struct BudgetExhausted;
+pub struct BudgetExhausted;
 
 impl MemoryBudget {
     /// Creates a budget of `max` bytes. A share of up to `guaranteed` bytes is granted even if the budget is used up.
-    pub(crate) fn new(max: usize, guaranteed: usize) -> Arc<MemoryBudget> {
+    pub fn new(max: usize, guaranteed: usize) -> Arc<MemoryBudget> {
         Arc::new(MemoryBudget {
             used: AtomicUsize::new(0),
             max,
@@ -59,27 +57,39 @@
     }
 
     /// Creates a budget for memory that is limited in another way.
-    pub(crate) fn unlimited() -> Arc<MemoryBudget> {
+    pub fn unlimited() -> Arc<MemoryBudget> {
         MemoryBudget::new(usize::MAX, usize::MAX)
     }
 
     /// Returns the number of bytes in use.
-    pub(crate) fn used(&self) -> usize {
+    pub fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
     }
 
     /// Returns the number of holders that were shed so far.
-    pub(crate) fn shed(&self) -> u64 {
+    pub fn shed(&self) -> u64 {
         self.shed.load(Ordering::Relaxed)
     }
 
+    /// Returns whether more than the limit is in use.
+    pub fn is_exceeded(&self) -> bool {
+        self.used() > self.max
+    }
+
     /// Returns whether little of the budget is left. Bytes that can be dropped without harm are not kept then.
-    pub(crate) fn is_scarce(&self) -> bool {
+    pub fn is_scarce(&self) -> bool {
         self.used() > self.max - self.max / SCARCE_DIVISOR
     }
 
+    fn holders(&self) -> MutexGuard<'_, Holders> {
+        self.holders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits until a share of `held` bytes, which are counted already, is granted.
-    pub(crate) async fn grant(&self, held: usize) -> Result<(), BudgetExhausted> {
+    ///
+    /// # Errors
+    /// [`BudgetExhausted`] if the limit is exceeded and no holder can be shed.
+    pub async fn grant(&self, held: usize) -> Result<(), BudgetExhausted> {
         match held <= self.guaranteed {
             true => Ok(()),
             false => self.make_room(0).await,
@@ -100,7 +110,7 @@
 
     /// Sheds the holder that began first, unless one that was shed has not ended yet.
     fn shed_oldest(&self) -> Result<(), BudgetExhausted> {
-        let mut holders = lock(&self.holders);
+        let mut holders = self.holders();
         if holders.ending > 0 {
             return Ok(());
         }
@@ -111,7 +121,7 @@
     }
 
     /// Runs `task` as a holder of memory of this budget. Returns `None` if it is shed, after the task was dropped.
-    pub(crate) async fn hold<T>(&self, task: impl Future<Output = T>) -> Option<T> {
+    pub async fn hold<T>(&self, task: impl Future<Output = T>) -> Option<T> {
         let mut task = Box::pin(task);
         // Most tasks need not wait.
         if let Some(result) = poll_once(task.as_mut()).await {
@@ -131,7 +141,7 @@
 
     fn register_holder(&self) -> (Holder<'_>, async_channel::Receiver<()>) {
         let (sender, shed) = async_channel::bounded(1);
-        let mut holders = lock(&self.holders);
+        let mut holders = self.holders();
         let id = holders.next_id;
         holders.next_id += 1;
         holders.sheddable.insert(id, sender);
@@ -147,7 +157,7 @@
 
 impl Drop for Holder<'_> {
     fn drop(&mut self) {
-        let mut holders = lock(&self.budget.holders);
+        let mut holders = self.budget.holders();
         if holders.sheddable.remove(&self.id).is_none() {
             holders.ending -= 1;
             self.budget.released.notify(usize::MAX);
@@ -157,26 +167,27 @@
 
 /// A share of a budget, which is returned to it on drop.
 #[derive(Debug)]
-pub(crate) struct BudgetShare {
+pub struct BudgetShare {
     budget: Arc<MemoryBudget>,
     bytes: usize,
 }
 
 impl BudgetShare {
     /// Creates a share of 0 bytes.
-    pub(crate) fn new(budget: &Arc<MemoryBudget>) -> BudgetShare {
+    pub fn new(budget: &Arc<MemoryBudget>) -> BudgetShare {
         BudgetShare {
             budget: budget.clone(),
             bytes: 0,
         }
     }
 
-    pub(crate) fn budget(&self) -> &Arc<MemoryBudget> {
+    /// Returns the budget of the share.
+    pub fn budget(&self) -> &Arc<MemoryBudget> {
         &self.budget
     }
 
     /// Sets the size of the share. The bytes count even if the budget is used up.
-    pub(crate) fn resize(&mut self, bytes: usize) {
+    pub fn resize(&mut self, bytes: usize) {
         let used = &self.budget.used;
         match bytes.checked_sub(self.bytes) {
             Some(added) => {
@@ -191,17 +202,23 @@
     }
 
     /// Returns the size of the share.
-    pub(crate) fn bytes(&self) -> usize {
+    pub fn bytes(&self) -> usize {
         self.bytes
     }
 
     /// Waits until the share is granted.
-    pub(crate) async fn granted(&self) -> Result<(), BudgetExhausted> {
+    ///
+    /// # Errors
+    /// As for [`MemoryBudget::grant`].
+    pub async fn granted(&self) -> Result<(), BudgetExhausted> {
         self.budget.grant(self.bytes).await
     }
 
     /// Adds `bytes` to the share, once they are within the limit of the budget.
-    pub(crate) async fn grow(&mut self, bytes: usize) -> Result<(), BudgetExhausted> {
+    ///
+    /// # Errors
+    /// As for [`MemoryBudget::grant`]; the share stays as it was.
+    pub async fn grow(&mut self, bytes: usize) -> Result<(), BudgetExhausted> {
         if self.bytes + bytes > self.budget.guaranteed {
             self.budget.make_room(bytes).await?;
         }
@@ -216,11 +233,5 @@
     }
 }
 
-/// The body of a client's request, with its share of the budget.
-pub(crate) struct Prompt {
-    pub(crate) body: BodyBuffer,
-    pub(crate) memory: BudgetShare,
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/ivyward/src/node.rs
+++ b/crates/ivyward/src/node.rs
@@ -189,6 +189,8 @@
         } else if accepted.first_token_deadline <= context.runtime.now() {
             // The deadline has passed. Nothing was done for the request, so it can be rejected.
             RejectReason::Overloaded
+        } else if context.prompt_memory.is_exceeded() {
+            RejectReason::NodeFull
         } else if context.open.fetch_add(1, Ordering::SeqCst) >= context.settings.max_open_requests
         {
             context.open.fetch_sub(1, Ordering::SeqCst);
@@ -198,8 +200,7 @@
             self.driver.send(DriverMessage::Request(Box::new(accepted)));
             return Ok(id);
         };
-        context.metrics.rejected.add(1);
-        context.metrics.count_rejection(reason);
+        context.count_rejection(reason);
         Err(reason)
     }
 
--- a/crates/ivyward/src/request/grpc.rs
+++ b/crates/ivyward/src/request/grpc.rs
@@ -7,6 +7,7 @@
     AttemptRequest, AttemptResult, Call, Engine, EngineClient, EngineHandle, Protocol,
     ReleaseRequest, ReservationStatus, ReserveRequest,
 };
+use crate::memory_budget::BudgetShare;
 use crate::request::attempt::{self, EngineCall, GrpcAttempt};
 use crate::response::{FinalStatus, TokenBuffer};
 use crate::settings::NodeSettings;
@@ -33,6 +34,8 @@
     pub(crate) call_id: u64,
     pub(crate) idempotency_key: String,
     pub(crate) buffer: Arc<TokenBuffer>,
+    /// The memory of the prompt.
+    pub(crate) _memory: BudgetShare,
 }
 
 impl Call for GrpcCall {
--- a/crates/ivyward/src/request/grpc_server.rs
+++ b/crates/ivyward/src/request/grpc_server.rs
@@ -1,10 +1,13 @@
 //! The gRPC server for clients: accepts calls on a listener, and reports the final status of each as a gRPC status.
 
+use crate::context::NodeContext;
 use crate::node::{Node, ResponseStream};
 use crate::request::clients::ClientConnection;
+use crate::request::request_body::CountedBody;
 use crate::response::{FailureReason, FinalStatus, RejectReason, ResponsePart};
 use futures_lite::future::{or, yield_now};
 use futures_lite::{Stream, StreamExt};
+use hyper::body::Incoming;
 use hyper_util::service::TowerToHyperService;
 use ivyward_core::interface::Micros;
 use ivyward_grpc::{parse_timeout, TIMEOUT_HEADER};
@@ -89,6 +92,11 @@
     Status::with_error_details_and_metadata(code, text, details, metadata)
 }
 
+/// Returns the status of a request that is rejected while it is received, for want of memory.
+pub(super) fn node_full(retry_after: Micros) -> Status {
+    rejection(RejectReason::NodeFull, Some(retry_after))
+}
+
 fn failure(reason: &FailureReason) -> Status {
     let (code, text) = match reason {
         FailureReason::Deadline => (
@@ -231,9 +239,18 @@
         .auto_date_header(false)
         .max_concurrent_streams(MAX_CALLS_PER_CLIENT)
         .max_header_list_size(MAX_HEADERS);
-    let service = hyper::service::service_fn(move |call| {
+    let context = node.context.clone();
+    let service = hyper::service::service_fn(move |call: http::Request<Incoming>| {
+        let context = context.clone();
+        let call = count_memory(&context, call);
         let answered = hyper::service::Service::call(&service, call);
-        async move { answered.await.map(mark_early_failure) }
+        async move {
+            // Ends when the message has been received, since the response is a stream.
+            match context.receiving_memory.hold(answered).await {
+                Some(answered) => answered.map(mark_early_failure),
+                None => Ok(shed_response(&context)),
+            }
+        }
     });
     let mut connection = std::pin::pin!(builder.serve_connection(Io::new(conn), service));
     let ended = or(async { Some(connection.as_mut().await) }, async {
@@ -248,5 +265,23 @@
     drop(admitted);
 }
 
+/// Counts the memory of a call while it is received.
+fn count_memory(
+    context: &NodeContext,
+    call: http::Request<Incoming>,
+) -> http::Request<CountedBody> {
+    let (head, body) = call.into_parts();
+    let retry_after = context.router_settings.max_retry_after;
+    let budget = &context.receiving_memory;
+    let body = CountedBody::new(body, &head.headers, budget, retry_after);
+    http::Request::from_parts(head, body)
+}
+
+/// Returns the response to a call that is shed while it is received.
+fn shed_response(context: &NodeContext) -> http::Response<tonic::body::Body> {
+    context.count_rejection(RejectReason::NodeFull);
+    node_full(context.router_settings.max_retry_after).into_http()
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/ivyward/src/request/mod.rs
+++ b/crates/ivyward/src/request/mod.rs
@@ -11,6 +11,7 @@
 //! - `open_requests`, `engine_table`, `timers`: the state of the driver.
 //! - `grpc`: the gRPC protocol to engines, behind the interface of [`crate::engines`]; `answer_stream`: the token stream of
 //!   one attempt.
+//! - `request_body`: the body of a call that is being received, and its memory.
 //! - `clients`: open client connections.
 
 mod answer_stream;
@@ -24,6 +25,7 @@
 pub mod grpc_server;
 pub(crate) mod messages;
 mod open_requests;
+mod request_body;
 mod reservations;
 mod timers;
 pub(crate) mod validation;
--- a/crates/ivyward/src/request/validation.rs
+++ b/crates/ivyward/src/request/validation.rs
@@ -1,6 +1,7 @@
 //! Checks a client's request, and derives from it the request that the router sees.
 
 use crate::context::NodeContext;
+use crate::memory_budget::BudgetShare;
 use crate::request::grpc::GrpcCall;
 use crate::request::messages::AcceptedRequest;
 use crate::response::TokenBuffer;
@@ -71,6 +72,8 @@
         is_retry: request.repeat,
         is_resumed: request.resumed,
     };
+    let mut memory = BudgetShare::new(&context.prompt_memory);
+    memory.resize(request.prompt.capacity() * size_of::<u32>());
     let call = GrpcCall {
         request: routed,
         prompt: Arc::new(request.prompt),
@@ -78,6 +81,7 @@
         call_id: request.call_id,
         idempotency_key: request.idempotency_key,
         buffer,
+        _memory: memory,
     };
     Ok(AcceptedRequest {
         request: routed,
--- a/crates/ivyward/src/settings.rs
+++ b/crates/ivyward/src/settings.rs
@@ -75,6 +75,9 @@
     pub idle_checks_per_second: u32,
     /// Maximum number of open requests (`--most-open`). Further requests are rejected.
     pub max_open_requests: usize,
+    /// Maximum number of bytes of all gRPC requests that are being received, and of the prompts of all open requests
+    /// (`--most-request-bytes`). Of the former, those that began first are rejected at the limit; of the latter, new ones are.
+    pub max_request_bytes: usize,
     /// Maximum number of client connections (`--most-clients`). Further connections are closed on accept.
     pub max_client_connections: usize,
     /// Maximum length of a prompt in tokens (`--most-prompt`). A longer prompt makes the request invalid.
@@ -122,6 +125,7 @@
             ping_timeout: 1_000_000,
             idle_checks_per_second: DEFAULT_IDLE_CHECKS_PER_SECOND,
             max_open_requests: 20_000,
+            max_request_bytes: 256 << 20,
             max_client_connections: 4_096,
             max_prompt_tokens: 200_000,
             max_output_tokens: 100_000,
@@ -326,6 +330,7 @@
                 1 << 12,
             ),
             ("--most-open", self.max_open_requests, 1 << 20),
+            ("--most-request-bytes", self.max_request_bytes, 1 << 40),
             ("--most-clients", self.max_client_connections, 1 << 20),
             ("--most-prompt", self.max_prompt_tokens, 1 << 22),
             ("--most-output", self.max_output_tokens, 1 << 22),
--- a/crates/ivywardd/src/flags.rs
+++ b/crates/ivywardd/src/flags.rs
@@ -314,6 +314,15 @@
         default_value_t = 20_000
     )]
     pub max_open_requests: usize,
+    /// Maximum number of bytes of all requests that are being received, and of the prompts of all open requests. Further
+    /// requests are rejected.
+    #[arg(
+        long = "most-request-bytes",
+        env = "IVYWARD_MOST_REQUEST_BYTES",
+        value_name = "BYTES",
+        default_value_t = 256 << 20
+    )]
+    pub max_request_bytes: usize,
     /// Maximum number of client connections. Further connections are closed on accept.
     #[arg(
         long = "most-clients",
--- a/crates/ivywardd/src/flags/settings.rs
+++ b/crates/ivywardd/src/flags/settings.rs
@@ -97,6 +97,7 @@
             ping_timeout: self.ping_timeout,
             idle_checks_per_second: self.idle_checks_per_second(),
             max_open_requests: self.max_open_requests,
+            max_request_bytes: self.max_request_bytes,
             max_client_connections: self.max_client_connections,
             max_prompt_tokens: self.max_prompt_tokens,
             max_output_tokens: self.max_output_tokens,
--- a/crates/ivywardd/tests/flags.rs
+++ b/crates/ivywardd/tests/flags.rs
@@ -96,6 +96,7 @@
         ("--calls-per-connection=0", "--calls-per-connection"),
         ("--connections-per-engine=0", "--connections-per-engine"),
         ("--most-open=0", "--most-open"),
+        ("--most-request-bytes=0", "--most-request-bytes"),
         ("--most-clients=0", "--most-clients"),
         ("--most-prompt=0", "--most-prompt"),
         ("--most-output=99999999", "--most-output"),
