gRPC: a connection on which bytes arrive is not closed for a late answer to a ping

Cause: the answer to a ping waits behind the data of all streams, and had to come within the ping timeout; other bytes did not count as a sign of life.

Change: the ping timeout counts from the last received byte, so a silent connection is closed as before.

--- a/crates/ivyward-grpc/src/keepalive.rs
+++ b/crates/ivyward-grpc/src/keepalive.rs
@@ -6,6 +6,7 @@
 use crate::options::Options;
 use futures_lite::future::or;
 use ivyward_runtime::{timeout_at, Micros, RuntimeRef};
+use std::pin::pin;
 use std::sync::Arc;
 
 /// Decides when idle connections are checked. One instance may serve all connections of an owner, to limit the rate of checks.
@@ -82,16 +83,27 @@
         }
     }
 
-    /// Sends a ping. Returns whether it is answered in time.
+    /// Sends a ping. Returns `false` if the connection breaks, or if nothing is received for the ping timeout. While other bytes
+    /// are received, the server is alive, and its answer may be queued behind them.
     async fn ping(&self, pings: &mut h2::PingPong) -> bool {
-        let deadline = self.runtime.now().saturating_add(self.options.ping_timeout);
+        let began = self.runtime.now();
+        let deadline = || {
+            let since = self.observer.last_received().max(began);
+            since.saturating_add(self.options.ping_timeout)
+        };
         let check = self.activity.check_starts();
-        let answer = timeout_at(&self.runtime, deadline, pings.ping(h2::Ping::opaque())).await;
-        let answered = matches!(answer, Some(Ok(_)));
-        if answered {
-            self.activity.check_answered(check);
+        let mut answer = pin!(pings.ping(h2::Ping::opaque()));
+        loop {
+            match timeout_at(&self.runtime, deadline(), answer.as_mut()).await {
+                Some(Ok(_)) => {
+                    self.activity.check_answered(check);
+                    return true;
+                }
+                Some(Err(_)) => return false,
+                None if self.runtime.now() >= deadline() => return false,
+                None => {}
+            }
         }
-        answered
     }
 
     /// Waits until a ping is due because nothing was received for the ping interval, counted from now at the earliest. Ends
--- a/crates/ivyward-grpc/src/options.rs
+++ b/crates/ivyward-grpc/src/options.rs
@@ -16,7 +16,7 @@
     /// never. Connections begun with [`Channel::begin_with_idle_checks`](crate::Channel::begin_with_idle_checks) are
     /// pinged by this rule only while calls are in flight.
     pub ping_interval: Micros,
-    /// A connection is closed when a ping is not answered within this time, in microseconds.
+    /// A connection is closed when nothing is received for this time after a ping, in microseconds.
     pub ping_timeout: Micros,
 }
 
