gRPC: what an engine sent before its reset is read although a write has failed

Cause: h2 ends a connection at its first failed write, with bytes unread in the socket. Beside it, the stand-in engine reset connections that it ended in order (SO_LINGER of 0, meant for crashes), so that output that had not left was discarded.

Change: the error of a write is returned by the read that finds nothing more, and bytes written meanwhile are dropped and not recorded as sent. The stand-in ends its output and waits for the client's close. No check is changed.

--- a/crates/ivyward-fakes/src/engine.rs
+++ b/crates/ivyward-fakes/src/engine.rs
@@ -1031,8 +1031,13 @@
         ready!(self.poll_pending_output(cx))?;
         Pin::new(&mut self.conn).poll_flush(cx)
     }
+    /// Ends the output, and waits until the client has closed the connection, too. Closing it before would discard output that the
+    /// client has not received.
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.conn).poll_close(cx)
+        ready!(Pin::new(&mut self.conn).poll_close(cx))?;
+        let mut input = [0; 1_024];
+        while ready!(Pin::new(&mut self.conn).poll_read(cx, &mut input))? > 0 {}
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/ivyward-grpc/src/frame_observer.rs
+++ b/crates/ivyward-grpc/src/frame_observer.rs
@@ -237,8 +237,14 @@
 }
 
 /// A client's connection that reports its frames to a [`FrameObserver`].
+///
+/// A write fails as soon as the server's reset has arrived, while what the server sent before it, such as a GOAWAY or the end of a
+/// response, may still be in the socket. The error is therefore returned by the read that finds nothing more. Bytes that are
+/// written meanwhile are dropped, and are not reported as sent.
 pub struct ObservedConnection {
     conn: Conn,
+    /// Why writes fail, if they do.
+    write_error: Option<io::ErrorKind>,
     observer: Arc<FrameObserver>,
     runtime: RuntimeRef,
     sent: FrameScanner,
@@ -255,6 +261,7 @@
         observer.record_received(0, runtime.now());
         ObservedConnection {
             conn,
+            write_error: None,
             observer,
             runtime,
             sent: FrameScanner {
@@ -265,6 +272,32 @@
         }
     }
 
+    /// Reports the bytes of a write, or keeps its error. Returns how many of the `offered` bytes count as written.
+    fn finish_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: io::Result<usize>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> usize {
+        let offered = bufs.iter().map(|buf| buf.len()).sum();
+        let mut remaining = match written {
+            Ok(written) => written,
+            Err(error) => {
+                self.write_error = Some(error.kind());
+                // The read may have found nothing before, and has to return the error.
+                cx.waker().wake_by_ref();
+                return offered;
+            }
+        };
+        let written = remaining;
+        for buf in bufs {
+            let part = remaining.min(buf.len());
+            self.scan_sent(&buf[..part]);
+            remaining -= part;
+        }
+        written
+    }
+
     fn scan_sent(&mut self, bytes: &[u8]) {
         let observer = &self.observer;
         self.sent
@@ -279,7 +312,14 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let this = &mut *self;
-        let length = ready!(Pin::new(&mut this.conn).poll_read(cx, buf))?;
+        let length = match (
+            Pin::new(&mut this.conn).poll_read(cx, buf),
+            this.write_error,
+        ) {
+            (Poll::Ready(read), _) => read?,
+            (Poll::Pending, Some(error)) => return Poll::Ready(Err(error.into())),
+            (Poll::Pending, None) => return Poll::Pending,
+        };
         let observer = &this.observer;
         observer.record_received(length, this.runtime.now());
         this.received.scan(&buf[..length], |header, payload| {
@@ -291,13 +331,11 @@
 
 impl AsyncWrite for ObservedConnection {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.conn).poll_write(cx, buf))?;
-        self.scan_sent(&buf[..written]);
-        Poll::Ready(Ok(written))
+        self.poll_write_vectored(cx, &[io::IoSlice::new(buf)])
     }
 
     fn poll_write_vectored(
@@ -305,14 +343,11 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.conn).poll_write_vectored(cx, bufs))?;
-        let mut remaining = written;
-        for buf in bufs {
-            let part = remaining.min(buf.len());
-            self.scan_sent(&buf[..part]);
-            remaining -= part;
-        }
-        Poll::Ready(Ok(written))
+        let written = match self.write_error {
+            Some(error) => Err(error.into()),
+            None => ready!(Pin::new(&mut self.conn).poll_write_vectored(cx, bufs)),
+        };
+        Poll::Ready(Ok(self.finish_write(cx, written, bufs)))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
