Reservations: what a cancelled prefill may leave is released after the stream began, too

Cause: the stream makes engines release what they hold, so a request on the platform dropped all its reservations at the first token. A prefill that was cancelled while its engine hung may end after that, and its state comes after the stream's release.

Change: at the first token, unconfirmed reservations are released, with the two repeats that such releases have. Confirmed ones are left to the stream as before.

--- a/crates/ivyward-core/src/reservations.rs
+++ b/crates/ivyward-core/src/reservations.rs
@@ -12,8 +12,8 @@
 pub enum ReleaseMode {
     /// Each reservation is released by its own call, at any time.
     PerReservation,
-    /// One call releases all reservations of the request at all engines. It is made when no attempt is in flight, and is
-    /// not needed once an answer has begun to stream.
+    /// One call releases all reservations of the request at all engines. It is made when no attempt is in flight. Engines
+    /// release what they hold by themselves once an answer has begun to stream.
     PerRequest,
 }
 
@@ -222,20 +222,21 @@
     }
 
     /// Records that the answer began to stream from this attempt. The KV state and the slot that the attempt used are used
-    /// up. The other reservations are returned for release; with [`ReleaseMode::PerRequest`] none are, because the stream
-    /// makes engines release them.
+    /// up. The other reservations are returned for release; with [`ReleaseMode::PerRequest`] only the unconfirmed ones are,
+    /// because the stream makes engines release what they hold, and what is still on its way to an engine comes after that.
     pub fn first_token(&mut self, attempt: u16) -> Vec<Reservation<H>> {
         let fetched = self.kv_state.take().map(|state| state.attempt);
         let reservations = std::mem::take(&mut self.reservations);
-        if self.mode == ReleaseMode::PerRequest {
-            return Vec::new();
-        }
+        let is_left = |tracked: &Tracked<H>| match self.mode {
+            ReleaseMode::PerRequest => !tracked.reservation.confirmed,
+            ReleaseMode::PerReservation if tracked.reservation.is_decode_slot => {
+                tracked.usage != Usage::ByAttempt(attempt)
+            }
+            ReleaseMode::PerReservation => fetched != Some(tracked.reservation.attempt),
+        };
         reservations
             .into_iter()
-            .filter(|tracked| match tracked.reservation.is_decode_slot {
-                true => tracked.usage != Usage::ByAttempt(attempt),
-                false => fetched != Some(tracked.reservation.attempt),
-            })
+            .filter(is_left)
             .map(|tracked| tracked.reservation)
             .collect()
     }
--- a/crates/ivyward-core/tests/reservations.rs
+++ b/crates/ivyward-core/tests/reservations.rs
@@ -230,6 +230,30 @@
     assert_eq!(reservations.release_all(2, false), []);
 }
 
+/// Guards against a state that a cancelled prefill leaves after the stream has begun elsewhere.
+#[test]
+fn first_token_releases_what_prefills_of_unknown_end_may_still_leave() {
+    let mut reservations = Reservations::new(ReleaseMode::PerRequest);
+    reservations.attempt_ended(end(0, Outcome::Cancelled, true));
+    reservations.attempt_ended(end(1, Outcome::Prefilled, true));
+    reservations.attempt_started(2, DECODE, false);
+    assert_eq!(reservations.first_token(2), [kv_state(0, false)]);
+    assert_eq!(reservations.release_all(3, false), []);
+}
+
+/// Guards against a stream that forgets a release which its prefill had withdrawn.
+#[test]
+fn first_token_makes_up_for_a_withdrawn_release() {
+    let mut reservations = Reservations::new(ReleaseMode::PerRequest);
+    let prefilled = AttemptEnd {
+        release_withdrawn: true,
+        ..end(0, Outcome::Prefilled, true)
+    };
+    reservations.attempt_ended(prefilled);
+    reservations.attempt_started(1, DECODE, false);
+    assert_eq!(reservations.first_token(1), [kv_state(0, false)]);
+}
+
 #[test]
 fn denied_slot_leaves_nothing() {
     let denied = Reservation::decode_slot("decode", DECODE, 0, ReservationStatus::Denied);
--- a/crates/ivyward-platform/tests/reservations.rs
+++ b/crates/ivyward-platform/tests/reservations.rs
@@ -7,6 +7,7 @@
 use ivyward::core::interface::Micros;
 use ivyward::runtime::{RuntimeExt, RuntimeRef};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 const RELEASE_WITHIN: Micros = 300_000;
 const MS: Micros = 1_000;
@@ -191,6 +192,30 @@
     }
 }
 
+/// Guards against a state that a cancelled prefill leaves while the response already streams from another engine.
+#[test]
+fn what_a_cancelled_prefill_leaves_during_the_stream_is_released() {
+    let prefills = AtomicUsize::new(0);
+    let setup = ClusterSetup::new(move |received| {
+        match is_prefill(received) && prefills.fetch_add(1, Ordering::SeqCst) == 0 {
+            true => EngineBehavior::Silent,
+            false => EngineBehavior::Normal,
+        }
+    });
+    setup.run(|cluster| async move {
+        assert_eq!(cluster.send_request("one", "draft").await.status, 200);
+        cluster.runtime.sleep(2_000 * MS).await;
+        let attempts = cluster.attempts("one");
+        assert_eq!(attempts.iter().filter(|a| is_prefill(a)).count(), 2);
+        let streamed_at = attempts.iter().find(|a| is_decode(a)).unwrap().at;
+        let releases = cluster.releases("one");
+        let after = releases.iter().filter(|release| release.at > streamed_at);
+        // The cancelled prefill may still be on its way, so its release is repeated twice.
+        assert_eq!(after.count(), 3, "{releases:?}");
+        assert_eq!(cluster.service.node().pending_releases(), 0);
+    });
+}
+
 /// The engine with the reservation is removed from the list or begins to drain. The release is sent to an engine that is
 /// still in the list.
 #[test]
