Reservations: a release after a decode whose engine may not know its end is repeated

Cause: a release counts as confirmed if the prefill was answered, so one accepted release ended it. An engine that has not noticed the end of a decode attempt keeps what that attempt waits for.

Result: release_after_a_decode_attempt_of_unknown_end_is_unconfirmed fails before.

--- a/crates/ivyward-core/src/reservations.rs
+++ b/crates/ivyward-core/src/reservations.rs
@@ -110,6 +110,9 @@
     reservations: Vec<Tracked<H>>,
     /// Reservations of attempts with a lower number were returned for release.
     released_before: u16,
+    /// Whether an engine may not have noticed yet that a decode attempt has ended. With [`ReleaseMode::PerRequest`], a release
+    /// that arrives before that leaves what the attempt waits for.
+    decode_may_be_waiting: bool,
 }
 
 impl<H: Clone> RequestReservations<H> {
@@ -120,6 +123,7 @@
             kv_state: None,
             reservations: Vec::new(),
             released_before: 0,
+            decode_may_be_waiting: false,
         }
     }
 
@@ -185,6 +189,9 @@
                 }
             }
         }
+        if !end.prefill_only && self.mode == ReleaseMode::PerRequest {
+            self.decode_may_be_waiting |= may_still_be_waiting(outcome);
+        }
         if outcome == Outcome::KvCacheMiss {
             self.kv_state = None;
             if self.mode == ReleaseMode::PerReservation {
@@ -256,9 +263,13 @@
         }
         self.kv_state = None;
         self.released_before = attempts_started;
+        let decode_has_ended = !self.decode_may_be_waiting;
         std::mem::take(&mut self.reservations)
             .into_iter()
-            .map(|tracked| tracked.reservation)
+            .map(|tracked| Reservation {
+                confirmed: tracked.reservation.confirmed && decode_has_ended,
+                ..tracked.reservation
+            })
             .collect()
     }
 
@@ -285,6 +296,14 @@
     }
 }
 
+/// Returns whether an engine may still run an attempt that ended with this outcome for the node.
+fn may_still_be_waiting(outcome: Outcome) -> bool {
+    matches!(
+        outcome,
+        Outcome::Cancelled | Outcome::TimedOut | Outcome::Reset
+    )
+}
+
 /// Returns whether a prefill attempt with this outcome may have left a KV state without confirming it.
 fn may_leave_kv_state(outcome: Outcome) -> bool {
     outcome == Outcome::Served || outcome.may_have_run()
--- a/crates/ivyward-core/tests/reservations.rs
+++ b/crates/ivyward-core/tests/reservations.rs
@@ -254,6 +254,18 @@
     assert_eq!(reservations.first_token(1), [kv_state(0, false)]);
 }
 
+/// Guards against a state that an engine keeps for a decode attempt whose end it has not noticed when the release arrives.
+#[test]
+fn release_after_a_decode_attempt_of_unknown_end_is_unconfirmed() {
+    for outcome in [Outcome::Cancelled, Outcome::TimedOut, Outcome::Reset] {
+        let mut reservations = Reservations::new(ReleaseMode::PerRequest);
+        reservations.attempt_ended(end(0, Outcome::Prefilled, true));
+        reservations.attempt_started(1, DECODE, false);
+        reservations.attempt_ended(end(1, outcome, false));
+        assert_eq!(reservations.release_all(2, false), [kv_state(0, false)]);
+    }
+}
+
 #[test]
 fn denied_slot_leaves_nothing() {
     let denied = Reservation::decode_slot("decode", DECODE, 0, ReservationStatus::Denied);
