Tests: one gRPC client whose calls are written in parts, in place of two copies

Need: two test files opened HTTP/2 connections and read outcomes with the same lines. Change: tests/http2_client holds them; both files use it.

--- a/crates/ivyward-testbed/tests/grpc_request_memory.rs
+++ b/crates/ivyward-testbed/tests/grpc_request_memory.rs
@@ -1,5 +1,6 @@
 //! What gRPC clients make a node hold of their requests is bounded, whatever they do on their connections.
 
+mod http2_client;
 mod virtual_cluster;
 
 use bytes::Bytes;
@@ -9,7 +10,6 @@
 use ivyward_core::interface::ListKind;
 use ivyward_grpc::encode;
 use ivyward_proto::front::GenerateRequest;
-use ivyward_runtime::io::Io;
 use ivyward_runtime::{timeout_at, RuntimeExt, RuntimeRef};
 use ivyward_testbed::local_cluster::settings;
 use std::net::SocketAddr;
@@ -31,21 +31,9 @@
     upload: SendStream<Bytes>,
 }
 
-/// Opens an HTTP/2 connection, which a task of its own drives.
-async fn connect(runtime: &RuntimeRef, address: SocketAddr) -> SendRequest<Bytes> {
-    let conn = runtime.connect(address).await.unwrap();
-    let (client, connection) = h2::client::handshake(Io::new(conn)).await.unwrap();
-    runtime.run(async move {
-        let _ = connection.await;
-    });
-    client.ready().await.unwrap()
-}
-
 /// Begins a call with `headers` additional header lines, and sends a part of its message.
 async fn begin_call(client: &mut SendRequest<Bytes>, headers: usize, part: Bytes) -> OpenCall {
-    let mut head = http::Request::post("http://node/ivyward.front.v1.Front/Generate")
-        .header("content-type", "application/grpc")
-        .header("te", "trailers");
+    let mut head = http2_client::call_head();
     for number in 0..headers {
         head = head.header(format!("a{number}"), "b");
     }
@@ -57,42 +45,26 @@
     OpenCall { response, upload }
 }
 
-/// Returns the outcome in the headers of a response; `None` if there is no response after `WAIT`.
-async fn outcome(runtime: &RuntimeRef, call: OpenCall) -> Option<String> {
+/// Returns the outcome of a call; `None` if there is none after `WAIT`.
+async fn outcome_in_time(runtime: &RuntimeRef, call: OpenCall) -> Option<String> {
     let until = runtime.now() + WAIT;
-    let response = timeout_at(runtime, until, call.response).await?;
+    let outcome = timeout_at(runtime, until, http2_client::outcome(call.response)).await?;
     drop(call.upload);
-    let response = response.ok()?;
-    let outcome = response.headers().get("ivyward-outcome");
-    Some(
-        outcome
-            .map_or("begun", |value| value.to_str().unwrap())
-            .to_owned(),
-    )
+    Some(outcome.expect("the connection is open"))
 }
 
-/// Sends a whole call, and returns the outcome in its trailers or headers.
-async fn outcome_of_whole_call(runtime: &RuntimeRef, address: SocketAddr) -> String {
-    let mut client = connect(runtime, address).await;
+/// Sends a whole call on a connection of its own, and returns its outcome.
+async fn outcome_of_whole_call(runtime: &RuntimeRef, address: SocketAddr) -> Option<String> {
+    let mut client = http2_client::connect(runtime, address).await;
     let mut call = begin_call(&mut client, 0, Bytes::new()).await;
     let message = encode(&request(1_000, &prompt(1, 60), 1_000));
     call.upload.send_data(message, true).unwrap();
-    let response = call.response.await.unwrap();
-    if let Some(outcome) = response.headers().get("ivyward-outcome") {
-        return outcome.to_str().unwrap().to_owned();
-    }
-    let mut body = response.into_body();
-    while let Some(data) = body.data().await {
-        let length = data.unwrap().len();
-        body.flow_control().release_capacity(length).unwrap();
-    }
-    let trailers = body.trailers().await.unwrap().unwrap();
-    trailers["ivyward-outcome"].to_str().unwrap().to_owned()
+    http2_client::outcome(call.response).await
 }
 
 /// Begins `CALLS` calls on one connection, each with this many header lines and a part of a message. Returns how many were
 /// refused, and the outcome of another client's call beside them.
-fn refused_of_incomplete_calls(headers: usize, sent_bytes: usize) -> (usize, String) {
+fn refused_of_incomplete_calls(headers: usize, sent_bytes: usize) -> (usize, Option<String>) {
     let cluster = virtual_cluster();
     let (node, address, ..) = cluster.node_with(NodeSettings {
         max_request_bytes: MAX_REQUEST_BYTES,
@@ -102,7 +74,7 @@
     let (listed, runtime) = (cluster.listed(), cluster.runtime.clone());
     let result = cluster.sim.run(&cluster.script, HOUR, async move {
         node.update_endpoints(ListKind::Full, listed).await;
-        let mut client = connect(&runtime, address).await;
+        let mut client = http2_client::connect(&runtime, address).await;
         let mut calls = Vec::new();
         for number in 1..=CALLS {
             let message = encode(&long_request(number));
@@ -113,7 +85,7 @@
         let whole = outcome_of_whole_call(&runtime, address).await;
         let mut refused = 0;
         for call in calls {
-            match outcome(&runtime, call).await.as_deref() {
+            match outcome_in_time(&runtime, call).await.as_deref() {
                 None => {}
                 Some("refused") => refused += 1,
                 other => panic!("{other:?}"),
@@ -139,7 +111,7 @@
         "{held} calls are held"
     );
     assert!(held > 0);
-    assert_eq!(whole, "served");
+    assert_eq!(whole.as_deref(), Some("served"));
 }
 
 /// Guards against heads of very many short fields, which take more memory than their bytes.
@@ -153,7 +125,7 @@
         held * FIELDS * 50 <= MAX_REQUEST_BYTES,
         "{held} calls are held"
     );
-    assert_eq!(whole, "served");
+    assert_eq!(whole.as_deref(), Some("served"));
 }
 
 /// Guards against prompts of open requests that are bounded by the number of requests alone.
--- a/crates/ivyward-testbed/tests/stopping_node.rs
+++ b/crates/ivyward-testbed/tests/stopping_node.rs
@@ -1,5 +1,6 @@
 //! What a stopping gRPC node does with calls that began before the stop.
 
+mod http2_client;
 mod virtual_cluster;
 
 use bytes::Bytes;
@@ -7,24 +8,12 @@
 use h2::client::SendRequest;
 use ivyward_core::interface::ListKind;
 use ivyward_grpc::encode;
-use ivyward_runtime::io::Io;
 use ivyward_runtime::{RuntimeExt, RuntimeRef};
-use std::net::SocketAddr;
 use virtual_cluster::{prompt, request, virtual_cluster, HOUR};
 
 /// How long open requests may last after the stop, in microseconds.
 const STOP_TIMEOUT: u64 = 3_000_000;
 
-/// Opens an HTTP/2 connection, which a task of its own drives.
-async fn connect(runtime: &RuntimeRef, address: SocketAddr) -> SendRequest<Bytes> {
-    let conn = runtime.connect(address).await.unwrap();
-    let (client, connection) = h2::client::handshake(Io::new(conn)).await.unwrap();
-    runtime.run(async move {
-        let _ = connection.await;
-    });
-    client.ready().await.unwrap()
-}
-
 /// Sends a call in two parts, the second one `pause` later. Returns the call's outcome from its trailers; `None` if the
 /// connection ended without one.
 async fn call_in_parts(
@@ -33,28 +22,14 @@
     first_part: usize,
     pause: u64,
 ) -> Option<String> {
-    let head = http::Request::post("http://node/ivyward.front.v1.Front/Generate")
-        .header("content-type", "application/grpc")
-        .header("te", "trailers")
-        .body(())
-        .unwrap();
+    let head = http2_client::call_head().body(()).unwrap();
     let (response, mut upload) = client.send_request(head, false).unwrap();
     let mut message = encode(&request(1, &prompt(1, 60), 1));
     let begin = message.split_to(first_part);
     upload.send_data(begin, false).unwrap();
     runtime.sleep(pause).await;
     upload.send_data(message, true).ok()?;
-    let response = response.await.ok()?;
-    if let Some(outcome) = response.headers().get("ivyward-outcome") {
-        return Some(outcome.to_str().unwrap().to_owned());
-    }
-    let mut body = response.into_body();
-    while let Some(data) = body.data().await {
-        let length = data.ok()?.len();
-        body.flow_control().release_capacity(length).ok()?;
-    }
-    let trailers = body.trailers().await.ok()??;
-    Some(trailers["ivyward-outcome"].to_str().unwrap().to_owned())
+    http2_client::outcome(response).await
 }
 
 /// Guards against a call that a stopping node forwards although its message came after the stop.
@@ -71,7 +46,7 @@
         );
         let outcome = cluster.sim.run(&cluster.script, HOUR, async move {
             node.update_endpoints(ListKind::Full, listed).await;
-            let client = connect(&runtime, address).await;
+            let client = http2_client::connect(&runtime, address).await;
             let call = call_in_parts(&runtime, client, first_part, 500_000);
             let stopping = async {
                 runtime.sleep(100_000).await;
