Rule checker: an excessive deadline is found at the start of the log's clock, too

Need: found when the whole change was read once more. Since the excess of a stated deadline was counted back from the arrival and cut at 0, so in the first moments of a clock that starts at 0 any excess passed, where it was reported before.

Change: the excess is compared with the slack as before, plus the recorded stalls. Without a stall the check is the original one.

Result: an_excessive_deadline_is_found_at_the_start_of_the_clock fails before. All tests of ivyward-fakes, and of the files rule_checker, simulation, faults and reservations of the testbed pass.

--- a/crates/ivyward-fakes/src/rule_checker.rs
+++ b/crates/ivyward-fakes/src/rule_checker.rs
@@ -706,8 +706,9 @@
         let slack = DEADLINE_SLACK.max(limits.delivery_allowance);
         // The call was sent at most this time ago.
         let excess = timeout.saturating_sub(remaining);
-        let is_excessive = self.is_later(logged.at, logged.at.saturating_sub(excess), slack);
-        out.deadlines.check(!is_excessive, || {
+        let sent_after = logged.at.saturating_sub(excess);
+        let stalled = self.stalls.within(sent_after, logged.at);
+        out.deadlines.check(excess <= slack.saturating_add(stalled), || {
             let attempt = key.attempt;
             format!("attempt {attempt} of call {call:x} stated a timeout of {timeout} us to engine {engine:x}, but {remaining} us remain")
         });
--- a/crates/ivyward-fakes/tests/stalled_process.rs
+++ b/crates/ivyward-fakes/tests/stalled_process.rs
@@ -116,6 +116,21 @@
     assert_eq!(violations(&events, 800_000 + STALL)[1].len(), 1);
 }
 
+/// Guards against an excess that is cut to the time since the log's clock started.
+#[test]
+fn an_excessive_deadline_is_found_at_the_start_of_the_clock() {
+    let arrived = ObservedEvent::AttemptArrived {
+        engine: ENGINE,
+        key: KEY,
+        call: CALL,
+        kind: CallKind::Decode,
+        timeout: Some(9_000_000),
+    };
+    let served = call_ended(900_000, ClientOutcome::Served);
+    let [without, _] = violations(&[call_started(), (1_000, arrived), served], 5_000_000);
+    assert_eq!(without.len(), 1, "{without:?}");
+}
+
 #[test]
 fn a_reservation_is_not_held_too_long_by_a_stall() {
     let retained = ObservedEvent::Retained {
